Lay out the build, the Core types and the ports

Cause: the repository was empty. Conclusion: modules can now be written side by side against these headers.

--- /dev/null
+++ b/cmake/Options.cmake
@@ -0,0 +1,14 @@
+# Compiler settings shared by every target.
+add_compile_options(-Wall -Wextra -Wpedantic -Werror)
+set(SANITIZE "" CACHE STRING "Sanitizers to build with: thread, or address,undefined")
+if(SANITIZE)
+  add_compile_options(-fsanitize=${SANITIZE} -fno-omit-frame-pointer)
+  add_link_options(-fsanitize=${SANITIZE})
+endif()
+
+find_program(CCACHE ccache)
+if(CCACHE)
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CMAKE_COMMAND} -E env
+      CCACHE_BASEDIR=${CMAKE_SOURCE_DIR} CCACHE_NOHASHDIR=1 ${CCACHE})
+endif()
+find_package(Threads REQUIRED)
--- /dev/null
+++ b/lagoonpoint/src/Config/Declarations.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "lagoonpoint/Core"
+#include "lagoonpoint/src/Config/Findings.h"
+#include "lagoonpoint/src/Config/Settings.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lagoonpoint {
+
+/// `[region.ID]`
+struct RegionDecl {
+  RegionId Id_;
+  Rate Capacity_; ///< requests per second its upstreams take together
+  bool Drained_ = false;
+};
+
+/// `[zone.ID]`
+struct ZoneDecl {
+  ZoneId Id_;
+  RegionId Region_;
+  bool Drained_ = false;
+};
+
+/// `[vm.ID]`: an entry VM.
+struct VmDecl {
+  VmId Id_;
+  ZoneId Zone_;
+  Address Callers_;
+  Address Upstreams_;
+  Address Operators_;
+  Address Peers_;
+  bool Entry_ = true;
+  bool Disk_ = false;
+  bool Drained_ = false;
+};
+
+/// `[link.FROM.TO]`: one direction between two regions.
+struct LinkDecl {
+  RegionId From_;
+  RegionId To_;
+  Bandwidth Cap_;
+  Price Price_;
+  Duration Latency_; ///< one way
+};
+
+/// `[service.ID]`
+struct ServiceDecl {
+  ServiceId Id_;
+  ProfileId Profile_;
+  std::string AnnounceSalt_; ///< of the service key that announcements show
+  std::string AnnounceHash_; ///< SHA-256 of salt and key, in hex
+  Duration SlowStart_ = Duration::seconds(30);
+};
+
+/// How often a request of a route may reach an upstream.
+enum class RouteKind { Plain, Repeatable, Once };
+
+/// `[route.NAME]`: the longest matching prefix wins.
+struct RouteDecl {
+  std::string Name_;
+  std::string Prefix_;
+  ServiceId Service_;
+  bool Open_ = false; ///< needs no key
+  RouteKind Kind_ = RouteKind::Plain;
+  Duration Deadline_ = Duration::seconds(5); ///< when the caller names none
+  Duration MaxDeadline_ = Duration::seconds(30);
+};
+
+/// `[team.ID]`
+struct TeamDecl {
+  TeamId Id_;
+  Rate Rate_;
+  double Burst_ = 0;    ///< requests
+  unsigned Weight_ = 1; ///< share when upstreams are the bottleneck
+  Duration CutOffKeysFor_ = Duration::seconds(3600);
+};
+
+/// `[key.ID]`: a caller's key; callers present "ID.SECRET".
+struct KeyDecl {
+  KeyId Id_;
+  TeamId Team_;
+  std::string Salt_;
+  std::string Hash_; ///< SHA-256 of salt and secret, in hex
+};
+
+/// What a profile strives for.
+enum class Objective { Nearest, Cheapest, Spread };
+
+/// `[profile.ID]`
+struct ProfileDecl {
+  ProfileId Id_;
+  Objective Objective_ = Objective::Nearest;
+  std::vector<RegionId> Allowed_;  ///< empty: all
+  std::vector<RegionId> Fallback_; ///< order when the objective's choice fails
+  std::vector<RegionId> Avoid_;    ///< regions this profile drains
+  double ShiftCap_ = 0.1;          ///< share of a service's traffic moved ...
+  Duration ShiftEvery_ = Duration::seconds(10); ///< ... per this interval
+};
+
+/// `[block.NAME]`: client addresses and the zone they are closest to.
+struct BlockDecl {
+  std::string Cidr_;
+  ZoneId Zone_;
+};
+
+/// `[fleet]`: what holds for the whole deployment.
+struct FleetDecl {
+  Duration LookupTtl_ = Duration::seconds(5);
+  Duration ResultsKept_ = Duration::seconds(600); ///< of once-requests
+  Duration LeaseLength_ = Duration::seconds(3);
+  double FloorShare_ = 0.3;  ///< part of each rate divided without a lease
+  double RetryBudget_ = 0.1; ///< retries per request, per team and service
+};
+
+/// \class Declarations
+/// \ingroup Config
+/// \brief What the operators declare for the whole deployment.
+struct Declarations {
+  FleetDecl Fleet_;
+  std::map<RegionId, RegionDecl> Regions_;
+  std::map<ZoneId, ZoneDecl> Zones_;
+  std::map<VmId, VmDecl> Vms_;
+  std::vector<LinkDecl> Links_;
+  std::map<ServiceId, ServiceDecl> Services_;
+  std::vector<RouteDecl> Routes_;
+  std::map<TeamId, TeamDecl> Teams_;
+  std::map<KeyId, KeyDecl> Keys_;
+  std::map<ProfileId, ProfileDecl> Profiles_;
+  std::vector<BlockDecl> Blocks_;
+};
+
+/// Parses and checks a declarations file's text: unknown sections and keys,
+/// repeated keys, malformed values, numbers out of range, references to what
+/// is not declared, contradictions.
+/// \ingroup Config
+/// \param File name used in findings
+/// \param[out] Errors all errors found; the result is valid only if empty
+Declarations parseDeclarations(const std::string &Text, const std::string &File,
+                               Findings &Errors);
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Http/CallerPort.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "lagoonpoint/Config"
+#include "lagoonpoint/Core"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoonpoint {
+
+/// `GET /v1/lookup`
+struct LookupQuery {
+  ServiceId Service_;
+  std::string ClientAddress_; ///< of the connection, or the `client` parameter
+};
+
+/// One entry VM a caller may use.
+struct LookupTarget {
+  VmId Vm_;
+  ZoneId Zone_;
+  Address Callers_;
+  double Weight_ = 0; ///< share of the caller's calls; weights sum to 1
+};
+
+/// Answer to a look-up, best VM first.
+struct LookupReply {
+  std::vector<LookupTarget> Targets_;
+  Duration Ttl_;
+  Revision Revision_;
+  std::string OncePrefix_; ///< callers begin idempotency keys with it
+};
+
+/// The head of a call, as the listener understood it.
+struct Call {
+  RequestId Request_;
+  std::string Method_;
+  std::string Path_; ///< with query
+  std::string Key_;  ///< "ID.SECRET"; empty if none was shown
+  std::string IdempotencyKey_;
+  std::string ClientAddress_;
+  std::optional<Duration> Deadline_; ///< what the caller allows, if it said
+  Time Arrived_;
+  bool Forwarded_ = false; ///< another entry VM sent it here
+  std::string BodyDigest_; ///< set for once-routes: tells reused keys apart
+};
+
+/// Where one try of a call is sent.
+struct CallTarget {
+  UpstreamId Upstream_; ///< empty if Vm_ is set
+  VmId Vm_;             ///< home entry VM of a once-key: the key is passed on
+  Address Address_;
+};
+
+/// How one try ended.
+enum class TryEnd {
+  Answered,     ///< whole answer received
+  NotConnected, ///< connection refused or not made in time
+  NothingSent,  ///< failed before any byte of the request was written
+  Shed,         ///< upstream said that it didn't run the request
+  TimedOut,     ///< deadline passed after bytes were sent
+  Broken,       ///< connection failed or answer cut after bytes were sent
+  CallerLeft,   ///< caller closed its connection
+};
+
+/// What the listener reports of one try.
+struct TryReport {
+  TryEnd End_ = TryEnd::Answered;
+  int Status_ = 0;             ///< upstream's status, if a head was received
+  std::int64_t Micros_ = 0;    ///< from dispatch to the end of the answer
+  std::int64_t BytesSent_ = 0; ///< to the upstream
+  std::int64_t BytesReceived_ = 0; ///< from the upstream
+  bool AnswerBegun_ = false; ///< bytes of the answer have gone to the caller
+};
+
+/// A stored answer of a once-request.
+struct StoredAnswer {
+  int Status_ = 0;
+  std::vector<std::pair<std::string, std::string>> Headers_;
+  std::string Body_;
+};
+
+/// \class CallTicket
+/// \ingroup Http
+/// \brief One admitted call; its destruction releases all that it holds.
+class CallTicket {
+public:
+  virtual ~CallTicket() = default;
+
+  virtual const RouteDecl &route() const = 0;
+  /// \returns the team, empty on an open route.
+  virtual const TeamId &team() const = 0;
+  virtual Time deadline() const = 0;
+
+  /// \returns the answer kept for this idempotency key, if the call has run.
+  virtual std::optional<StoredAnswer> stored() = 0;
+
+  /// Chooses where to send the next try and reserves a slot there, waiting in
+  /// the team's queue if need be. Never names one upstream twice.
+  /// \throws Refusal if the call must end here
+  virtual CallTarget next() = 0;
+
+  /// Reports how the try ended and releases its slot.
+  /// \returns true if the call may be tried again
+  virtual bool ended(const TryReport &Report) = 0;
+
+  /// Keeps the answer of a once-request for resends.
+  virtual void keep(const StoredAnswer &Answer) = 0;
+};
+
+/// \class CallerPort
+/// \ingroup Http
+/// \brief What the callers' listener needs of the entry VM. Thread-safe.
+class CallerPort {
+public:
+  virtual ~CallerPort() = default;
+
+  /// \throws Refusal
+  virtual LookupReply lookup(const LookupQuery &Query) = 0;
+
+  /// Finds the route without admitting anything, so that the listener knows
+  /// whether to read the body before admission (once-routes).
+  /// \throws Refusal if no route matches
+  virtual RouteDecl route(const std::string &Path) = 0;
+
+  /// Checks route, key and limits. May wait for a lease within the deadline.
+  /// \throws Refusal
+  virtual std::unique_ptr<CallTicket> admit(const Call &C) = 0;
+
+  /// \returns true if calls on live connections should end after their answer.
+  virtual bool draining() const = 0;
+};
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/test/main/CatchMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
