--- a/test/fakes/FakeClock.h
+++ b/test/fakes/FakeClock.h
@@ -8,12 +8,12 @@
 class FakeClock final : public Clock {
 public:
   Time now() const override { return Now_; }
-  std::int64_t unixMillis() const override { return Origin_ + Now_.count(); }
+  std::int64_t unixMillis() const override { return Origin + Now_.count(); }
   void set(Time Now) { Now_ = Now; }
   void advance(Duration By) { Now_ = Now_ + By; }
 
 private:
-  static constexpr std::int64_t Origin_ = 1'800'000'000'000;
+  static constexpr std::int64_t Origin = 1'800'000'000'000;
   Time Now_{1000};
 };
 
