--- a/cmake/Options.cmake
+++ b/cmake/Options.cmake
@@ -1,5 +1,6 @@
 # Compiler settings shared by every target.
-add_compile_options(-Wall -Wextra -Wpedantic -Werror)
+add_compile_options(-Wall -Wextra -Wpedantic -Werror
+  -Wno-missing-field-initializers) # designated initializers leave fields out
 set(SANITIZE "" CACHE STRING "Sanitizers to build with: thread, or address,undefined")
 if(SANITIZE)
   add_compile_options(-fsanitize=${SANITIZE} -fno-omit-frame-pointer)
--- /dev/null
+++ b/lagoonpoint/src/Catalog/Catalog.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "lagoonpoint/Config"
+#include "lagoonpoint/src/Catalog/Change.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace lagoonpoint {
+
+/// \class Catalog
+/// \ingroup Catalog
+/// \brief All replicated facts at one revision.
+///
+/// Each accepted change makes the next revision. Replies are remembered for
+/// the last MaxReplies changes, so that a resent change is not applied twice;
+/// a change id older than that is judged anew, where its base revision no
+/// longer fits and its other kinds are idempotent.
+struct Catalog {
+  static constexpr std::size_t MaxReplies = 10'000;
+
+  Revision Revision_;
+  std::string Text_; ///< of the declarations in force
+  std::map<KeyId, KeyGrant> Granted_;
+  std::set<KeyId> Withdrawn_;
+  std::set<Drain> Drains_;
+  std::map<ZoneId, ZoneView> Views_;
+  std::map<ChangeId, ChangeReply> Replies_;
+  std::deque<ChangeId> ReplyOrder_; ///< oldest first
+  MSGPACK_DEFINE(Revision_, Text_, Granted_, Withdrawn_, Drains_, Views_,
+                 Replies_, ReplyOrder_)
+};
+
+/// Judges a change and applies it if accepted.
+/// \ingroup Catalog
+/// \returns the verdict; for an id that was judged before, the first verdict
+ChangeReply applyChange(Catalog &State, const Change &C);
+
+/// \returns the verdict kept for a change id, if there is one.
+std::optional<ChangeReply> keptReply(const Catalog &State, const ChangeId &Id);
+
+/// Finds what makes a change invalid whatever the state; empty if nothing.
+std::string invalidity(const Change &C);
+
+/// \returns the declarations with granted keys and drains merged in. Withdrawn
+/// keys stay listed; Withdrawn_ says which they are.
+Declarations effectiveDeclarations(const Catalog &State);
+
+/// \returns a hash of all facts except the kept replies, in hex. Equal for
+/// all VMs at one revision.
+std::string digestOf(const Catalog &State);
+
+/// \returns the state without the kept replies, for VMs that don't vote.
+std::string encodeForFollowers(const Catalog &State);
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Catalog/KeySecret.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "lagoonpoint/Core"
+#include "lagoonpoint/src/Catalog/Change.h"
+
+#include <cstddef>
+#include <string>
+
+namespace lagoonpoint {
+
+/// Length of a SHA-256 in hex.
+inline constexpr std::size_t HashHexLength = 64;
+
+/// \returns the SHA-256 of the bytes, in hex.
+std::string sha256Hex(const std::string &Bytes);
+
+/// \returns true if SHA-256 of salt and secret equals the hash, in a time that
+/// depends on the lengths only.
+bool secretMatches(const std::string &Salt, const std::string &HashHex,
+                   const std::string &Secret);
+
+/// \returns true if the texts are equal, in a time that depends on the lengths
+/// only.
+bool equalInConstantTime(const std::string &A, const std::string &B);
+
+/// A key as a caller shows it: "ID.SECRET".
+struct ShownKey {
+  KeyId Id_;
+  std::string Secret_;
+};
+
+/// Splits a shown key; both parts are empty if it has no dot.
+ShownKey splitKey(const std::string &Shown);
+
+/// A new key: what is replicated, and what the operator hands to the team.
+struct NewKey {
+  KeyGrant Grant_;
+  std::string Shown_; ///< "ID.SECRET"; kept nowhere
+};
+
+/// Makes a key with a secret from the operating system's random source.
+NewKey makeKey(const KeyId &Id, const TeamId &Team);
+
+} // namespace lagoonpoint
