Add the command line

Cause: operators need one binary with checked options and documented exit codes. Conclusion: the process behind the operators' listener can be written against these requests.

--- /dev/null
+++ b/lagoonpoint/src/Cli/CommandLine.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "lagoonpoint/src/Cli/ExitCode.h"
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace lagoonpoint {
+
+/// Runs one command of the binary.
+/// \ingroup Cli
+/// \param Words the arguments after the program's name
+/// \returns the exit code of the process; errors are written to \p Err
+ExitCode runCommandLine(const std::vector<std::string> &Words,
+                        std::ostream &Out, std::ostream &Err);
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Cli/FleetCommands.cpp
@@ -0,0 +1,103 @@
+#include "lagoonpoint/src/Cli/Command.h"
+#include "lagoonpoint/src/Cli/OperatorClient.h"
+
+#include <Poco/UUIDGenerator.h>
+
+#include <ostream>
+
+namespace lagoonpoint {
+
+namespace {
+
+ExitCode finish(CommandContext &Context, const OperatorAnswer &Answer,
+                const std::string &Done) {
+  if (!Answer.ok())
+    return reportFailure(Context, Answer);
+  if (Context.Options_.count("json")) {
+    Answer.Body_->stringify(Context.Out_);
+    Context.Out_ << "\n";
+    return ExitCode::Ok;
+  }
+  Context.Out_ << Done;
+  std::string Revision = textOf(Answer.Body_, "revision");
+  if (!Revision.empty())
+    Context.Out_ << " (revision " << Revision << ")";
+  std::string Message = textOf(Answer.Body_, "message");
+  if (!Message.empty())
+    Context.Out_ << ": " << Message;
+  Context.Out_ << "\n";
+  return ExitCode::Ok;
+}
+
+std::string changeId(const CommandContext &Context) {
+  if (Context.Options_.count("change-id"))
+    return Context.Options_["change-id"].as<std::string>();
+  return Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
+}
+
+ExitCode usage(CommandContext &Context, const std::string &Message) {
+  Context.Err_ << Message << "\n";
+  return ExitCode::Usage;
+}
+
+ExitCode setDrain(CommandContext &Context, bool Drained) {
+  std::string Scope = Context.Options_["scope"].as<std::string>();
+  std::string Id = Context.Options_["id"].as<std::string>();
+  if (Scope != "region" && Scope != "zone" && Scope != "vm")
+    return usage(Context, "the scope is region, zone or vm");
+  Poco::JSON::Object Body;
+  Body.set("change_id", changeId(Context));
+  Body.set("scope", Scope);
+  Body.set("id", Id);
+  Body.set("drained", Drained);
+  OperatorAnswer Answer = OperatorClient(Context).post("/v1/drains", Body);
+  return finish(Context, Answer,
+                Scope + " " + Id + (Drained ? " drained" : " undrained"));
+}
+
+} // namespace
+
+ExitCode changeKey(CommandContext &Context) {
+  std::string Action = Context.Options_["action"].as<std::string>();
+  std::string Id = Context.Options_["id"].as<std::string>();
+  Poco::JSON::Object Body;
+  Body.set("change_id", changeId(Context));
+  Body.set("action", Action);
+  Body.set("id", Id);
+  if (Action == "grant") {
+    if (!Context.Options_.count("team"))
+      return usage(Context, "key grant needs --team");
+    Body.set("team", Context.Options_["team"].as<std::string>());
+  } else if (Action != "withdraw") {
+    return usage(Context, "the action is grant or withdraw");
+  }
+  OperatorAnswer Answer = OperatorClient(Context).post("/v1/keys", Body);
+  ExitCode Code = finish(Context, Answer, "key " + Id + " " + Action + "ed");
+  std::string Key = textOf(Answer.Body_, "key");
+  if (Code == ExitCode::Ok && !Key.empty() && !Context.Options_.count("json"))
+    Context.Out_ << "the key, shown only now: " << Key << "\n";
+  return Code;
+}
+
+ExitCode drain(CommandContext &Context) { return setDrain(Context, true); }
+
+ExitCode undrain(CommandContext &Context) { return setDrain(Context, false); }
+
+ExitCode changeVoter(CommandContext &Context) {
+  std::string Action = Context.Options_["action"].as<std::string>();
+  std::string Vm = Context.Options_["vm"].as<std::string>();
+  if (Action != "add" && Action != "remove" && Action != "replace")
+    return usage(Context, "the action is add, remove or replace");
+  Poco::JSON::Object Body;
+  Body.set("action", Action);
+  Body.set("vm", Vm);
+  if (Action == "replace") {
+    if (!Context.Options_.count("with"))
+      return usage(Context, "voter replace needs --with");
+    Body.set("with", Context.Options_["with"].as<std::string>());
+  }
+  OperatorAnswer Answer = OperatorClient(Context).post("/v1/voters", Body);
+  return finish(Context, Answer, "voter " + Action + " " + Vm);
+}
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Cli/util/TextDiff.cpp
@@ -0,0 +1,75 @@
+#include "lagoonpoint/src/Cli/util/TextDiff.h"
+
+#include <sstream>
+#include <vector>
+
+namespace lagoonpoint {
+
+namespace {
+
+using Lines = std::vector<std::string>;
+
+Lines split(const std::string &Text) {
+  Lines Out;
+  std::istringstream In(Text);
+  for (std::string Line; std::getline(In, Line);)
+    Out.push_back(Line);
+  return Out;
+}
+
+/// Removes the lines that both share at one end.
+void trimTail(Lines &A, Lines &B) {
+  while (!A.empty() && !B.empty() && A.back() == B.back()) {
+    A.pop_back();
+    B.pop_back();
+  }
+}
+
+std::size_t commonHead(const Lines &A, const Lines &B) {
+  std::size_t N = 0;
+  while (N < A.size() && N < B.size() && A[N] == B[N])
+    ++N;
+  return N;
+}
+
+/// Lengths of the longest common subsequences of all tails.
+std::vector<std::vector<std::size_t>> tailLengths(const Lines &A,
+                                                  const Lines &B) {
+  std::vector<std::vector<std::size_t>> Length(
+      A.size() + 1, std::vector<std::size_t>(B.size() + 1, 0));
+  for (std::size_t I = A.size(); I-- > 0;)
+    for (std::size_t J = B.size(); J-- > 0;)
+      Length[I][J] = A[I] == B[J]
+                         ? Length[I + 1][J + 1] + 1
+                         : std::max(Length[I + 1][J], Length[I][J + 1]);
+  return Length;
+}
+
+} // namespace
+
+std::string diffLines(const std::string &Old, const std::string &New) {
+  Lines A = split(Old);
+  Lines B = split(New);
+  trimTail(A, B);
+  std::size_t Head = commonHead(A, B);
+  A.erase(A.begin(), A.begin() + static_cast<std::ptrdiff_t>(Head));
+  B.erase(B.begin(), B.begin() + static_cast<std::ptrdiff_t>(Head));
+  auto Length = tailLengths(A, B);
+  std::string Out;
+  std::size_t I = 0;
+  std::size_t J = 0;
+  while (I < A.size() || J < B.size()) {
+    if (I < A.size() && J < B.size() && A[I] == B[J]) {
+      ++I;
+      ++J;
+    } else if (J == B.size() ||
+               (I < A.size() && Length[I + 1][J] >= Length[I][J + 1])) {
+      Out += "-" + A[I++] + "\n";
+    } else {
+      Out += "+" + B[J++] + "\n";
+    }
+  }
+  return Out;
+}
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Cli/util/TextFile.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+
+namespace lagoonpoint {
+
+/// \returns the whole file.
+/// \throws Error if it can't be read
+std::string readTextFile(const std::string &Name);
+
+} // namespace lagoonpoint
