Read settings and declarations with all their errors

Cause: nothing parsed the files that operators write; Poco's INI reader takes repeated keys, merged sections and inline comments silently. Change: module Config with a key table for each section (unit, range, default), a scan of the lines before Poco reads the values, checks of references and contradictions; example files of both firms and of one machine; the reference page, compared with the key table in both directions. Conclusion: a wrong file is refused whole, with every error at its line.

--- a/lagoonpoint/src/Config/Declarations.h
+++ b/lagoonpoint/src/Config/Declarations.h
@@ -102,7 +102,8 @@
 
 /// `[block.NAME]`: client addresses and the zone they are closest to.
 struct BlockDecl {
-  std::string Cidr_;
+  std::string Name_;
+  std::string Cidr_; ///< in one form of writing, such as "10.1.0.0/16"
   ZoneId Zone_;
 };
 
--- /dev/null
+++ b/lagoonpoint/src/Config/Findings.cpp
@@ -0,0 +1,14 @@
+#include "lagoonpoint/src/Config/Findings.h"
+
+namespace lagoonpoint {
+
+std::string toString(const Finding &F) {
+  std::string Out = F.File_ + ":" + std::to_string(F.Line_) + ": ";
+  if (!F.Section_.empty())
+    Out += "[" + F.Section_ + "] ";
+  if (!F.Key_.empty())
+    Out += F.Key_ + ": ";
+  return Out + F.Message_;
+}
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Config/util/IniText.cpp
@@ -0,0 +1,145 @@
+#include "lagoonpoint/src/Config/util/IniText.h"
+
+#include <Poco/AutoPtr.h>
+#include <Poco/String.h>
+#include <Poco/Util/IniFileConfiguration.h>
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace lagoonpoint::internal {
+
+namespace {
+
+bool isBlank(char C) { return C == ' ' || C == '\t'; }
+
+bool startsComment(char C) { return C == '#' || C == ';'; }
+
+std::string withoutComment(const std::string &Line) {
+  for (std::size_t I = 0; I < Line.size(); ++I)
+    if (startsComment(Line[I]) && (I == 0 || isBlank(Line[I - 1])))
+      return Line.substr(0, I);
+  return Line;
+}
+
+bool hasControlCharacter(const std::string &Line) {
+  return std::any_of(Line.begin(), Line.end(), [](unsigned char C) {
+    return (C < 0x20 && C != '\t') || C == 0x7f;
+  });
+}
+
+/// What the scan of the lines has gathered so far.
+struct Scan {
+  const std::string &File_;
+  Findings &Errors_;
+  std::vector<IniSection> Sections_;
+  std::set<std::string> SectionNames_; ///< lower case, as Poco compares them
+  std::set<std::string> Keys_;         ///< of the current section, lower case
+  std::string Clean_;                  ///< what Poco is given
+  bool Skipping_ = false;              ///< inside a malformed section
+};
+
+void report(Scan &S, std::size_t Line, const std::string &Section,
+            const std::string &Key, const std::string &Message) {
+  S.Errors_.push_back({S.File_, Line, Section, Key, Message});
+}
+
+void scanSection(Scan &S, std::size_t Line, const std::string &Text) {
+  std::string Name = Poco::trim(Text.substr(1, Text.find(']') - 1));
+  S.Skipping_ = Text.back() != ']' || Text.find(']') != Text.size() - 1 ||
+                Name.empty() || Name.find('[') != std::string::npos;
+  if (S.Skipping_)
+    return report(S, Line, "", "", "malformed section line '" + Text + "'");
+  if (!S.SectionNames_.insert(Poco::toLower(Name)).second)
+    report(S, Line, Name, "", "section is repeated");
+  S.Keys_.clear();
+  S.Sections_.push_back({Name, Line, {}});
+  S.Clean_ += "[" + Name + "]\n";
+}
+
+void scanEntry(Scan &S, std::size_t Line, const std::string &Text) {
+  std::size_t Equals = Text.find('=');
+  std::string Section = S.Sections_.empty() ? "" : S.Sections_.back().Name_;
+  std::string Key = Poco::trim(Text.substr(0, Equals));
+  if (S.Skipping_)
+    return;
+  if (Equals == std::string::npos || Key.empty())
+    return report(S, Line, Section, "",
+                  "expected 'key = value', found '" + Text + "'");
+  if (S.Sections_.empty())
+    return report(S, Line, "", Key, "key stands before the first section");
+  if (!S.Keys_.insert(Poco::toLower(Key)).second)
+    return report(S, Line, Section, Key, "key is repeated");
+  S.Sections_.back().Entries_.push_back({Key, "", Line});
+  S.Clean_ += Key + "=" + Poco::trim(Text.substr(Equals + 1)) + "\n";
+}
+
+void scanLine(Scan &S, std::size_t Line, std::string Text) {
+  if (!Text.empty() && Text.back() == '\r')
+    Text.pop_back();
+  if (hasControlCharacter(Text))
+    return report(S, Line, "", "", "line holds a control character");
+  Text = Poco::trim(withoutComment(Text));
+  if (Text.empty())
+    return;
+  if (Text.front() == '[')
+    scanSection(S, Line, Text);
+  else
+    scanEntry(S, Line, Text);
+}
+
+void takeValues(Scan &S) {
+  std::istringstream In(S.Clean_);
+  Poco::AutoPtr<Poco::Util::IniFileConfiguration> Ini(
+      new Poco::Util::IniFileConfiguration(In));
+  for (IniSection &Section : S.Sections_)
+    for (IniEntry &Entry : Section.Entries_)
+      Entry.Value_ = Ini->getRawString(Section.Name_ + "." + Entry.Key_, "");
+}
+
+} // namespace
+
+const IniEntry *IniSection::find(const std::string &Key) const {
+  auto Found = std::find_if(Entries_.begin(), Entries_.end(),
+                            [&](const IniEntry &E) { return E.Key_ == Key; });
+  return Found == Entries_.end() ? nullptr : &*Found;
+}
+
+std::vector<IniSection> readIni(const std::string &Text,
+                                const std::string &File, Findings &Errors) {
+  Scan S{File, Errors, {}, {}, {}, {}, false};
+  std::istringstream Lines(Text);
+  std::string Line;
+  for (std::size_t Number = 1; std::getline(Lines, Line); ++Number)
+    scanLine(S, Number, Line);
+  takeValues(S);
+  return std::move(S.Sections_);
+}
+
+Reporter::Reporter(std::string File, const std::vector<IniSection> &Sections,
+                   Findings &Errors)
+    : File_(std::move(File)), Errors_(Errors) {
+  for (const IniSection &Section : Sections)
+    Sections_.emplace(Section.Name_, &Section);
+}
+
+void Reporter::add(const std::string &Section, const std::string &Key,
+                   const std::string &Message) {
+  std::size_t Line = 0;
+  auto Found = Sections_.find(Section);
+  if (Found != Sections_.end()) {
+    const IniEntry *Entry = Found->second->find(Key);
+    Line = Entry ? Entry->Line_ : Found->second->Line_;
+  }
+  Errors_.push_back({File_, Line, Section, Key, Message});
+}
+
+void Reporter::sort() {
+  std::stable_sort(
+      Errors_.begin(), Errors_.end(),
+      [](const Finding &A, const Finding &B) { return A.Line_ < B.Line_; });
+}
+
+} // namespace lagoonpoint::internal
--- /dev/null
+++ b/lagoonpoint/src/Config/util/KeySpec.h
@@ -0,0 +1,195 @@
+#pragma once
+
+#include "lagoonpoint/src/Config/KeyTable.h"
+#include "lagoonpoint/src/Config/util/IniText.h"
+#include "lagoonpoint/src/Config/util/Values.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lagoonpoint::internal {
+
+/// The default of a key that has none.
+inline constexpr const char *Required = "required";
+
+/// How one key's text becomes a member of \p T.
+template <class T> struct KeySpec {
+  KeyInfo Info_; ///< without the section
+  /// Stores the value; \returns what is wrong with it, or an empty text.
+  std::function<std::string(T &, const std::string &)> Read_;
+};
+
+/// A kind of section and its keys.
+template <class T> struct SectionSpec {
+  std::string Pattern_; ///< such as "region.ID"
+  std::vector<KeySpec<T>> Keys_;
+};
+
+/// What a value is and how it is read.
+template <class V> struct UnitSpec {
+  const char *Text_;
+  std::optional<V> (*Read_)(const std::string &);
+};
+
+inline const UnitSpec<Duration> DurationUnit{"duration", readDuration};
+inline const UnitSpec<Rate> RateUnit{"rate", readRate};
+inline const UnitSpec<Bandwidth> BandwidthUnit{"bandwidth", readBandwidth};
+inline const UnitSpec<Price> PriceUnit{"price", readPrice};
+inline const UnitSpec<double> ShareUnit{"share", readShare};
+inline const UnitSpec<std::size_t> CountUnit{"count", readCount};
+inline const UnitSpec<std::size_t> BytesUnit{"bytes", readBytes};
+inline const UnitSpec<bool> BoolUnit{"bool", readBool};
+inline const UnitSpec<Address> AddressUnit{"address", readAddress};
+
+inline std::string malformed(const std::string &Text, const char *Unit) {
+  return "'" + Text + "' is not a " + Unit;
+}
+
+/// A key whose every well-formed value will do.
+template <class T, class V>
+KeySpec<T> plainKey(const char *Key, const char *Default,
+                    const UnitSpec<V> &Unit, V T::*Member) {
+  return {{"", Key, Unit.Text_, "", Default},
+          [Unit, Member](T &Into, const std::string &Text) -> std::string {
+            std::optional<V> Value = Unit.Read_(Text);
+            if (!Value)
+              return malformed(Text, Unit.Text_);
+            Into.*Member = *Value;
+            return "";
+          }};
+}
+
+/// A key whose value lies within two bounds, written as in a file.
+template <class T, class V, class M>
+KeySpec<T> rangedKey(const char *Key, const char *Default,
+                     const UnitSpec<V> &Unit, M T::*Member, const char *Low,
+                     const char *High) {
+  std::string Range = std::string(Low) + " to " + High;
+  V Min = *Unit.Read_(Low);
+  V Max = *Unit.Read_(High);
+  return {{"", Key, Unit.Text_, Range, Default},
+          [=](T &Into, const std::string &Text) -> std::string {
+            std::optional<V> Value = Unit.Read_(Text);
+            if (!Value)
+              return malformed(Text, Unit.Text_);
+            if (*Value < Min || *Value > Max)
+              return "'" + Text + "' is out of the range " + Range;
+            Into.*Member = static_cast<M>(*Value);
+            return "";
+          }};
+}
+
+/// A key that names one thing.
+template <class T, class I>
+KeySpec<T> idKey(const char *Key, const char *Default, I T::*Member) {
+  return {{"", Key, "id", "", Default},
+          [Member](T &Into, const std::string &Text) -> std::string {
+            if (!isId(Text))
+              return malformed(Text, "id");
+            Into.*Member = I(Text);
+            return "";
+          }};
+}
+
+/// A key that names several things, none of them twice; by default none.
+template <class T, class I>
+KeySpec<T> idListKey(const char *Key, const char *Default,
+                     std::vector<I> T::*Member) {
+  return {{"", Key, "list of ids", "", Default},
+          [Member](T &Into, const std::string &Text) -> std::string {
+            std::optional<std::vector<std::string>> Words = readList(Text);
+            if (!Words)
+              return malformed(Text, "list of ids");
+            std::vector<I> Ids;
+            for (const std::string &Word : *Words) {
+              if (!isId(Word))
+                return malformed(Word, "id");
+              for (const I &Earlier : Ids)
+                if (Earlier.str() == Word)
+                  return "'" + Word + "' stands twice in the list";
+              Ids.push_back(I(Word));
+            }
+            Into.*Member = std::move(Ids);
+            return "";
+          }};
+}
+
+/// A key that takes one of a few words.
+template <class T, class V>
+KeySpec<T> choiceKey(const char *Key, const char *Default, V T::*Member,
+                     std::vector<std::pair<std::string, V>> Choices) {
+  std::string Range;
+  for (const auto &[Word, Value] : Choices)
+    Range += (Range.empty() ? "" : ", ") + Word;
+  return {{"", Key, "word", Range, Default},
+          [=](T &Into, const std::string &Text) -> std::string {
+            for (const auto &[Word, Value] : Choices)
+              if (Word == Text) {
+                Into.*Member = Value;
+                return "";
+              }
+            return "'" + Text + "' is not one of " + Range;
+          }};
+}
+
+/// A key with any text that \p Check finds nothing wrong with.
+template <class T>
+KeySpec<T> textKey(const char *Key, const char *Default, std::string T::*Member,
+                   const char *Range,
+                   std::string (*Check)(const std::string &)) {
+  return {{"", Key, "text", Range, Default},
+          [=](T &Into, const std::string &Text) -> std::string {
+            std::string Wrong = Check(Text);
+            if (Wrong.empty())
+              Into.*Member = Text;
+            return Wrong;
+          }};
+}
+
+/// Reads one section into a struct, its defaults included.
+template <class T>
+void readSection(const SectionSpec<T> &Spec, const IniSection &Section, T &Into,
+                 Reporter &Report) {
+  for (const IniEntry &Entry : Section.Entries_) {
+    bool Known = false;
+    for (const KeySpec<T> &Key : Spec.Keys_)
+      Known = Known || Key.Info_.Key_ == Entry.Key_;
+    if (!Known)
+      Report.add(Section.Name_, Entry.Key_, "unknown key");
+  }
+  for (const KeySpec<T> &Key : Spec.Keys_) {
+    const IniEntry *Entry = Section.find(Key.Info_.Key_);
+    const std::string &Default = Key.Info_.Default_;
+    if (!Entry && Default == Required) {
+      Report.add(Section.Name_, Key.Info_.Key_, "required key is missing");
+      continue;
+    }
+    std::string Wrong =
+        Key.Read_(Into, Entry ? Entry->Value_
+                              : (Default == "none" ? std::string() : Default));
+    if (Entry && !Wrong.empty())
+      Report.add(Section.Name_, Key.Info_.Key_, Wrong);
+  }
+}
+
+/// Adds a section's keys to a key table.
+template <class T>
+void listKeys(const SectionSpec<T> &Spec, std::vector<KeyInfo> &Into) {
+  for (const KeySpec<T> &Key : Spec.Keys_) {
+    Into.push_back(Key.Info_);
+    Into.back().Section_ = Spec.Pattern_;
+  }
+}
+
+/// \returns the parts of a section's name between dots.
+std::vector<std::string> splitName(const std::string &Name);
+
+/// Checks the ids of a section such as `[link.FROM.TO]` and reports what is
+/// wrong with them. \returns the ids, or nothing.
+std::optional<std::vector<std::string>>
+sectionIds(const IniSection &Section, std::size_t Count, Reporter &Report);
+
+} // namespace lagoonpoint::internal
--- /dev/null
+++ b/test/Config.cpp
@@ -0,0 +1,339 @@
+#include "lagoonpoint/Config"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+using namespace lagoonpoint;
+
+namespace {
+
+std::string fileText(const std::filesystem::path &Path) {
+  std::ifstream In(Path);
+  REQUIRE(In);
+  return {std::istreambuf_iterator<char>(In), {}};
+}
+
+std::string listed(const Findings &Errors) {
+  std::string Out;
+  for (const Finding &F : Errors)
+    Out += toString(F) + "\n";
+  return Out;
+}
+
+Findings check(const std::string &Text, bool IsSettings) {
+  Findings Errors;
+  if (IsSettings)
+    parseSettings(Text, "f", Errors);
+  else
+    parseDeclarations(Text, "f", Errors);
+  return Errors;
+}
+
+/// One edit of a good file that must be found.
+struct Breakage {
+  const char *From_; ///< text replaced at its first place; empty: appended to
+  const char *To_;
+  const char *Section_;
+  const char *Key_;
+};
+
+std::string broken(std::string Text, const Breakage &B) {
+  if (!*B.From_)
+    return Text + B.To_;
+  std::size_t At = Text.find(B.From_);
+  REQUIRE(At != std::string::npos);
+  return Text.replace(At, std::string(B.From_).size(), B.To_);
+}
+
+bool holds(const Findings &Errors, const Breakage &B) {
+  return std::any_of(Errors.begin(), Errors.end(), [&](const Finding &F) {
+    return F.Section_ == B.Section_ && F.Key_ == B.Key_;
+  });
+}
+
+const std::vector<Breakage> BrokenSettings{
+    {"[vm]", "[vn]", "vn", ""},
+    {"id = e1", "id = e.1", "vm", "id"},
+    {"id = e1", "", "vm", "id"},
+    {"entry = true", "entry = yes", "vm", "entry"},
+    {"entry = true", "entree = true", "vm", "entree"},
+    {"entry = true", "ENTRY = true", "vm", "ENTRY"},
+    {"voter = true", "voter = false", "vm", "voter"},
+    {"voters = e1, e2, e3", "voters = e2", "vm", "voter"},
+    {"voters = e1, e2, e3", "voters = e1, e2", "cluster", "voters"},
+    {"voters = e1, e2, e3", "voters = e1, e2, e4", "cluster", "voters"},
+    {"voters = e1, e2, e3", "voters = e1, e1, e2", "cluster", "voters"},
+    {"voters = e1, e2, e3", "voters = e1,, e2", "cluster", "voters"},
+    {"folder = run/e1", "", "data", "folder"},
+    {":7111", ":7110", "listen", "upstreams"},
+    {":7110", ":0", "listen", "callers"},
+    {"127.0.0.1:7110", "localhost:7110", "listen", "callers"},
+    {":7123", ":7113", "peer.e2", "peers"},
+    {":7133", ":7123", "peer.e3", "peers"},
+    {"[peer.e2]", "[peer]", "peer", ""},
+    {"[peer.e2]", "[peer.e2.x]", "peer.e2.x", ""},
+    {"[peer.e2]", "[peer.e1]", "peer.e1", ""},
+    {"[peer.e3]", "[peer.e2]", "peer.e2", ""},
+    {"secret = local-cluster-secret", "secret = short", "cluster", "secret"},
+    {"level = info", "level = loud", "log", "level"},
+    {"", "[limits]\ncaller_threads = 0", "limits", "caller_threads"},
+    {"", "[limits]\nmax_body_bytes = 4MB", "limits", "max_body_bytes"},
+    {"", "[limits]\nidle_timeout = 5", "limits", "idle_timeout"},
+    {"", "[limits]\nidle_timeout = 1.0001s", "limits", "idle_timeout"},
+    {"", "level = info", "log", "level"},
+    {"", "LEVEL = info", "log", "LEVEL"},
+    {"", "stray", "log", ""},
+    {"", "[log", "", ""},
+    {"[vm]", "x = 1\n[vm]", "", "x"},
+};
+
+const std::vector<Breakage> BrokenDeclarations{
+    {"[fleet]", "[flet]", "flet", ""},
+    {"lookup_ttl = 5s", "lookup_ttl = 2s", "fleet", "lookup_ttl"},
+    {"results_kept = 10m", "results_kept = 0s", "fleet", "results_kept"},
+    {"floor_share = 30%", "floor_share = 130%", "fleet", "floor_share"},
+    {"floor_share = 30%", "floor_share = nan", "fleet", "floor_share"},
+    {"floor_share = 30%", "floor_share = -1%", "fleet", "floor_share"},
+    {"capacity = 600/s", "capacity = 600", "region.north", "capacity"},
+    {"capacity = 600/s", "capacity = 0/s", "region.north", "capacity"},
+    {"", "[region.west]\ncapacity = 1/s", "region.west", ""},
+    {"", "[zone.south-b]\nregion = south", "zone.south-b", ""},
+    {"region = north", "region = nord", "zone.north-a", "region"},
+    {"zone = north-a", "zone = north-c", "vm.e1", "zone"},
+    {"zone = north-a", "zone = north-b", "zone.north-a", ""},
+    {":7121", ":7110", "vm.e2", "upstreams"},
+    {"[link.north.south]", "[link.north]", "link.north", ""},
+    {"[link.north.south]", "[link.south.south]", "link.south.south", ""},
+    {"[link.north.south]", "[link.east.south]", "link.east.south", ""},
+    {"cap = 100Mbit/s", "cap = 100MB/s", "link.north.south", "cap"},
+    {"price = 3c/GB", "price = 3", "link.north.south", "price"},
+    {"latency = 1ms", "", "link.north.south", "latency"},
+    {"profile = nearest-first", "profile = farthest", "service.tag-register",
+     "profile"},
+    {"announce_hash = ", "announce_hash = 0", "service.tag-register",
+     "announce_hash"},
+    {"announce_salt = ", "announce_salt = $ ", "service.tag-register",
+     "announce_salt"},
+    {"prefix = /ledger", "prefix = /register", "route.ledger", "prefix"},
+    {"prefix = /ledger", "prefix = /v1/x", "route.ledger", "prefix"},
+    {"prefix = /ledger", "prefix = ledger", "route.ledger", "prefix"},
+    {"service = grazing-ledger", "service = x", "route.ledger", "service"},
+    {"kind = plain", "kind = twice", "route.ledger", "kind"},
+    {"kind = plain", "deadline = 10s\nmax_deadline = 5s", "route.ledger",
+     "max_deadline"},
+    {"rate = 200/s", "rate = 200/h", "team.rangers", "rate"},
+    {"burst = 100", "burst = 0", "team.rangers", "burst"},
+    {"burst = 100", "burst = 1.5", "team.rangers", "burst"},
+    {"weight = 2", "weight = -2", "team.rangers", "weight"},
+    {"team = agents", "team = agent", "key.agents-1", "team"},
+    {"[key.agents-1]", "[key.rangers-1]", "key.rangers-1", ""},
+    {"[key.agents-1]", "[key.RANGERS-1]", "key.RANGERS-1", ""},
+    {"shift_cap = 10%", "shift_cap = 0", "profile.nearest-first", "shift_cap"},
+    {"shift_cap = 10%", "shift_cap = 1.1", "profile.nearest-first",
+     "shift_cap"},
+    {"shift_every = 10s", "shift_every = 4s", "profile.nearest-first",
+     "shift_every"},
+    {"objective = nearest", "allowed = south\navoid = south",
+     "profile.nearest-first", "allowed"},
+    {"objective = nearest", "avoid = south, north", "profile.nearest-first",
+     "avoid"},
+    {"objective = nearest", "allowed = south\nfallback = north",
+     "profile.nearest-first", "fallback"},
+    {"objective = nearest", "allowed = east", "profile.nearest-first",
+     "allowed"},
+    {"cidr = 127.0.2.0/24", "cidr = 127.0.3.0/24", "block.loopback-south-a",
+     "cidr"},
+    {"cidr = 127.0.2.0/24", "cidr = 127.0.2.1/24", "block.loopback-north-b",
+     "cidr"},
+    {"cidr = 127.0.2.0/24", "cidr = 127.0.2.0/33", "block.loopback-north-b",
+     "cidr"},
+    {"zone = north-b\n\n[block", "zone = x\n\n[block", "block.loopback-north-b",
+     "zone"},
+};
+
+void checkAllBroken(const std::string &Good, bool IsSettings,
+                    const std::vector<Breakage> &Table) {
+  CHECK(listed(check(Good, IsSettings)) == "");
+  for (const Breakage &B : Table) {
+    Findings Errors = check(broken(Good, B), IsSettings);
+    INFO("'" << B.From_ << "' -> '" << B.To_ << "'\n" << listed(Errors));
+    CHECK(holds(Errors, B));
+    for (const Finding &F : Errors)
+      CHECK(!F.Message_.empty());
+  }
+}
+
+/// Drops, doubles, swaps or cuts lines and characters.
+std::string mangled(std::string Text, std::mt19937_64 &Random) {
+  for (int Round = 0; Round < 4; ++Round) {
+    std::size_t At = Random() % Text.size();
+    std::size_t Length = Random() % std::min<std::size_t>(40, Text.size() - At);
+    switch (Random() % 4) {
+    case 0:
+      Text.erase(At, Length);
+      break;
+    case 1:
+      Text.insert(Random() % Text.size(), Text.substr(At, Length));
+      break;
+    case 2:
+      Text[At] = static_cast<char>(Random());
+      break;
+    default:
+      Text.insert(At, 1, "[]=;#\n\r.%/"[Random() % 10]);
+    }
+    if (Text.empty())
+      Text = "\n";
+  }
+  return Text;
+}
+
+/// Lines `key = value` of each section, each with its key doubled below it.
+std::string withRepeatedKey(const std::string &Text, std::size_t Pick) {
+  std::istringstream In(Text);
+  std::vector<std::string> Lines;
+  std::vector<std::size_t> Entries;
+  for (std::string Line; std::getline(In, Line);) {
+    if (Line.find('=') != std::string::npos && Line[0] != '#')
+      Entries.push_back(Lines.size());
+    Lines.push_back(Line);
+  }
+  std::size_t At = Entries[Pick % Entries.size()];
+  Lines.insert(Lines.begin() + static_cast<long>(At) + 1, Lines[At]);
+  std::string Out;
+  for (const std::string &Line : Lines)
+    Out += Line + "\n";
+  return Out;
+}
+
+/// The rows "`key` | unit | range | default" below "`[section]`" headings.
+std::set<std::string> documentedKeys(const std::string &Page) {
+  std::set<std::string> Out;
+  std::istringstream In(Page);
+  std::string Section;
+  std::smatch Found;
+  static const std::regex Heading("### `\\[(.+)\\]`.*");
+  static const std::regex Row(
+      "\\| `(\\w+)` \\| ([^|]*) \\| ([^|]*) \\| ([^|]*) \\|.*");
+  for (std::string Line; std::getline(In, Line);) {
+    if (std::regex_match(Line, Found, Heading))
+      Section = Found[1];
+    else if (std::regex_match(Line, Found, Row))
+      Out.insert(Section + "|" + Found[1].str() + "|" + Found[2].str() + "|" +
+                 Found[3].str() + "|" + Found[4].str());
+  }
+  return Out;
+}
+
+std::set<std::string> knownKeys() {
+  std::set<std::string> Out;
+  std::vector<KeyInfo> All = settingsKeys();
+  for (const KeyInfo &K : declarationsKeys())
+    All.push_back(K);
+  for (const KeyInfo &K : All)
+    Out.insert(K.Section_ + "|" + K.Key_ + "|" + K.Unit_ + "|" +
+               (K.Range_.empty() ? "any" : K.Range_) + "|" + K.Default_);
+  return Out;
+}
+
+} // namespace
+
+TEST_CASE("Every example file is accepted") {
+  std::size_t Files = 0;
+  for (const auto &Entry :
+       std::filesystem::recursive_directory_iterator("deploy")) {
+    if (Entry.path().extension() != ".ini")
+      continue;
+    ++Files;
+    bool IsSettings = Entry.path().filename() != "declarations.ini";
+    INFO(Entry.path());
+    CHECK(listed(check(fileText(Entry.path()), IsSettings)) == "");
+  }
+  CHECK(Files == 10);
+}
+
+TEST_CASE("Values arrive in their types") {
+  Findings Errors;
+  Declarations D =
+      parseDeclarations(fileText("deploy/local/declarations.ini"), "d", Errors);
+  Settings S = parseSettings(fileText("deploy/local/e1.ini"), "s", Errors);
+  REQUIRE(listed(Errors) == "");
+  CHECK(D.Fleet_.LookupTtl_ == Duration::seconds(5));
+  CHECK(D.Fleet_.FloorShare_ == Approx(0.3));
+  CHECK(D.Regions_.at(RegionId("north")).Capacity_ == Rate(600));
+  CHECK(D.Links_.at(0).Cap_ == Bandwidth(12.5e6));
+  CHECK(D.Links_.at(0).Price_ == Price(3));
+  CHECK(D.Vms_.at(VmId("e2")).Peers_ == Address{"127.0.0.1", 7123});
+  CHECK(D.Routes_.at(1).Kind_ == RouteKind::Once);
+  CHECK(D.Teams_.at(TeamId("rangers")).Burst_ == 100);
+  CHECK(D.Profiles_.at(ProfileId("drain-the-south")).Avoid_ ==
+        std::vector{RegionId("south")});
+  CHECK(S.InitialVoters_.size() == 3);
+  CHECK(S.Voter_);
+  CHECK(toString(S.Callers_) == "127.0.0.1:7110");
+  CHECK(toString(Address{"::1", 80}) == "[::1]:80");
+}
+
+TEST_CASE("A section that is left out gives the struct's own defaults") {
+  Findings Errors;
+  Declarations D = parseDeclarations("[fleet]\n", "d", Errors);
+  CHECK(D.Fleet_.LookupTtl_ == FleetDecl().LookupTtl_);
+  CHECK(D.Fleet_.ResultsKept_ == FleetDecl().ResultsKept_);
+  CHECK(D.Fleet_.LeaseLength_ == FleetDecl().LeaseLength_);
+  CHECK(D.Fleet_.FloorShare_ == Approx(FleetDecl().FloorShare_));
+  CHECK(D.Fleet_.RetryBudget_ == Approx(FleetDecl().RetryBudget_));
+  Settings S = parseSettings("", "s", Errors);
+  CHECK(S.MaxBodyBytes_ == Settings().MaxBodyBytes_);
+  CHECK(S.MaxHeaderBytes_ == Settings().MaxHeaderBytes_);
+  CHECK(S.CallerThreads_ == Settings().CallerThreads_);
+  CHECK(S.DrainLimit_ == Settings().DrainLimit_);
+}
+
+TEST_CASE("A broken file is refused with section and key") {
+  SECTION("settings") {
+    checkAllBroken(fileText("deploy/local/e1.ini"), true, BrokenSettings);
+  }
+  SECTION("declarations") {
+    checkAllBroken(fileText("deploy/local/declarations.ini"), false,
+                   BrokenDeclarations);
+  }
+  SECTION("when all is drained") {
+    std::string Text =
+        std::regex_replace(fileText("deploy/local/declarations.ini"),
+                           std::regex("drained = false"), "drained = true");
+    CHECK(holds(check(Text, false), {"", "", "region.north", "drained"}));
+  }
+  SECTION("with the line, and comments do not become values") {
+    Findings Errors = check("# c\n[team.t]\nrate = 5/s # five\nburst = x;y\n"
+                            "weight = 1 ; one\n",
+                            false);
+    CHECK(holds(Errors, {"", "", "team.t", "burst"}));
+    CHECK(!holds(Errors, {"", "", "team.t", "rate"}));
+    CHECK(!holds(Errors, {"", "", "team.t", "weight"}));
+    for (const Finding &F : Errors)
+      if (F.Section_ == "team.t")
+        CHECK(toString(F) == "f:4: [team.t] burst: 'x;y' is not a count");
+  }
+}
+
+TEST_CASE("Mangled text never crashes and no repeated key passes") {
+  std::mt19937_64 Random(20261204);
+  for (bool IsSettings : {true, false}) {
+    std::string Good = fileText(IsSettings ? "deploy/local/e1.ini"
+                                           : "deploy/local/declarations.ini");
+    for (int Run = 0; Run < 1000; ++Run)
+      check(mangled(Good, Random), IsSettings);
+    for (int Run = 0; Run < 100; ++Run) {
+      std::string Doubled = withRepeatedKey(Good, Random());
+      CHECK(!check(Doubled, IsSettings).empty());
+    }
+  }
+}
+
+TEST_CASE("The reference page lists just the keys that are read") {
+  CHECK(documentedKeys(fileText("docs/CONFIGURATION.md")) == knownKeys());
+}
