Lend team rates and bursts by leases

Cause: a team's rate and burst are counted over all VMs, and zones may be cut off from one another; a fixed split refuses calls inside the rate when demand is uneven. Change: module Limits: floors from the declarations, a holder and an authority of each quantity, and a shard of both with its messages. Floors that a VM doesn't need are set aside for others for a few seconds; a new authority waits for its predecessor's leases to end and renews only what holders show. Conclusion: the entry VM can be wired against LeaseShard.

--- /dev/null
+++ b/lagoonpoint/src/Limits/LeaseMessages.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "lagoonpoint/src/Limits/Quantity.h"
+
+#include <vector>
+
+namespace lagoonpoint {
+
+/// \class Lent
+/// \ingroup Limits
+/// \brief A leased amount by what backs it.
+struct Lent {
+  Amount Firm_; ///< from the part of the whole that is no VM's floor
+  Amount Soft_; ///< from floors that other VMs have set aside
+
+  Amount total() const { return Firm_ + Soft_; }
+  MSGPACK_DEFINE(Firm_, Soft_)
+};
+
+/// Holder to authority: renews a lease and sets unused floor aside.
+struct LeaseAsk {
+  QuantityId Quantity_;
+  Incarnation Incarnation_;    ///< of the holder's process
+  std::uint64_t Sequence_ = 0; ///< of this holder's asks and returns
+  Term Term_;                  ///< of the authority asked
+  std::uint64_t Accepted_ = 0; ///< ask whose grant the holder lives on
+  Lent Keep_;                  ///< what it still uses of that grant
+  double Returned_ = 0;        ///< tokens that move to the authority
+  double Demand_ = 0;          ///< units a second that callers want here
+  double Need_ = 0;            ///< units that callers wait for now
+  double Room_ = 0; ///< tokens it can take beyond its leased burst; may be < 0
+  Amount Own_;      ///< floor not set aside
+  Amount Aside_;    ///< floor it won't use ...
+  Duration AsideFor_;      ///< ... for this long from its sending
+  std::int64_t Stamp_ = 0; ///< of the last grant received in this term
+  MSGPACK_DEFINE(Quantity_, Incarnation_, Sequence_, Term_, Accepted_, Keep_,
+                 Returned_, Demand_, Need_, Room_, Own_, Aside_, AsideFor_,
+                 Stamp_)
+};
+
+/// Authority to holder: the answer to one ask.
+struct LeaseGrant {
+  QuantityId Quantity_;
+  Incarnation Incarnation_; ///< of the holder asked by
+  std::uint64_t Sequence_ = 0;
+  Term Term_;
+  Lent Lent_;              ///< replaces the lease held so far
+  Duration For_;           ///< from the sending of the ask
+  double Tokens_ = 0;      ///< that move to the holder
+  Duration RetryIn_;       ///< when a dry holder may ask again
+  std::int64_t Stamp_ = 0; ///< the authority's time; echoed, never compared
+  MSGPACK_DEFINE(Quantity_, Incarnation_, Sequence_, Term_, Lent_, For_,
+                 Tokens_, RetryIn_, Stamp_)
+};
+
+/// Holder to authority: ends a lease early and moves its tokens back.
+struct LeaseReturn {
+  QuantityId Quantity_;
+  Incarnation Incarnation_;
+  std::uint64_t Sequence_ = 0;
+  Term Term_;
+  double Tokens_ = 0;
+  MSGPACK_DEFINE(Quantity_, Incarnation_, Sequence_, Term_, Tokens_)
+};
+
+/// Messages of one shard from one VM to another.
+struct LeaseBatch {
+  std::vector<LeaseAsk> Asks_;
+  std::vector<LeaseGrant> Grants_;
+  std::vector<LeaseReturn> Returns_;
+  MSGPACK_DEFINE(Asks_, Grants_, Returns_)
+};
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/test/fakes/LeaseFleet.h
@@ -0,0 +1,265 @@
+#pragma once
+
+#include "fakes/FakeNetwork.h"
+#include "lagoonpoint/Limits"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lagoonpoint::fakes {
+
+/// Checks that no window of time saw more than rate * length + burst.
+class WindowCheck {
+public:
+  void take(double Seconds, double Cost, double Rate, double Burst) {
+    Level_ = std::max(0.0, Level_ - (Seconds - At_) * Rate);
+    At_ = Seconds;
+    Level_ += Cost;
+    Worst_ = std::max(Worst_, Level_ - Burst);
+  }
+  /// \returns the most units by which any window was over; <= 0 if none was.
+  double worst() const { return Worst_; }
+
+private:
+  double Level_ = 0;
+  double At_ = 0;
+  double Worst_ = -1e300;
+};
+
+/// VMs with a lease shard each, on a fake network under a virtual clock.
+///
+/// Each VM may have a clock of its own rate. Calls are offered evenly spaced.
+class LeaseFleet {
+public:
+  struct Vm {
+    std::unique_ptr<LeaseShard> Shards_[LeaseShard::Shards];
+    bool Up_ = true;
+    double ClockRate_ = 1;
+    std::uint64_t Starts_ = 1;
+  };
+  struct Tally {
+    int Taken_ = 0;
+    int Refused_ = 0;
+    int Offered_ = 0;
+  };
+  struct Load {
+    VmId Vm_;
+    QuantityId Quantity_;
+    double PerSecond_ = 0;
+    double Owed_ = 0;
+  };
+
+  static Declarations sixZones(int Vms = 11) {
+    Declarations D;
+    for (int Z = 0; Z < 6; ++Z) {
+      RegionId R("r" + std::to_string(Z / 2));
+      ZoneId Id("z" + std::to_string(Z));
+      D.Regions_[R] = {R, Rate(1000), false};
+      D.Zones_[Id] = {Id, R, false};
+    }
+    for (int I = 0; I < Vms; ++I) {
+      VmDecl Vm;
+      Vm.Id_ = VmId("vm" + std::to_string(I));
+      Vm.Zone_ = ZoneId("z" + std::to_string(I % 6));
+      D.Vms_[Vm.Id_] = Vm;
+    }
+    addTeam(D, "big", 100, 50);
+    addTeam(D, "small", 5, 5);
+    return D;
+  }
+
+  static void addTeam(Declarations &D, const std::string &Name,
+                      double PerSecond, double Burst) {
+    TeamDecl T;
+    T.Id_ = TeamId(Name);
+    T.Rate_ = Rate(PerSecond);
+    T.Burst_ = Burst;
+    D.Teams_[T.Id_] = T;
+  }
+
+  explicit LeaseFleet(Declarations D) : Declarations_(std::move(D)) {
+    for (const auto &[Id, Decl] : Declarations_.Vms_)
+      start(Id, false);
+  }
+
+  FakeNetwork &network() { return Net_; }
+  Time now() const { return Now_; }
+  Time localNow(const VmId &Id) const {
+    return Time(static_cast<std::int64_t>(
+        std::floor(Now_.count() * Vms_.at(Id).ClockRate_)));
+  }
+  Vm &vm(const VmId &Id) { return Vms_.at(Id); }
+  const Declarations &declarations() const { return Declarations_; }
+  int taken(const QuantityId &Id) { return Tallies_[Id].Taken_; }
+  int refused(const QuantityId &Id) { return Tallies_[Id].Refused_; }
+  int offered(const QuantityId &Id) { return Tallies_[Id].Offered_; }
+
+  /// \returns the most any team was over its rate and burst; <= 0 if never.
+  double overspend() const {
+    double Worst = -1e300;
+    for (const auto &[Id, Check] : Checks_)
+      Worst = std::max(Worst, Check.worst() - 1e-6);
+    return Worst;
+  }
+
+  void setClockRate(const VmId &Id, double R) { Vms_.at(Id).ClockRate_ = R; }
+
+  void start(const VmId &Id, bool Restarted) {
+    Vm &V = Vms_[Id];
+    V.Up_ = true;
+    for (unsigned S = 0; S < LeaseShard::Shards; ++S) {
+      V.Shards_[S] = std::make_unique<LeaseShard>(S, Id, Incarnation(V.Starts_),
+                                                  Restarted, localNow(Id));
+      V.Shards_[S]->setDeclarations(Declarations_, Revision(1), localNow(Id));
+      V.Shards_[S]->settle(Revision(1), localNow(Id));
+      V.Shards_[S]->setAuthority(QuantityKind::TeamRate, Leader_, Term_,
+                                 localNow(Id));
+    }
+  }
+
+  void crash(const VmId &Id) {
+    Vms_.at(Id).Up_ = false;
+    Net_.dropTo(Id);
+    std::erase_if(Waiting_, [&](const auto &W) { return W.first.first == Id; });
+  }
+
+  void restart(const VmId &Id) {
+    ++Vms_.at(Id).Starts_;
+    start(Id, true);
+  }
+
+  /// Makes a VM the leader; the one before stops lending first.
+  void elect(const VmId &Id) {
+    if (!Leader_.empty() && Vms_.at(Leader_).Up_)
+      for (auto &Shard : Vms_.at(Leader_).Shards_)
+        Shard->stepDown(QuantityKind::TeamRate, localNow(Leader_));
+    Leader_ = Id;
+    Term_ = Term_.next();
+    for (auto &[Each, V] : Vms_)
+      if (V.Up_ && Each != Id && !Cut_.count(Each))
+        for (auto &Shard : V.Shards_)
+          Shard->setAuthority(QuantityKind::TeamRate, Id, Term_,
+                              localNow(Each));
+    prolong();
+  }
+
+  /// Cuts a zone's VMs off from all others.
+  void cutOff(const std::string &Zone) {
+    for (const auto &[A, DeclA] : Declarations_.Vms_)
+      for (const auto &[B, DeclB] : Declarations_.Vms_)
+        if ((DeclA.Zone_ == ZoneId(Zone)) != (DeclB.Zone_ == ZoneId(Zone)))
+          Net_.cut(A, B);
+  }
+  void heal() { Net_.healAll(); }
+
+  void offerLater(const VmId &Id, const QuantityId &Q, double PerSecond) {
+    Loads_.push_back({Id, Q, PerSecond, 0});
+  }
+  void clearLoads() { Loads_.clear(); }
+  void offer(const VmId &Id, const QuantityId &Q, double PerSecond,
+             Duration For) {
+    offerLater(Id, Q, PerSecond);
+    run(For);
+    Loads_.pop_back();
+  }
+
+  void call(const VmId &Id, const QuantityId &Q,
+            Duration Deadline = Duration::seconds(5)) {
+    Vm &V = Vms_.at(Id);
+    if (!V.Up_)
+      return;
+    ++Tallies_[Q].Offered_;
+    Time Local = localNow(Id);
+    unsigned S = LeaseShard::shardOf(Q);
+    TakeResult R = V.Shards_[S]->take(Q, 1, Local + Deadline, Local);
+    if (R.End_ == TakeEnd::Waiting)
+      Waiting_[{Id, {S, R.Ticket_}}] = Q;
+    else
+      ended(Q, R.End_);
+    flush(Id, V);
+  }
+
+  void run(Duration For) {
+    for (Time End = Now_ + For; Now_ < End; Now_ = Now_ + Duration::millis(1))
+      step();
+  }
+
+  void step() {
+    prolong();
+    for (Envelope &E : Net_.due(Now_)) {
+      Vm &V = Vms_.at(E.To_);
+      if (!V.Up_)
+        continue;
+      V.Shards_[LeaseShard::shardOf(E)]->receive(E, localNow(E.To_));
+      flush(E.To_, V);
+    }
+    for (auto &[Id, V] : Vms_) {
+      if (!V.Up_ || Now_.count() % TickMillis != 0)
+        continue;
+      for (auto &Shard : V.Shards_)
+        Shard->tick(localNow(Id));
+      flush(Id, V);
+    }
+    for (std::size_t L = 0; L < Loads_.size(); ++L) {
+      Loads_[L].Owed_ += Loads_[L].PerSecond_ / 1000;
+      for (; Loads_[L].Owed_ >= 1; Loads_[L].Owed_ -= 1)
+        call(Loads_[L].Vm_, Loads_[L].Quantity_);
+    }
+  }
+
+private:
+  static constexpr int TickMillis = 10;
+
+  void prolong() {
+    if (Leader_.empty() || !Vms_.at(Leader_).Up_)
+      return;
+    Time Local = localNow(Leader_);
+    for (auto &Shard : Vms_.at(Leader_).Shards_)
+      Shard->lead(QuantityKind::TeamRate, Term_, Local + Duration::millis(500),
+                  Local);
+  }
+
+  void flush(const VmId &Id, Vm &V) {
+    for (unsigned S = 0; S < LeaseShard::Shards; ++S) {
+      for (const TakeResult &R : V.Shards_[S]->takeEnded()) {
+        auto Found = Waiting_.find({Id, {S, R.Ticket_}});
+        if (Found == Waiting_.end())
+          continue;
+        ended(Found->second, R.End_);
+        Waiting_.erase(Found);
+      }
+      for (Envelope &E : V.Shards_[S]->takeOutbox())
+        Net_.send(Now_, std::move(E));
+    }
+  }
+
+  void ended(const QuantityId &Q, TakeEnd End) {
+    Tally &T = Tallies_[Q];
+    ++(End == TakeEnd::Taken ? T.Taken_ : T.Refused_);
+    if (End != TakeEnd::Taken)
+      return;
+    const TeamDecl &Team = Declarations_.Teams_.at(TeamId(Q.Name_));
+    Checks_[Q].take(Now_.count() / 1000.0, 1, Team.Rate_.perSecond(),
+                    Team.Burst_);
+  }
+
+  Declarations Declarations_;
+  FakeNetwork Net_;
+  Time Now_{10'000};
+  std::map<VmId, Vm> Vms_;
+  VmId Leader_;
+  Term Term_;
+  std::set<VmId> Cut_;
+  std::vector<Load> Loads_;
+  std::map<QuantityId, Tally> Tallies_;
+  std::map<QuantityId, WindowCheck> Checks_;
+  std::map<std::pair<VmId, std::pair<unsigned, std::uint64_t>>, QuantityId>
+      Waiting_;
+};
+
+} // namespace lagoonpoint::fakes
