Add the replicated log and the voters' disk

Cause: declarations and keys need a home that survives the loss of a voter. Conclusion: a process can drive it through Replica.

--- /dev/null
+++ b/lagoonpoint/src/Disk/DiskStorage.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "lagoonpoint/src/Disk/Files.h"
+
+#include <functional>
+
+namespace lagoonpoint {
+
+/// \class DiskStorage
+/// \ingroup Disk
+/// \brief Storage of a voter over the files of one folder.
+///
+/// `vote` holds the disk id, the term and the vote; `snapshot-N` the state
+/// after entry N; `log-S` the entries after the snapshot, one checksummed
+/// record for each append; `durable` the length of the log known to be synced.
+/// A damaged record at the end of the log was never acknowledged and is cut;
+/// one that is followed by a valid record, or lies below the known durable
+/// length, was, and loading fails.
+class DiskStorage final : public Storage {
+public:
+  /// \param Folder must outlive the storage
+  /// \param NewDisk identity of the folder if it is empty, drawn at random
+  DiskStorage(Files &Folder, DiskId NewDisk);
+
+  StoredState load() override;
+  void saveVote(Term T, const VmId &Vote) override;
+  void append(const std::vector<LogEntry> &Entries) override;
+  void saveSnapshot(const Snapshot &S,
+                    const std::vector<LogEntry> &Tail) override;
+
+private:
+  struct Names {
+    std::vector<std::uint64_t> Snapshots_;
+    std::vector<std::uint64_t> Logs_;
+    bool Vote_ = false;
+  };
+
+  Names readNames();
+  void create();
+  void loadVote(StoredState &Stored);
+  void loadSnapshot(StoredState &Stored, std::uint64_t Index);
+  void loadLog(StoredState &Stored);
+  std::uint64_t knownDurable();
+  void noteDurable();
+  void replace(const std::string &Name, const std::string &Bytes);
+  void startLog(const SnapshotMeta &Base, const std::vector<LogEntry> &Tail);
+  void removeStale(const Names &Present, std::uint64_t Snapshot);
+  std::string logName() const;
+  void guard(const std::function<void()> &Writes);
+  void cutUnsynced() noexcept;
+
+  Files &Folder_;
+  DiskId Disk_;
+  std::uint64_t Sequence_ = 0; ///< of the log file in use
+  std::uint64_t Durable_ = 0;  ///< its synced length in bytes
+  bool Failed_ = false;
+};
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Disk/PosixFiles.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "lagoonpoint/src/Disk/Files.h"
+
+#include <map>
+#include <memory>
+
+namespace lagoonpoint {
+
+/// \class PosixFiles
+/// \ingroup Disk
+/// \brief The files of a real folder, locked against a second process.
+class PosixFiles final : public Files {
+public:
+  /// Creates the folder if it is missing, and locks it.
+  /// \throws DiskError if another process holds it
+  explicit PosixFiles(std::string Folder);
+  ~PosixFiles() override;
+  PosixFiles(const PosixFiles &) = delete;
+  PosixFiles &operator=(const PosixFiles &) = delete;
+
+  std::vector<std::string> list() override;
+  std::string read(const std::string &Name) override;
+  void write(const std::string &Name, const std::string &Bytes) override;
+  void append(const std::string &Name, const std::string &Bytes) override;
+  void truncate(const std::string &Name, std::uint64_t Length) override;
+  void sync(const std::string &Name) override;
+  void rename(const std::string &From, const std::string &To) override;
+  void remove(const std::string &Name) override;
+  void syncFolder() override;
+
+private:
+  class Descriptor;
+
+  std::string pathOf(const std::string &Name) const;
+  Descriptor &opened(const std::string &Name);
+
+  std::string Folder_;
+  int Lock_ = -1;
+  /// Kept from the write to the sync, so that the sync reports what failed.
+  std::map<std::string, std::unique_ptr<Descriptor>> Opened_;
+};
+
+/// Draws the identity of a new data folder.
+/// \ingroup Disk
+DiskId randomDiskId();
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Replication/util/Election.cpp
@@ -0,0 +1,161 @@
+#include "lagoonpoint/src/Replication/util/Election.h"
+
+#include "lagoonpoint/src/Replication/util/Leader.h"
+
+namespace lagoonpoint::internal {
+
+namespace {
+
+void requestVotes(ReplicaState &S, bool PreVote, ReplicaOutput &Out) {
+  VoteRequest Request;
+  Request.Term_ = PreVote ? S.Term_.next() : S.Term_;
+  Request.PreVote_ = PreVote;
+  Request.LastIndex_ = S.Log_.lastIndex();
+  Request.LastTerm_ = S.Log_.lastTerm();
+  for (const Voter &V : S.Log_.config().Voters_)
+    if (V.Vm_ != S.Options_.Self_)
+      Out.Messages_.push_back({V.Vm_, Request});
+}
+
+bool hasQuorum(const ReplicaState &S) {
+  return S.Granted_.size() >= S.Log_.config().quorum();
+}
+
+void startElection(ReplicaState &S, Time Now, ReplicaOutput &Out) {
+  S.Role_ = ReplicaRole::Candidate;
+  S.Term_ = S.Term_.next();
+  S.Vote_ = S.Options_.Self_;
+  S.Granted_ = {S.Options_.Self_};
+  Out.SaveVote_ = true;
+  resetElection(S, Now);
+  if (hasQuorum(S))
+    becomeLeader(S, Now, Out);
+  else
+    requestVotes(S, false, Out);
+}
+
+/// True while a leader may count on this VM's support.
+bool inContact(const ReplicaState &S, Time Now) {
+  if (S.Role_ == ReplicaRole::Leader)
+    return true;
+  return Now < S.LastContact_ + S.Options_.Timing_.ElectionMin_;
+}
+
+bool isUpToDate(const ReplicaState &S, const VoteRequest &M) {
+  if (M.LastTerm_ != S.Log_.lastTerm())
+    return M.LastTerm_ > S.Log_.lastTerm();
+  return M.LastIndex_ >= S.Log_.lastIndex();
+}
+
+VoteReply refusal(const ReplicaState &S, bool PreVote) {
+  VoteReply Reply;
+  Reply.Term_ = S.Term_;
+  Reply.PreVote_ = PreVote;
+  Reply.Disk_ = S.Disk_;
+  return Reply;
+}
+
+void grantPreVote(const ReplicaState &S, const VmId &From, const VoteRequest &M,
+                  ReplicaOutput &Out) {
+  VoteReply Reply = refusal(S, true);
+  if (M.Term_ > S.Term_ && isUpToDate(S, M)) {
+    Reply.Granted_ = true;
+    Reply.Term_ = M.Term_;
+  }
+  Out.Messages_.push_back({From, Reply});
+}
+
+void grantVote(ReplicaState &S, const VmId &From, const VoteRequest &M,
+               Time Now, ReplicaOutput &Out) {
+  VoteReply Reply = refusal(S, false);
+  bool Free = S.Vote_.empty() || S.Vote_ == From;
+  if (M.Term_ == S.Term_ && Free && isUpToDate(S, M)) {
+    Reply.Granted_ = true;
+    S.Vote_ = From;
+    Out.SaveVote_ = true;
+    resetElection(S, Now);
+  }
+  Out.Messages_.push_back({From, Reply});
+}
+
+} // namespace
+
+bool isVoter(const ReplicaState &S) {
+  const Voter *Me = S.Log_.config().findVoter(S.Options_.Self_);
+  return Me && Me->Disk_ == S.Disk_;
+}
+
+void resetElection(ReplicaState &S, Time Now) {
+  const ReplicationTiming &Timing = S.Options_.Timing_;
+  std::int64_t Span = (Timing.ElectionMax_ - Timing.ElectionMin_).count();
+  std::uint64_t Extra = S.Random_() % static_cast<std::uint64_t>(Span + 1);
+  S.ElectionDue_ = Now + Timing.ElectionMin_ +
+                   Duration::millis(static_cast<std::int64_t>(Extra));
+}
+
+void becomeFollower(ReplicaState &S, Term T, const VmId &Leader, Time Now,
+                    ReplicaOutput &Out) {
+  LAGOONPOINT_ASSERT(T >= S.Term_, "replication.term");
+  if (T > S.Term_) {
+    S.Term_ = T;
+    S.Vote_ = VmId();
+    Out.SaveVote_ = true;
+  }
+  if (S.Role_ != ReplicaRole::Follower)
+    resetElection(S, Now);
+  S.Role_ = ReplicaRole::Follower;
+  S.Leader_ = Leader;
+  S.Peers_.clear();
+  S.Granted_.clear();
+}
+
+void startPreVote(ReplicaState &S, Time Now, ReplicaOutput &Out) {
+  S.Role_ = ReplicaRole::PreCandidate;
+  S.Leader_ = VmId();
+  S.Granted_ = {S.Options_.Self_};
+  resetElection(S, Now);
+  if (hasQuorum(S))
+    startElection(S, Now, Out);
+  else
+    requestVotes(S, true, Out);
+}
+
+void handle(ReplicaState &S, const VmId &From, const VoteRequest &M, Time Now,
+            ReplicaOutput &Out) {
+  if (inContact(S, Now)) {
+    Out.Messages_.push_back({From, refusal(S, M.PreVote_)});
+    return;
+  }
+  if (M.PreVote_) {
+    grantPreVote(S, From, M, Out);
+    return;
+  }
+  if (M.Term_ > S.Term_)
+    becomeFollower(S, M.Term_, VmId(), Now, Out);
+  grantVote(S, From, M, Now, Out);
+}
+
+void handle(ReplicaState &S, const VmId &From, const VoteReply &M, Time Now,
+            ReplicaOutput &Out) {
+  if (!M.Granted_) {
+    if (M.Term_ > S.Term_)
+      becomeFollower(S, M.Term_, VmId(), Now, Out);
+    return;
+  }
+  bool PreVote = S.Role_ == ReplicaRole::PreCandidate;
+  if (!PreVote && S.Role_ != ReplicaRole::Candidate)
+    return;
+  Term Wanted = PreVote ? S.Term_.next() : S.Term_;
+  const Voter *V = S.Log_.config().findVoter(From);
+  if (M.PreVote_ != PreVote || M.Term_ != Wanted || !V || V->Disk_ != M.Disk_)
+    return;
+  S.Granted_.insert(From);
+  if (!hasQuorum(S))
+    return;
+  if (PreVote)
+    startElection(S, Now, Out);
+  else
+    becomeLeader(S, Now, Out);
+}
+
+} // namespace lagoonpoint::internal
--- /dev/null
+++ b/lagoonpoint/src/Replication/util/Follower.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "lagoonpoint/src/Replication/ReplicaState.h"
+
+namespace lagoonpoint::internal {
+
+void handle(ReplicaState &S, const VmId &From, const AppendRequest &M, Time Now,
+            ReplicaOutput &Out);
+void handle(ReplicaState &S, const VmId &From, const SnapshotPiece &M, Time Now,
+            ReplicaOutput &Out);
+
+} // namespace lagoonpoint::internal
--- /dev/null
+++ b/lagoonpoint/src/Replication/util/Log.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "lagoonpoint/src/Replication/Types.h"
+
+#include <deque>
+#include <optional>
+
+namespace lagoonpoint::internal {
+
+/// \class Log
+/// \brief A snapshot and the entries after it, in memory.
+class Log {
+public:
+  Log() = default;
+  Log(Snapshot Base, std::vector<LogEntry> Entries);
+
+  const Snapshot &base() const { return Base_; }
+  LogIndex baseIndex() const { return Base_.Meta_.Index_; }
+  LogIndex lastIndex() const;
+  Term lastTerm() const;
+  std::size_t size() const { return Entries_.size(); }
+  /// \returns the configuration in the newest Config entry.
+  const VoterConfig &config() const { return Config_; }
+  /// \returns where that configuration stands.
+  LogIndex configIndex() const { return ConfigIndex_; }
+
+  /// \returns the term at an index; empty if it isn't known.
+  std::optional<Term> termAt(LogIndex I) const;
+  const LogEntry &at(LogIndex I) const;
+  /// \returns entries from \p First on, at least one if there is any, up to
+  /// about \p MaxBytes.
+  std::vector<LogEntry> slice(LogIndex First, std::size_t MaxBytes) const;
+  /// \returns all entries after an index.
+  std::vector<LogEntry> tailAfter(LogIndex I) const;
+  /// \returns the last index before the run of equal terms that ends at
+  /// \p I.
+  LogIndex beforeTermOf(LogIndex I) const;
+
+  void append(const LogEntry &E);
+  void truncateFrom(LogIndex First);
+  /// Replaces the snapshot; keeps the entries after it only if the entry it
+  /// ends with is in this log.
+  void rebase(Snapshot S);
+  /// Sets the configuration that precedes the first entry.
+  void setFirstConfig(VoterConfig Config);
+  /// \returns the configuration in force after an index.
+  VoterConfig configAt(LogIndex I) const;
+
+private:
+  void findConfig();
+
+  Snapshot Base_;
+  std::deque<LogEntry> Entries_;
+  VoterConfig Config_;
+  LogIndex ConfigIndex_;
+};
+
+/// Decodes the configuration that a Config entry carries.
+VoterConfig configOf(const LogEntry &E);
+
+} // namespace lagoonpoint::internal
--- /dev/null
+++ b/test/Replication.cpp
@@ -0,0 +1,194 @@
+#include "lagoonpoint/Replication"
+#include "fakes/ReplicaGroup.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lagoonpoint;
+using fakes::ReplicaGroup;
+
+namespace {
+
+const std::vector<VmId> Trio = {VmId("a"), VmId("b"), VmId("c")};
+constexpr Duration Settle = Duration::seconds(5);
+
+using Commands = std::vector<std::string>;
+
+void propose(ReplicaGroup &Group, const Commands &Wanted) {
+  for (const std::string &Command : Wanted) {
+    REQUIRE(Group.leader());
+    REQUIRE(Group.leader()->propose(Command, Group.Now_).accepted());
+    Group.run(Duration::millis(300));
+  }
+}
+
+VmId leaderOf(ReplicaGroup &Group) {
+  REQUIRE(Group.leader());
+  return Group.leader()->leaderHint();
+}
+
+} // namespace
+
+TEST_CASE("Three voters with empty disks") {
+  ReplicaGroup Group(Trio, Trio);
+
+  SECTION("elect a leader and commit in one order everywhere") {
+    Group.run(Settle);
+    propose(Group, {"x", "y", "z"});
+    for (const char *Vm : {"a", "b", "c"})
+      CHECK(Group[Vm].Applied_ == Commands{"x", "y", "z"});
+
+    SECTION("and go on when the leader dies") {
+      VmId Old = leaderOf(Group);
+      Group.stop(Old.str().c_str());
+      Group.run(Settle);
+      CHECK(leaderOf(Group) != Old);
+      propose(Group, {"w"});
+
+      SECTION("and bring it up to date when it returns") {
+        Group.start(Old);
+        Group.run(Settle);
+        CHECK(Group[Old.str().c_str()].Applied_ ==
+              Commands{"x", "y", "z", "w"});
+      }
+    }
+    SECTION("and a leader that is cut off stops answering") {
+      VmId Old = leaderOf(Group);
+      for (const VmId &Other : Trio) {
+        Group.Net_.cut(Old, Other);
+        Group.Net_.cut(Other, Old);
+      }
+      Group.run(Duration::millis(1200));
+      CHECK_FALSE(Group[Old.str().c_str()].Replica_->leaseValid(Group.Now_));
+      CHECK_FALSE(Group[Old.str().c_str()].Replica_->isLeader());
+      Group.run(Settle);
+      CHECK(leaderOf(Group) != Old);
+    }
+  }
+  SECTION("don't begin while one of them was never seen") {
+    Group.stop("c");
+    Group.run(Settle);
+    CHECK(Group.leader() == nullptr);
+    Group.start(VmId("c"));
+    Group.run(Settle);
+    CHECK(Group.leader() != nullptr);
+  }
+}
+
+TEST_CASE("A voter that lost its disk") {
+  ReplicaGroup Group(Trio, Trio);
+  Group.run(Settle);
+  propose(Group, {"x"});
+  Group.stop("c");
+  Group["c"].Disk_ = fakes::FakeDisk();
+  Group.start(VmId("c"));
+  Group.run(Settle);
+
+  SECTION("receives the log but is counted no more") {
+    CHECK(Group["c"].Applied_ == Commands{"x"});
+    CHECK_FALSE(Group["c"].Replica_->status(Group.Now_).IsVoter_);
+    CHECK_FALSE(Group.leader()->status(Group.Now_).SurvivesOneLoss_);
+  }
+  SECTION("votes again once removed, added and promoted") {
+    VmId C("c");
+    REQUIRE(Group.leader()->remove(C, Group.Now_).accepted());
+    CHECK(Group.leader()->addLearner(C, Group.Now_).Refusal_ ==
+          ProposeRefusal::ChangeInProgress);
+    Group.run(Settle);
+    REQUIRE(Group.leader()->addLearner(C, Group.Now_).accepted());
+    CHECK(Group.leader()->promote(C, Group.Now_).Refusal_ ==
+          ProposeRefusal::ChangeInProgress);
+    Group.run(Settle);
+    REQUIRE(Group.leader()->promote(C, Group.Now_).accepted());
+    CHECK_FALSE(Group.leader()->status(Group.Now_).SurvivesOneLoss_);
+    Group.run(Settle);
+    CHECK(Group["c"].Replica_->status(Group.Now_).IsVoter_);
+    CHECK(Group.leader()->status(Group.Now_).SurvivesOneLoss_);
+  }
+}
+
+TEST_CASE("A reconfiguration is refused") {
+  ReplicaGroup Group(Trio, {VmId("a"), VmId("b"), VmId("c"), VmId("d")});
+  Group.run(Settle);
+  REQUIRE(Group.leader());
+
+  SECTION("by a VM that doesn't lead") {
+    CHECK(Group["d"].Replica_->addLearner(VmId("d"), Group.Now_).Refusal_ ==
+          ProposeRefusal::NotLeader);
+  }
+  SECTION("when it names a member twice or a stranger") {
+    CHECK(Group.leader()->addLearner(VmId("b"), Group.Now_).Refusal_ ==
+          ProposeRefusal::AlreadyMember);
+    CHECK(Group.leader()->remove(VmId("z"), Group.Now_).Refusal_ ==
+          ProposeRefusal::NoSuchMember);
+  }
+  SECTION("when the rest would have no quorum in contact") {
+    VmId Leader = leaderOf(Group);
+    std::vector<VmId> Others;
+    for (const VmId &Vm : Trio)
+      if (Vm != Leader)
+        Others.push_back(Vm);
+    Group.stop(Others[0].str().c_str());
+    Group.run(Settle);
+    CHECK(Group.leader()->remove(Others[1], Group.Now_).Refusal_ ==
+          ProposeRefusal::BreaksQuorum);
+    CHECK(Group.leader()->remove(Others[0], Group.Now_).accepted());
+  }
+  SECTION("when a learner isn't caught up") {
+    REQUIRE(Group.leader()->addLearner(VmId("d"), Group.Now_).accepted());
+    Group.run(Settle);
+    Group.stop("d");
+    propose(Group, {"x"});
+    CHECK(Group.leader()->promote(VmId("d"), Group.Now_).Refusal_ ==
+          ProposeRefusal::NotCaughtUp);
+  }
+}
+
+TEST_CASE("A follower that fell far behind") {
+  ReplicaGroup Group(Trio, Trio);
+  Group.Limits_.SnapshotEvery_ = 8;
+  Group.Limits_.PieceBytes_ = 16;
+  for (const VmId &Vm : Trio)
+    Group.start(Vm);
+  Group.run(Settle);
+  VmId Behind = leaderOf(Group) == VmId("a") ? VmId("b") : VmId("a");
+  Group.stop(Behind.str().c_str());
+  Commands Many;
+  for (int N = 0; N < 40; ++N)
+    Many.push_back("command " + std::to_string(N));
+  propose(Group, Many);
+  REQUIRE(Group.leader()->status(Group.Now_).SnapshotIndex_ > LogIndex(8));
+
+  SECTION("is brought up to date by the snapshot in pieces") {
+    Group.start(Behind);
+    Group.run(Settle * 6);
+    CHECK(Group[Behind.str().c_str()].Applied_ == Many);
+  }
+}
+
+TEST_CASE("A voter whose disk fails") {
+  ReplicaGroup Group(Trio, Trio);
+  Group.run(Settle);
+  VmId Leader = leaderOf(Group);
+  fakes::FakeDisk &Disk = Group[Leader.str().c_str()].Disk_;
+  Disk.setHook([](const std::string &Operation) {
+    return fakes::DiskFate{.Fails_ = Operation == "sync"};
+  });
+
+  SECTION("acknowledges nothing and stops") {
+    CHECK(Group.leader()->propose("x", Group.Now_).Refusal_ ==
+          ProposeRefusal::Failed);
+    CHECK_FALSE(Group[Leader.str().c_str()].Replica_->isLeader());
+    CHECK(Group[Leader.str().c_str()].Replica_->takeOutbox().empty());
+
+    SECTION("also after the disk works again, until it is started anew") {
+      Disk.setHook({});
+      Group.run(Settle);
+      CHECK(leaderOf(Group) != Leader);
+      propose(Group, {"y"});
+      CHECK(Group[Leader.str().c_str()].Applied_.empty());
+      Group.start(Leader);
+      Group.run(Settle);
+      CHECK(Group[Leader.str().c_str()].Applied_ == Commands{"y"});
+    }
+  }
+}
--- /dev/null
+++ b/test/fakes/FakeDisk.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "lagoonpoint/Disk"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace lagoonpoint::fakes {
+
+/// Thrown by a FakeDisk where its VM dies.
+struct Crash {};
+
+/// What happens to one operation of a disk.
+struct DiskFate {
+  bool Fails_ = false;
+  bool CrashBefore_ = false;
+  bool CrashAfter_ = false;
+  Duration Takes_;
+};
+
+/// A folder that tells synced bytes and names from unsynced ones.
+class FakeDisk final : public Files {
+public:
+  using Hook = std::function<DiskFate(const std::string &Operation)>;
+
+  void setHook(Hook H) { Hook_ = std::move(H); }
+  std::uint64_t syncs() const { return Syncs_; }
+  /// \returns how long the operations since the last call have taken.
+  Duration takeDelay() { return std::exchange(Delay_, Duration()); }
+
+  Duration delay() const { return Delay_; }
+
+  /// Forgets what wasn't synced, but for the first \p Kept bytes of each
+  /// unsynced append.
+  void losePower(std::size_t Kept) {
+    Names_ = Durable_;
+    for (auto &[Name, F] : Names_)
+      F->losePower(Kept);
+  }
+  /// Changes one byte in place, as a failing disk may.
+  void damage(const std::string &Name, std::size_t Offset) {
+    file(Name).Data_.at(Offset) ^= 0x20;
+    file(Name).Synced_ = file(Name).Data_;
+  }
+
+  std::vector<std::string> list() override {
+    std::vector<std::string> Out;
+    for (const auto &Entry : Names_)
+      Out.push_back(Entry.first);
+    return Out;
+  }
+  std::string read(const std::string &Name) override {
+    return file(Name).Data_;
+  }
+  void write(const std::string &Name, const std::string &Bytes) override {
+    act("write", [&] {
+      if (!Names_.count(Name))
+        Names_[Name] = std::make_shared<File>();
+      Names_[Name]->Data_ = Bytes;
+    });
+  }
+  void append(const std::string &Name, const std::string &Bytes) override {
+    act("append", [&] { file(Name).Data_ += Bytes; });
+  }
+  void truncate(const std::string &Name, std::uint64_t Length) override {
+    act("truncate", [&] { file(Name).Data_.resize(Length); });
+  }
+  void sync(const std::string &Name) override {
+    act("sync", [&] { file(Name).Synced_ = file(Name).Data_; });
+    ++Syncs_;
+  }
+  void rename(const std::string &From, const std::string &To) override {
+    act("rename", [&] {
+      Names_[To] = Names_.at(From);
+      Names_.erase(From);
+    });
+  }
+  void remove(const std::string &Name) override {
+    act("remove", [&] { Names_.erase(Name); });
+  }
+  void syncFolder() override {
+    act("syncFolder", [&] { Durable_ = Names_; });
+    ++Syncs_;
+  }
+
+private:
+  struct File {
+    std::string Data_;
+    std::string Synced_;
+
+    void losePower(std::size_t Kept) {
+      bool Appended = Data_.compare(0, Synced_.size(), Synced_) == 0;
+      if (Appended)
+        Data_.resize(std::min(Data_.size(), Synced_.size() + Kept));
+      else
+        Data_ = Synced_;
+      Synced_ = Data_;
+    }
+  };
+
+  File &file(const std::string &Name) {
+    auto Found = Names_.find(Name);
+    if (Found == Names_.end())
+      throw DiskError("disk.open", Name, "no such file");
+    return *Found->second;
+  }
+
+  template <class Change>
+  void act(const std::string &Operation, const Change &Do) {
+    DiskFate Fate = Hook_ ? Hook_(Operation) : DiskFate();
+    Delay_ = Delay_ + Fate.Takes_;
+    if (Fate.CrashBefore_)
+      throw Crash();
+    if (Fate.Fails_)
+      throw DiskError("disk." + Operation, "", "no space left on device");
+    Do();
+    if (Fate.CrashAfter_)
+      throw Crash();
+  }
+
+  std::map<std::string, std::shared_ptr<File>> Names_;
+  std::map<std::string, std::shared_ptr<File>> Durable_;
+  Hook Hook_;
+  std::uint64_t Syncs_ = 0;
+  Duration Delay_;
+};
+
+} // namespace lagoonpoint::fakes
