Serve callers, upstreams and operators over HTTP

Cause: the ports of the three listeners had no adapter. POCO's HTTPServer accepts ambiguous framing and cut bodies, and holds a thread for each connection however slow its sender is. Change: a listener over POCO sockets that checks a head byte by byte before POCO parses it, keeps idle connections and slow heads in one poll set, and counts bodies itself; look-ups; calls passed on with our own framing; strict JSON listeners for announcements and operators. Conclusion: the process can be wired against the three servers.

--- /dev/null
+++ b/lagoonpoint/src/Http/OperatorServer.cpp
@@ -0,0 +1,88 @@
+#include "lagoonpoint/src/Http/OperatorServer.h"
+
+#include "lagoonpoint/src/Http/util/JsonService.h"
+
+#include <sstream>
+
+namespace lagoonpoint {
+
+namespace {
+
+using internal::Answer;
+using internal::BufferedRequest;
+
+Answer metricsAnswer(OperatorPort &Port) {
+  return {200,
+          {{"Content-Type", "text/plain; version=0.0.4; charset=utf-8"}},
+          Port.metrics()};
+}
+
+Answer healthAnswer(OperatorPort &Port) {
+  std::string WhyNot;
+  if (Port.ready(WhyNot))
+    return internal::jsonAnswer(200, "{\"ready\":true}\n");
+  return internal::jsonAnswer(
+      503, "{\"ready\":false,\"why\":" + internal::jsonString(WhyNot) + "}\n");
+}
+
+void checkKey(const Settings &S, const std::string &Shown) {
+  if (Shown.empty())
+    throw Refusal(RefusalReason::KeyMissing, Ran::No, "http.operator",
+                  "the operators' key is missing");
+  // An unset key must not be matched by anything.
+  if (S.OperatorKey_.empty() ||
+      !internal::equalInConstantTime(Shown, S.OperatorKey_))
+    throw Refusal(RefusalReason::KeyUnknown, Ran::No, "http.operator",
+                  "not the operators' key");
+}
+
+Answer portAnswer(OperatorPort &Port, const BufferedRequest &Request) {
+  OperatorReply Reply = Port.handle(
+      {Request.Method_, Request.Path_, internal::parseObject(Request.Body_)});
+  std::ostringstream Text;
+  if (Reply.Body_)
+    Reply.Body_->stringify(Text);
+  Text << "\n";
+  Answer Out = internal::jsonAnswer(Reply.Status_, Text.str());
+  Out.Fields_.emplace_back("X-Request-Id", Request.Id_.str());
+  return Out;
+}
+
+Answer handle(OperatorPort &Port, const Settings &S,
+              const BufferedRequest &Request) {
+  bool Read = Request.Method_ == "GET" || Request.Method_ == "HEAD";
+  if (Read && Request.Path_ == "/metrics")
+    return metricsAnswer(Port);
+  if (Read && Request.Path_ == "/healthz")
+    return healthAnswer(Port);
+  if (!Request.Path_.starts_with("/v1/"))
+    throw Refusal(RefusalReason::NoSuchRoute, Ran::No, "http.operator",
+                  "the operators' listener serves /v1/..., /metrics and "
+                  "/healthz");
+  checkKey(S, Request.Key_);
+  return portAnswer(Port, Request);
+}
+
+} // namespace
+
+struct OperatorServer::Impl {
+  Impl(OperatorPort &Port, const Settings &S, const Clock &C)
+      : Service_(S.Operators_, S, C,
+                 [&Port, &S](const BufferedRequest &Request) {
+                   return handle(Port, S, Request);
+                 }) {}
+
+  internal::JsonService Service_;
+};
+
+OperatorServer::OperatorServer(OperatorPort &Port, const Settings &S,
+                               const Clock &C)
+    : Impl_(std::make_unique<Impl>(Port, S, C)) {}
+
+OperatorServer::~OperatorServer() = default;
+
+void OperatorServer::start() { Impl_->Service_.start(); }
+void OperatorServer::stop() { Impl_->Service_.stop(); }
+unsigned short OperatorServer::port() const { return Impl_->Service_.port(); }
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Http/UpstreamServer.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "lagoonpoint/Config"
+#include "lagoonpoint/src/Http/UpstreamPort.h"
+
+#include <memory>
+
+namespace lagoonpoint {
+
+/// \class UpstreamServer
+/// \ingroup Http
+/// \brief The upstreams' listener: `POST /v1/announce`.
+class UpstreamServer {
+public:
+  /// \param Port outlives the server, as do \p S and \p C
+  UpstreamServer(UpstreamPort &Port, const Settings &S, const Clock &C);
+  ~UpstreamServer();
+
+  /// \throws Error if the address can't be listened on
+  void start();
+  void stop();
+  /// \returns the port in use, also if the settings say 0.
+  unsigned short port() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Http/util/Answers.cpp
@@ -0,0 +1,79 @@
+#include "lagoonpoint/src/Http/util/Answers.h"
+
+#include <Poco/JSONString.h>
+
+#include <cstdio>
+
+namespace lagoonpoint::internal {
+
+namespace {
+
+// Whole seconds, rounded up, as Retry-After wants them.
+std::int64_t secondsOf(Duration D) { return (D.count() + 999) / 1000; }
+
+std::string refusalBody(const Refusal &R, const RequestId &Request) {
+  std::string Body = "{\"reason\":\"";
+  Body += toString(R.reason());
+  Body += "\",\"ran\":\"";
+  Body += toString(R.ran());
+  Body += "\",\"message\":" + jsonString(R.message());
+  Body += ",\"retry_after_ms\":" + std::to_string(R.retryAfter().count());
+  Body += ",\"request_id\":" + jsonString(Request.str()) + "}\n";
+  return Body;
+}
+
+} // namespace
+
+RequestId makeRequestId() {
+  thread_local Random Generator((std::uint64_t(std::random_device()()) << 32) |
+                                std::random_device()());
+  char Text[33];
+  std::snprintf(Text, sizeof(Text), "%016llx%016llx",
+                static_cast<unsigned long long>(Generator()),
+                static_cast<unsigned long long>(Generator()));
+  return RequestId(Text);
+}
+
+std::string jsonString(const std::string &Text) { return Poco::toJSON(Text); }
+
+Answer refusalAnswer(const Refusal &R, const RequestId &Request) {
+  Answer Out = jsonAnswer(httpStatus(R.reason()), refusalBody(R, Request));
+  Out.Fields_.emplace_back("X-Request-Id", Request.str());
+  if (R.ran() == Ran::No)
+    Out.Fields_.emplace_back("X-Not-Run", "1");
+  if (R.retryAfter() > Duration())
+    Out.Fields_.emplace_back("Retry-After",
+                             std::to_string(secondsOf(R.retryAfter())));
+  return Out;
+}
+
+Answer jsonAnswer(int Status, std::string Body) {
+  return {Status,
+          {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}},
+          std::move(Body)};
+}
+
+std::string headText(int Status, const Fields &F, bool KeepAlive) {
+  using Poco::Net::HTTPResponse;
+  std::string Text = "HTTP/1.1 " + std::to_string(Status) + " ";
+  Text += HTTPResponse::getReasonForStatus(
+      static_cast<HTTPResponse::HTTPStatus>(Status));
+  Text += "\r\n";
+  for (const auto &[Name, Value] : F)
+    Text.append(Name).append(": ").append(Value).append("\r\n");
+  if (!KeepAlive)
+    Text += "Connection: close\r\n";
+  return Text;
+}
+
+bool writeAnswer(Wire &Out, const Answer &A, AnswerStyle Style,
+                 const Until &Limit) {
+  std::string Text = headText(A.Status_, A.Fields_, Style.KeepAlive_);
+  Text += "Content-Length: " + std::to_string(A.Body_.size()) + "\r\n\r\n";
+  if (!Style.ToHead_)
+    Text += A.Body_;
+  std::int64_t Written = 0;
+  return Out.write(Text, Limit, Written) == WireEnd::Ready;
+}
+
+} // namespace lagoonpoint::internal
--- /dev/null
+++ b/lagoonpoint/src/Http/util/Answers.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "lagoonpoint/src/Http/util/Listener.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lagoonpoint::internal {
+
+/// Header fields in the order in which they are written.
+using Fields = std::vector<std::pair<std::string, std::string>>;
+
+/// A whole answer of this VM.
+struct Answer {
+  int Status_ = 200;
+  Fields Fields_;
+  std::string Body_;
+};
+
+/// \returns a random request id of 32 hexadecimal digits.
+RequestId makeRequestId();
+
+/// \returns the text as a JSON string with quotes.
+std::string jsonString(const std::string &Text);
+
+/// \returns the documented form of a refusal.
+Answer refusalAnswer(const Refusal &R, const RequestId &Request);
+
+/// \returns a JSON answer.
+Answer jsonAnswer(int Status, std::string Body);
+
+/// How an answer's head is written.
+struct AnswerStyle {
+  bool KeepAlive_ = true;
+  bool ToHead_ = false; ///< the method was HEAD: no body is written
+};
+
+/// \returns status line and fields, with a Connection field, up to but
+/// without the empty line.
+std::string headText(int Status, const Fields &F, bool KeepAlive);
+
+/// Writes a whole answer with its Content-Length.
+/// \returns true if all of it was written
+bool writeAnswer(Wire &Out, const Answer &A, AnswerStyle Style,
+                 const Until &Limit);
+
+} // namespace lagoonpoint::internal
--- /dev/null
+++ b/lagoonpoint/src/Http/util/JsonService.cpp
@@ -0,0 +1,157 @@
+#include "lagoonpoint/src/Http/util/JsonService.h"
+
+#include "lagoonpoint/src/Http/util/BodyReader.h"
+#include "lagoonpoint/src/Http/util/PathCheck.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/SHA2Engine.h>
+#include <Poco/String.h>
+#include <spdlog/spdlog.h>
+
+namespace lagoonpoint::internal {
+
+namespace {
+
+constexpr unsigned Threads = 4;
+constexpr unsigned MaxConnections = 1000;
+constexpr int MaxJsonDepth = 16;
+constexpr Duration AnswerLimit = Duration::seconds(10);
+
+Refusal badRequest(const std::string &Message) {
+  return Refusal(RefusalReason::BadRequest, Ran::No, "http.request", Message);
+}
+
+ListenerOptions optionsOf(const Address &Listen, const Settings &S) {
+  return {Listen,           Threads,        MaxConnections, S.MaxHeaderBytes_,
+          S.HeaderTimeout_, S.IdleTimeout_, S.DrainLimit_};
+}
+
+std::string bearerOf(const std::string &Value) {
+  constexpr std::size_t SchemeLength = 7;
+  if (Poco::icompare(Value.substr(0, SchemeLength), "Bearer ") != 0)
+    throw badRequest("Authorization must be \"Bearer KEY\"");
+  return Poco::trim(Value.substr(SchemeLength));
+}
+
+void takeKey(std::string &Key, const std::string &Shown) {
+  if (Shown.empty())
+    throw badRequest("empty key");
+  if (!Key.empty() && Key != Shown)
+    throw badRequest("two different keys were shown");
+  Key = Shown;
+}
+
+} // namespace
+
+std::string readKey(const Poco::Net::HTTPRequest &Request) {
+  if (queryHoldsKey(Request.getURI()))
+    throw badRequest("keys are taken from header fields, never from the URL");
+  std::string Key;
+  for (const auto &[Name, Value] : Request) {
+    if (Poco::icompare(Name, "Authorization") == 0)
+      takeKey(Key, bearerOf(Value));
+    if (Poco::icompare(Name, "X-Api-Key") == 0)
+      takeKey(Key, Poco::trim(Value));
+  }
+  return Key;
+}
+
+bool equalInConstantTime(const std::string &A, const std::string &B) {
+  // Digests have one length, so that not even the length can be timed.
+  Poco::SHA2Engine First;
+  Poco::SHA2Engine Second;
+  First.update(A);
+  Second.update(B);
+  return Poco::DigestEngine::constantTimeEquals(First.digest(),
+                                                Second.digest());
+}
+
+Poco::JSON::Object::Ptr parseObject(const std::string &Body) {
+  if (Body.empty())
+    return {};
+  try {
+    Poco::JSON::Parser Parser;
+    Parser.setDepth(MaxJsonDepth);
+    return Parser.parse(Body).extract<Poco::JSON::Object::Ptr>();
+  } catch (const Poco::Exception &) {
+    throw badRequest("body is not a JSON object");
+  }
+}
+
+JsonService::JsonService(const Address &Listen, const Settings &S,
+                         const Clock &C, Handle OnRequest)
+    : Settings_(S), Clock_(C), Handle_(std::move(OnRequest)),
+      Listener_(
+          optionsOf(Listen, S), C,
+          [this](Connection &Conn, RequestHead &Head) {
+            return serve(Conn, Head);
+          },
+          [this](Connection &Conn, const Refusal &R) {
+            writeAnswer(Conn.Wire_, refusalAnswer(R, makeRequestId()),
+                        {.KeepAlive_ = false},
+                        Until(Clock_, Clock_.now() + AnswerLimit));
+          }) {}
+
+bool JsonService::serve(Connection &C, RequestHead &Head) {
+  BufferedRequest Request;
+  Request.Id_ = makeRequestId();
+  Request.Method_ = Head.Request_.getMethod();
+  const std::string &Target = Head.Request_.getURI();
+  std::size_t Mark = std::min(Target.find('?'), Target.size());
+  Request.Path_ = Target.substr(0, Mark);
+  Request.Query_ = Target.substr(std::min(Mark + 1, Target.size()));
+  bool KeepAlive = Head.KeepAlive_ && !Listener_.stopping();
+  Answer Out;
+  try {
+    Request.Body_ = readBody(C, Head);
+    Request.Key_ = readKey(Head.Request_);
+    Out = handle(Request);
+  } catch (const Refusal &R) {
+    Out = refusalAnswer(R, Request.Id_);
+    KeepAlive = false;
+  }
+  Until Limit(Clock_, Clock_.now() + AnswerLimit);
+  AnswerStyle Style{KeepAlive, Request.Method_ == "HEAD"};
+  return writeAnswer(C.Wire_, Out, Style, Limit) && KeepAlive;
+}
+
+Answer JsonService::handle(const BufferedRequest &Request) const {
+  try {
+    return Handle_(Request);
+  } catch (const Refusal &R) {
+    return refusalAnswer(R, Request.Id_);
+  } catch (const std::exception &E) {
+    spdlog::error("request {} failed: {}", Request.Id_.str(), E.what());
+    return refusalAnswer(
+        Refusal(RefusalReason::Internal, Ran::Unknown, "http.handle", E.what()),
+        Request.Id_);
+  }
+}
+
+std::string JsonService::readBody(Connection &C, const RequestHead &Head) {
+  Until Limit(Clock_, C.Arrived_ + Settings_.BodyTimeout_);
+  if (Head.Body_.Length_ > static_cast<std::int64_t>(Settings_.MaxBodyBytes_))
+    throw Refusal(RefusalReason::TooLarge, Ran::No, "http.body",
+                  "body is longer than the limit");
+  if (Head.ExpectContinue_) {
+    std::int64_t Written = 0;
+    C.Wire_.write("HTTP/1.1 100 Continue\r\n\r\n", Limit, Written);
+  }
+  BodyReader Reader(C.Wire_, Head.Body_);
+  std::string Body;
+  for (;;) {
+    std::string_view Piece;
+    BodyEnd End = Reader.next(Piece, Limit);
+    if (End == BodyEnd::Whole)
+      return Body;
+    if (End != BodyEnd::Piece)
+      throw badRequest("request body is cut, late or malformed");
+    if (Body.size() + Piece.size() > Settings_.MaxBodyBytes_)
+      throw Refusal(RefusalReason::TooLarge, Ran::No, "http.body",
+                    "body is longer than the limit");
+    Body += Piece;
+  }
+}
+
+} // namespace lagoonpoint::internal
--- /dev/null
+++ b/lagoonpoint/src/Http/util/JsonService.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "lagoonpoint/src/Http/util/Answers.h"
+
+#include <Poco/JSON/Object.h>
+
+#include <functional>
+
+namespace lagoonpoint::internal {
+
+/// One request whose whole body was read.
+struct BufferedRequest {
+  std::string Method_;
+  std::string Path_; ///< without query
+  std::string Query_;
+  std::string Body_;
+  std::string Key_; ///< as shown, empty if none was
+  RequestId Id_;
+};
+
+/// Reads the key of a request: `Authorization: Bearer KEY` or `X-Api-Key`.
+/// \returns the key, empty if none was shown
+/// \throws Refusal if two different keys were shown or one is in the query
+std::string readKey(const Poco::Net::HTTPRequest &Request);
+
+/// \returns true if both texts are equal, in a time that tells neither.
+bool equalInConstantTime(const std::string &A, const std::string &B);
+
+/// \returns the JSON object in a body, null for an empty body.
+/// \throws Refusal BadRequest if it is anything else
+Poco::JSON::Object::Ptr parseObject(const std::string &Body);
+
+/// \class JsonService
+/// \ingroup Http
+/// \brief A listener that reads each request whole and answers with one text.
+class JsonService {
+public:
+  using Handle = std::function<Answer(const BufferedRequest &)>;
+
+  JsonService(const Address &Listen, const Settings &S, const Clock &C,
+              Handle OnRequest);
+
+  void start() { Listener_.start(); }
+  void stop() { Listener_.stop(); }
+  unsigned short port() const { return Listener_.port(); }
+
+private:
+  bool serve(Connection &C, RequestHead &Head);
+  Answer handle(const BufferedRequest &Request) const;
+  std::string readBody(Connection &C, const RequestHead &Head);
+
+  const Settings &Settings_;
+  const Clock &Clock_;
+  Handle Handle_;
+  Listener Listener_;
+};
+
+} // namespace lagoonpoint::internal
--- /dev/null
+++ b/lagoonpoint/src/Http/util/Listener.cpp
@@ -0,0 +1,316 @@
+#include "lagoonpoint/src/Http/util/Listener.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <poll.h>
+#include <utility>
+
+namespace lagoonpoint::internal {
+
+namespace {
+
+constexpr int Backlog = 1024;
+constexpr Duration SweepEvery = Duration::millis(100);
+constexpr Duration StopSweepEvery = Duration::millis(20);
+constexpr Duration ClosingFor = Duration::seconds(1);
+
+Poco::Timespan timespanOf(Duration D) {
+  return Poco::Timespan(D.count() * Poco::Timespan::MILLISECONDS);
+}
+
+// A request may have arrived since the connection was found idle.
+bool requestWaits(Connection &C) {
+  return !C.HeadBegan_ && !C.Closing_ && C.Wire_.readable();
+}
+
+bool acceptable(const Poco::Net::ServerSocket &Server) {
+  pollfd Polled{Server.impl()->sockfd(), POLLIN, 0};
+  return ::poll(&Polled, 1, 0) > 0;
+}
+
+} // namespace
+
+Listener::Listener(ListenerOptions Options, const Clock &C, Serve OnRequest,
+                   Reject OnReject)
+    : Options_(std::move(Options)), Clock_(C), Serve_(std::move(OnRequest)),
+      Reject_(std::move(OnReject)) {}
+
+Listener::~Listener() { stop(); }
+
+void Listener::start() {
+  try {
+    Poco::Net::SocketAddress At(Options_.Listen_.Host_, Options_.Listen_.Port_);
+    Server_.bind(At, true);
+    Server_.listen(Backlog);
+    Port_ = Server_.address().port();
+  } catch (const Poco::Exception &E) {
+    throw Error("http.listen", toString(Options_.Listen_), E.displayText());
+  }
+  Polled_.add(Server_, Poco::Net::PollSet::POLL_READ);
+  Poller_ = std::thread([this] { pollLoop(); });
+  for (unsigned Count = 0; Count < Options_.Threads_; ++Count)
+    Workers_.emplace_back([this] { workLoop(); });
+}
+
+void Listener::stop() {
+  if (!Poller_.joinable() || Stopping_.exchange(true))
+    return;
+  waitForInFlight();
+  cutServing();
+  {
+    std::lock_guard Lock(QueueLock_);
+    Ended_ = true;
+  }
+  QueueFilled_.notify_all();
+  Poller_.join();
+  for (std::thread &Worker : Workers_)
+    Worker.join();
+  closeParked();
+}
+
+// The poller takes what the backlog holds, and closes connections as they
+// become idle; two quiet looks in a row show that nothing is left to serve.
+void Listener::waitForInFlight() {
+  Time Limit = Clock_.now() + Options_.DrainLimit_;
+  unsigned Quiet = 0;
+  while (Quiet < 2 && Clock_.now() < Limit) {
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(StopSweepEvery.count()));
+    Quiet = Open_ == 0 ? Quiet + 1 : 0;
+  }
+}
+
+void Listener::cutServing() {
+  std::lock_guard Lock(QueueLock_);
+  for (Connection *C : Serving_) {
+    spdlog::warn("drain limit reached, closing the connection of {}",
+                 C->ClientAddress_);
+    C->Wire_.shutdown();
+  }
+}
+
+void Listener::closeParked() {
+  std::lock_guard Lock(ParkedLock_);
+  Parked_.clear();
+  Polled_.clear();
+  Server_.close();
+}
+
+void Listener::pollLoop() {
+  Time NextSweep = Clock_.now() + SweepEvery;
+  while (!Ended_) {
+    Duration Every = stopping() ? StopSweepEvery : SweepEvery;
+    for (auto &[Socket, Mode] : Polled_.poll(timespanOf(Every))) {
+      if (Socket == Server_)
+        acceptAll();
+      else
+        dispatch(Socket);
+    }
+    if (Clock_.now() >= NextSweep) {
+      sweep();
+      NextSweep = Clock_.now() + Every;
+    }
+  }
+}
+
+void Listener::acceptAll() {
+  while (acceptable(Server_)) {
+    try {
+      accept(Server_.acceptConnection());
+    } catch (const Poco::Exception &E) {
+      // Out of descriptors, or the peer has left again.
+      spdlog::warn("accept failed: {}", E.displayText());
+      return;
+    }
+  }
+}
+
+void Listener::accept(Poco::Net::StreamSocket Socket) {
+  std::size_t Capacity =
+      std::max(Wire::DefaultCapacity, 2 * Options_.MaxHeadBytes_);
+  Socket.setNoDelay(true);
+  auto C = std::make_unique<Connection>(Socket, Capacity);
+  C->ClientAddress_ = Socket.peerAddress().host().toString();
+  if (Open_ >= Options_.MaxConnections_ && !makeRoom()) {
+    Reject_(*C, Refusal(RefusalReason::QueueFull, Ran::No, "http.accept",
+                        "too many connections", Duration::seconds(1)));
+    return;
+  }
+  ++Open_;
+  park(std::move(C));
+}
+
+// Closes the connection that has been idle longest.
+bool Listener::makeRoom() {
+  std::lock_guard Lock(ParkedLock_);
+  auto Oldest = Parked_.end();
+  for (auto It = Parked_.begin(); It != Parked_.end(); ++It) {
+    bool Idle = !It->second->HeadBegan_;
+    if (Idle && (Oldest == Parked_.end() ||
+                 It->second->Since_ < Oldest->second->Since_))
+      Oldest = It;
+  }
+  if (Oldest == Parked_.end() || Oldest->second->Wire_.readable())
+    return false;
+  Polled_.remove(Oldest->first);
+  Parked_.erase(Oldest);
+  --Open_;
+  return true;
+}
+
+void Listener::park(Owned C) {
+  if (!C->Closing_)
+    C->Since_ = Clock_.now();
+  C->Wire_.release();
+  Poco::Net::Socket Socket = C->Wire_.socket();
+  std::lock_guard Lock(ParkedLock_);
+  Parked_.emplace(Socket, std::move(C));
+  Polled_.add(Socket, Poco::Net::PollSet::POLL_READ);
+}
+
+void Listener::dispatch(const Poco::Net::Socket &Socket) {
+  Owned C;
+  {
+    std::lock_guard Lock(ParkedLock_);
+    auto It = Parked_.find(Socket);
+    if (It == Parked_.end())
+      return;
+    Polled_.remove(Socket);
+    C = std::move(It->second);
+    Parked_.erase(It);
+  }
+  C->Arrived_ = Clock_.now();
+  enqueue(std::move(C));
+}
+
+void Listener::enqueue(Owned C) {
+  {
+    std::lock_guard Lock(QueueLock_);
+    Queue_.push_back(std::move(C));
+  }
+  QueueFilled_.notify_one();
+}
+
+void Listener::workLoop() {
+  for (;;) {
+    Owned C;
+    {
+      std::unique_lock Lock(QueueLock_);
+      QueueFilled_.wait(Lock, [this] { return Ended_ || !Queue_.empty(); });
+      if (Queue_.empty())
+        return;
+      C = std::move(Queue_.front());
+      Queue_.pop_front();
+      Serving_.insert(C.get());
+    }
+    handle(std::move(C));
+  }
+}
+
+void Listener::handle(Owned C) {
+  bool Keep = false;
+  try {
+    Keep = C->Closing_ ? discard(*C) : serveArrived(*C);
+  } catch (const std::exception &E) {
+    spdlog::error("connection of {} failed: {}", C->ClientAddress_, E.what());
+  }
+  {
+    std::lock_guard Lock(QueueLock_);
+    Serving_.erase(C.get());
+  }
+  if (Keep)
+    return park(std::move(C));
+  C.reset();
+  --Open_;
+}
+
+// Reads and serves until nothing more has arrived. Returns false if the
+// connection is closed.
+bool Listener::serveArrived(Connection &C) {
+  for (;;) {
+    std::size_t Length = headLength(C.Wire_.buffered());
+    bool TooLong = C.Wire_.buffered().size() > Options_.MaxHeadBytes_;
+    if (Length != std::string_view::npos || TooLong) {
+      bool Usable = serveBuffered(C, Length);
+      C.HeadBegan_.reset();
+      C.Arrived_ = Clock_.now();
+      if (!Usable) {
+        drop(C);
+        return discard(C);
+      }
+      continue;
+    }
+    WireEnd Read = C.Wire_.fillNow();
+    if (Read != WireEnd::Ready)
+      return Read == WireEnd::TimedOut;
+    if (!C.HeadBegan_)
+      C.HeadBegan_ = C.Arrived_;
+  }
+}
+
+// Returns false if the peer has closed.
+bool Listener::discard(Connection &C) {
+  C.Wire_.consume(C.Wire_.buffered().size());
+  return C.Wire_.fillNow() != WireEnd::Closed;
+}
+
+// Serves the request whose head is buffered, or refuses a head that is too
+// long. Returns true if the connection can be used again.
+bool Listener::serveBuffered(Connection &C, std::size_t Length) {
+  try {
+    if (Length > Options_.MaxHeadBytes_)
+      throw Refusal(RefusalReason::TooLarge, Ran::No, "http.head",
+                    "request head is longer than the limit");
+    RequestHead Head = parseRequestHead(C.Wire_.buffered().substr(0, Length));
+    C.Wire_.consume(Length);
+    return Serve_(C, Head);
+  } catch (const Refusal &R) {
+    Reject_(C, R);
+    return false;
+  }
+}
+
+// Closing at once could destroy an answer that the peer hasn't read yet.
+void Listener::drop(Connection &C) {
+  C.Closing_ = true;
+  C.Since_ = Clock_.now();
+  C.Wire_.shutdownSend();
+}
+
+bool Listener::expired(const Connection &C, Time Now) const {
+  if (C.Closing_)
+    return Now - C.Since_ >= ClosingFor;
+  if (C.HeadBegan_)
+    return Now - *C.HeadBegan_ >= Options_.HeadTimeout_;
+  if (stopping())
+    return Now - C.Since_ >= StopSweepEvery;
+  return Now - C.Since_ >= Options_.IdleTimeout_;
+}
+
+void Listener::sweep() {
+  Time Now = Clock_.now();
+  std::vector<Owned> Late;
+  {
+    std::lock_guard Lock(ParkedLock_);
+    for (auto It = Parked_.begin(); It != Parked_.end();) {
+      if (!expired(*It->second, Now) || requestWaits(*It->second)) {
+        ++It;
+        continue;
+      }
+      Polled_.remove(It->first);
+      Late.push_back(std::move(It->second));
+      It = Parked_.erase(It);
+    }
+  }
+  for (Owned &C : Late) {
+    if (C->HeadBegan_ && !C->Closing_)
+      Reject_(*C, Refusal(RefusalReason::BadRequest, Ran::No, "http.head",
+                          "request head was not complete in time"));
+    --Open_;
+  }
+}
+
+} // namespace lagoonpoint::internal
--- /dev/null
+++ b/lagoonpoint/src/Http/util/UpstreamPool.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "lagoonpoint/Config"
+#include "lagoonpoint/src/Http/util/Wire.h"
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lagoonpoint::internal {
+
+/// \class UpstreamPool
+/// \ingroup Http
+/// \brief Idle connections to upstreams, for reuse. Thread-safe.
+///
+/// Only a connection whose last exchange was whole may be given back; the
+/// owner of any other closes it.
+class UpstreamPool {
+public:
+  explicit UpstreamPool(const Clock &C) : Clock_(C) {}
+
+  /// \returns an idle connection, or null if there is none that is still open.
+  std::unique_ptr<Wire> take(const Address &To);
+  void give(const Address &To, std::unique_ptr<Wire> Connection);
+
+private:
+  static constexpr std::size_t ShardCount = 16;
+
+  struct Idle {
+    std::unique_ptr<Wire> Wire_;
+    Time Since_;
+  };
+  struct Shard {
+    std::mutex Lock_;
+    std::unordered_map<std::string, std::vector<Idle>> Idle_;
+    Time NextSweep_;
+  };
+
+  Shard &shardOf(const std::string &Name);
+  void sweep(Shard &S, Time Now, std::vector<Idle> &Late);
+
+  const Clock &Clock_;
+  Shard Shards_[ShardCount];
+};
+
+/// Opens a connection.
+/// \ingroup Http
+/// \param Watched connection whose closing ends the wait, or null
+/// \returns null if it was refused or not made in time
+std::unique_ptr<Wire> connectTo(const Address &To, const Until &Limit,
+                                const Wire *Watched);
+
+} // namespace lagoonpoint::internal
--- /dev/null
+++ b/test/CallerServer.cpp
@@ -0,0 +1,262 @@
+#include "fakes/FakeCallerPort.h"
+#include "fakes/ScriptedUpstream.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lagoonpoint;
+using Catch::Matchers::Contains;
+using Catch::Matchers::StartsWith;
+using fakes::RawSocket;
+using fakes::ScriptedUpstream;
+
+namespace {
+
+const std::string Get = "GET /tags/7 HTTP/1.1\r\nHost: vm\r\n";
+
+/// Answers every request on a connection with "ok".
+ScriptedUpstream::Script answersOk(ScriptedUpstream *&Self) {
+  return [&Self](RawSocket &S) {
+    while (!Self->receive(S).empty())
+      S.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  };
+}
+
+} // namespace
+
+TEST_CASE("A caller looks up which VM to use") {
+  fakes::CallerRig Rig;
+  Rig.Port_.Reply_ = {{{VmId("e1"), ZoneId("a"), {"10.0.0.1", 80}, 0.75}},
+                      Duration::seconds(5),
+                      Revision(7),
+                      "a-1-9-"};
+  RawSocket Caller(Rig.start());
+
+  SECTION("and gets revision, time to live, prefix and VMs") {
+    Caller.send("GET /v1/lookup?service=tags HTTP/1.1\r\nHost: vm\r\n\r\n");
+    std::string Answer = Caller.readMessage();
+    CHECK_THAT(Answer, StartsWith("HTTP/1.1 200 OK\r\n"));
+    CHECK_THAT(Answer, Contains("{\"revision\":7,\"ttl_ms\":5000,"
+                                "\"once_prefix\":\"a-1-9-\",\"vms\":[{"
+                                "\"vm\":\"e1\",\"zone\":\"a\",\"address\":"
+                                "\"10.0.0.1:80\",\"weight\":0.75}]}"));
+  }
+  SECTION("and is refused in the documented shape") {
+    std::string Target = "/v1/lookup";
+    std::string Status = "400";
+    SECTION("without a service") {}
+    SECTION("with an unknown parameter") { Target += "?service=tags&x=1"; }
+    SECTION("with a key in the URL") { Target += "?service=tags&api_key=k"; }
+    SECTION("for an unknown service") {
+      Target += "?service=none";
+      Status = "404";
+    }
+    SECTION("on another reserved path") {
+      Target = "/v1/apply";
+      Status = "404";
+    }
+    Caller.send("GET " + Target + " HTTP/1.1\r\nHost: vm\r\n\r\n");
+    std::string Answer = Caller.readMessage();
+    CHECK_THAT(Answer, StartsWith("HTTP/1.1 " + Status + " "));
+    CHECK_THAT(Answer, Contains("\"ran\":\"no\",\"message\":\""));
+    CHECK_THAT(Answer, Contains("\"request_id\":\""));
+  }
+  SECTION("with pipelined requests, each answered in order") {
+    std::string One =
+        "GET /v1/lookup?service=tags HTTP/1.1\r\nHost: vm\r\n\r\n";
+    Caller.send(One + One + One);
+    for (int Count = 0; Count < 3; ++Count)
+      CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 200 OK\r\n"));
+  }
+}
+
+TEST_CASE("A call is passed to the upstream") {
+  ScriptedUpstream *Self = nullptr;
+  ScriptedUpstream Upstream(answersOk(Self));
+  Self = &Upstream;
+  fakes::CallerRig Rig;
+  RawSocket Caller(Rig.start(Upstream.address()));
+
+  SECTION("and its answer to the caller") {
+    Caller.send(Get + "\r\n");
+    std::string Answer = Caller.readMessage();
+    CHECK_THAT(Answer, StartsWith("HTTP/1.1 200 OK\r\n"));
+    CHECK_THAT(Answer, Contains("X-Request-Id: "));
+    CHECK_THAT(Answer, Catch::Matchers::EndsWith("\r\n\r\nok"));
+    CHECK(Rig.Port_.reports().at(0).End_ == TryEnd::Answered);
+  }
+  SECTION("over one connection for calls that follow each other") {
+    for (int Count = 0; Count < 5; ++Count) {
+      Caller.send(Get + "\r\n");
+      CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 200 OK"));
+    }
+    CHECK(Upstream.connections() == 1);
+    CHECK(Upstream.requests() == 5);
+  }
+  SECTION("without its key, whatever the header's case or number") {
+    SECTION("as bearer") {
+      Caller.send(Get + "aUTHORIZATION: bearer k1.secret\r\n\r\n");
+    }
+    SECTION("as API key") { Caller.send(Get + "x-aPi-KEY: k1.secret\r\n\r\n"); }
+    SECTION("doubled") {
+      Caller.send(Get + "Authorization: Bearer k1.secret\r\n"
+                        "X-API-KEY: k1.secret\r\nX-Api-Key:k1.secret\r\n\r\n");
+    }
+    CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 200 OK"));
+    CHECK(Rig.Port_.calls().at(0).Key_ == "k1.secret");
+    CHECK_THAT(Upstream.seen(), !Contains("secret"));
+  }
+  SECTION("not at all if the key would be seen by the upstream") {
+    std::string Key = "X-Api-Key: k1.secret\r\n";
+    SECTION("in the URL") {
+      Caller.send("GET /tags?q=k1.secret HTTP/1.1\r\nHost: vm\r\n" + Key +
+                  "\r\n");
+    }
+    SECTION("in another header") {
+      Caller.send(Get + Key + "X-Note: k1.secret\r\n\r\n");
+    }
+    SECTION("or if two keys differ") {
+      Caller.send(Get + Key + "Authorization: Bearer k2.other\r\n\r\n");
+    }
+    CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 400 "));
+    CHECK(Upstream.requests() == 0);
+  }
+  SECTION("without hop-by-hop fields, with deadline and request id") {
+    Caller.send(Get + "Connection: X-Private\r\nX-Private: 1\r\nTE: gzip\r\n"
+                      "X-Deadline-Ms: 3000\r\nX-Request-Id: mine\r\n"
+                      "X-Lagoonpoint-Other: 1\r\nX-Kept: yes\r\n\r\n");
+    CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 200 OK"));
+    std::string Seen = Upstream.seen();
+    for (const char *Gone : {"Private", "TE:", "gzip", "mine", "Other"})
+      CHECK_THAT(Seen, !Contains(Gone));
+    CHECK_THAT(Seen, Contains("X-Kept: yes\r\n"));
+    CHECK_THAT(Seen, Contains("X-Request-Id: "));
+    std::size_t At = Seen.find("X-Deadline-Ms: ");
+    REQUIRE(At != std::string::npos);
+    int Left = std::stoi(Seen.substr(At + 15));
+    CHECK(Left > 0);
+    CHECK(Left <= 3000);
+  }
+  SECTION("with its body, re-framed") {
+    std::string Head = "POST /tags HTTP/1.1\r\nHost: vm\r\n";
+    SECTION("of a known length") {
+      Caller.send(Head + "Content-Length: 5\r\n\r\nhello");
+    }
+    SECTION("in chunks") {
+      Caller.send(Head + "Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nhe\r\n"
+                         "3\r\nllo\r\n0\r\nX-Trailer: 1\r\n\r\n");
+    }
+    SECTION("after the caller was told to continue") {
+      Caller.send(Head + "Expect: 100-continue\r\nContent-Length: 5\r\n\r\n");
+      CHECK(Caller.readUntil("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+      Caller.send("hello");
+    }
+    CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 200 OK"));
+    CHECK_THAT(Upstream.seen(), Contains("Content-Length: 5\r\n\r\nhello"));
+  }
+  SECTION("and refused as the port says, on a connection that stays open") {
+    Rig.Port_.Refuse_ = Refusal(RefusalReason::OverRate, Ran::No, "fake",
+                                "over rate", Duration::millis(1500));
+    Caller.send("POST /tags HTTP/1.1\r\nHost: vm\r\nContent-Length: 5\r\n\r\n"
+                "hello" +
+                Get + "\r\n");
+    std::string Answer = Caller.readMessage();
+    CHECK_THAT(Answer, StartsWith("HTTP/1.1 429 "));
+    CHECK_THAT(Answer, Contains("Retry-After: 2\r\n"));
+    CHECK_THAT(Answer, Contains("{\"reason\":\"over_rate\",\"ran\":\"no\""));
+    CHECK_THAT(Answer, Contains("\"retry_after_ms\":1500"));
+    CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 429 "));
+  }
+}
+
+TEST_CASE("Ambiguous or malformed requests are refused and reach nobody") {
+  ScriptedUpstream *Self = nullptr;
+  ScriptedUpstream Upstream(answersOk(Self));
+  Self = &Upstream;
+  fakes::CallerRig Rig;
+  RawSocket Caller(Rig.start(Upstream.address()));
+
+  std::string Head = "POST /tags HTTP/1.1\r\nHost: vm\r\n";
+  std::string Bad = GENERATE(
+      as<std::string>(), "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+      "Content-Length: 3\r\nContent-Length: 4\r\n", "Content-Length: -1\r\n",
+      "Content-Length: 3x\r\n", "Content-Length: 3, 3\r\n",
+      "Content-Length: \r\n", "Transfer-Encoding: gzip, chunked\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: xchunked\r\n", "X-A: 1\r\n folded\r\n",
+      "X-Api-Key : k1.secret\r\n", "X-A: 1\nX-B: 2\r\n", "X-A: a\rb\r\n",
+      "X-A\r\n", ": empty\r\n", "Host: other\r\n", "Expect: more\r\n",
+      "X-Deadline-Ms: -4\r\n", "X-Deadline-Ms: 1\r\nX-Deadline-Ms: 2\r\n",
+      "X-Lagoonpoint-Hop: e2 10.0.0.9 00\r\nX-Request-Id: a\r\n");
+  CAPTURE(Bad);
+  Caller.send(Head + Bad + "\r\nGET /smuggled HTTP/1.1\r\nHost: vm\r\n\r\n");
+  std::string All = Caller.readAll();
+  CHECK_THAT(All, StartsWith("HTTP/1.1 400 "));
+  CHECK_THAT(All, Contains("{\"reason\":\"bad_request\",\"ran\":\"no\""));
+  CHECK(All.find("HTTP/1.1", 1) == std::string::npos);
+  CHECK(Upstream.requests() == 0);
+}
+
+TEST_CASE("A path that an upstream could read otherwise is refused") {
+  fakes::CallerRig Rig;
+  RawSocket Caller(Rig.start({"127.0.0.1", 1}));
+  std::string Path = GENERATE(
+      as<std::string>(), "/open/../keyed", "/open/./keyed", "/open/%2e%2e/k",
+      "/%6beyed", "/a%2fb", "/a%5cb", "//keyed", "/a//b", "/a\\b", "/a/..;x/b",
+      "/a%0d%0ab", "/a%", "/a%zz", "http://vm/keyed", "*", "/a#b");
+  CAPTURE(Path);
+  Caller.send("GET " + Path + " HTTP/1.1\r\nHost: vm\r\n\r\n");
+  CHECK_THAT(Caller.readAll(), StartsWith("HTTP/1.1 400 "));
+  CHECK(Rig.Port_.calls().empty());
+}
+
+TEST_CASE("Limits of the callers' listener") {
+  fakes::CallerRig Rig;
+  Rig.Settings_.MaxBodyBytes_ = 1000;
+  Rig.Settings_.HeaderTimeout_ = Duration::millis(200);
+  Rig.Settings_.BodyTimeout_ = Duration::millis(200);
+  Rig.Settings_.CallerThreads_ = 1;
+
+  SECTION("a head that is too long") {
+    RawSocket Caller(Rig.start());
+    Caller.send("GET /" + std::string(9000, 'a') + " HTTP/1.1\r\n");
+    CHECK_THAT(Caller.readAll(), StartsWith("HTTP/1.1 413 "));
+  }
+  SECTION("a body that is too long") {
+    RawSocket Caller(Rig.start());
+    Caller.send("POST / HTTP/1.1\r\nHost: vm\r\nContent-Length: 1001\r\n\r\n");
+    CHECK_THAT(Caller.readAll(), StartsWith("HTTP/1.1 413 "));
+  }
+  SECTION("chunks that are too long together") {
+    RawSocket Caller(Rig.start());
+    Caller.send("POST / HTTP/1.1\r\nHost: vm\r\nTransfer-Encoding: chunked"
+                "\r\n\r\n3e9\r\n" +
+                std::string(1001, 'x') + "\r\n0\r\n\r\n");
+    CHECK_THAT(Caller.readAll(), StartsWith("HTTP/1.1 413 "));
+  }
+  SECTION("a head that never ends holds no thread and is closed") {
+    unsigned short Port = Rig.start();
+    RawSocket Slow(Port);
+    Slow.send("GET / HTTP/1.1\r\nHo");
+    RawSocket Caller(Port);
+    Caller.send("GET /v1/lookup?service=tags HTTP/1.1\r\nHost: vm\r\n\r\n");
+    CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 200 "));
+    CHECK_THAT(Slow.readAll(), StartsWith("HTTP/1.1 400 "));
+  }
+  SECTION("a body that never ends") {
+    RawSocket Caller(Rig.start());
+    Caller.send("POST / HTTP/1.1\r\nHost: vm\r\nContent-Length: 10\r\n\r\nx");
+    CHECK_THAT(Caller.readAll(), StartsWith("HTTP/1.1 400 "));
+    CHECK(Rig.Port_.reports().empty());
+  }
+  SECTION("idle connections give way to new ones") {
+    Rig.Settings_.MaxCallerConnections_ = 2;
+    unsigned short Port = Rig.start();
+    RawSocket First(Port);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    RawSocket Second(Port);
+    RawSocket Third(Port);
+    Third.send("GET /v1/lookup?service=tags HTTP/1.1\r\nHost: vm\r\n\r\n");
+    CHECK_THAT(Third.readMessage(), StartsWith("HTTP/1.1 200 "));
+    CHECK(First.closed());
+  }
+}
--- /dev/null
+++ b/test/fakes/FakeCallerPort.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "lagoonpoint/Http"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lagoonpoint::fakes {
+
+/// An entry VM that admits everything, and records what the listener reports.
+class FakeCallerPort final : public CallerPort {
+public:
+  explicit FakeCallerPort(const Clock &C) : Clock_(C) {}
+
+  /// What calls get; set before the first call.
+  RouteDecl Route_;
+  std::vector<CallTarget> Targets_; ///< tried in this order
+  bool Retry_ = false;              ///< answer of ended() to any failure
+  Duration Deadline_ = Duration::seconds(5);
+  std::optional<Refusal> Refuse_; ///< thrown by admit
+  std::atomic<bool> Draining_{false};
+  LookupReply Reply_;
+
+  std::vector<TryReport> reports() const {
+    std::lock_guard Lock(Lock_);
+    return Reports_;
+  }
+  std::vector<Call> calls() const {
+    std::lock_guard Lock(Lock_);
+    return Calls_;
+  }
+
+  LookupReply lookup(const LookupQuery &Query) override {
+    if (Query.Service_ != ServiceId("tags"))
+      throw Refusal(RefusalReason::NoSuchRoute, Ran::No, "fake", "no service");
+    return Reply_;
+  }
+  RouteDecl route(const std::string &) override { return Route_; }
+  std::unique_ptr<CallTicket> admit(const Call &C) override {
+    std::lock_guard Lock(Lock_);
+    if (Refuse_)
+      throw *Refuse_;
+    Calls_.push_back(C);
+    return std::make_unique<Ticket>(*this, C);
+  }
+  bool draining() const override { return Draining_; }
+
+private:
+  class Ticket final : public CallTicket {
+  public:
+    Ticket(FakeCallerPort &Port, const Call &C)
+        : Port_(Port), Call_(C),
+          Deadline_(C.Arrived_ + C.Deadline_.value_or(Port.Deadline_)) {}
+
+    const RouteDecl &route() const override { return Port_.Route_; }
+    const TeamId &team() const override { return Team_; }
+    Time deadline() const override { return Deadline_; }
+    std::optional<StoredAnswer> stored() override {
+      std::lock_guard Lock(Port_.Lock_);
+      auto It = Port_.Kept_.find(Call_.IdempotencyKey_);
+      if (It == Port_.Kept_.end())
+        return {};
+      return It->second;
+    }
+    CallTarget next() override {
+      if (Next_ == Port_.Targets_.size())
+        throw Refusal(RefusalReason::NoUpstream, Ran::No, "fake", "no more");
+      return Port_.Targets_[Next_++];
+    }
+    bool ended(const TryReport &Report) override {
+      std::lock_guard Lock(Port_.Lock_);
+      Port_.Reports_.push_back(Report);
+      return Port_.Retry_ && Report.End_ != TryEnd::Answered;
+    }
+    void keep(const StoredAnswer &Answer) override {
+      std::lock_guard Lock(Port_.Lock_);
+      Port_.Kept_[Call_.IdempotencyKey_] = Answer;
+    }
+
+  private:
+    FakeCallerPort &Port_;
+    Call Call_;
+    Time Deadline_;
+    TeamId Team_{"team"};
+    std::size_t Next_ = 0;
+  };
+
+  const Clock &Clock_;
+  mutable std::mutex Lock_;
+  std::vector<TryReport> Reports_;
+  std::vector<Call> Calls_;
+  std::map<std::string, StoredAnswer> Kept_;
+};
+
+/// A callers' listener on a free port, with a fake entry VM behind it.
+struct CallerRig {
+  CallerRig() : Port_(Clock_), Settings_(makeSettings()) {}
+
+  static Settings makeSettings() {
+    Settings S;
+    S.Vm_ = VmId("e1");
+    S.Callers_ = S.Upstreams_ = S.Operators_ = {"127.0.0.1", 0};
+    S.ClusterSecret_ = "cluster secret";
+    S.OperatorKey_ = "operator key";
+    S.CallerThreads_ = 8;
+    S.DrainLimit_ = Duration::seconds(5);
+    return S;
+  }
+
+  /// Starts the listener with one target.
+  unsigned short start(const Address &Upstream) {
+    Port_.Targets_ = {{UpstreamId("u1"), VmId(), Upstream}};
+    return start();
+  }
+  unsigned short start() {
+    Server_ = std::make_unique<CallerServer>(Port_, Settings_, Clock_);
+    Server_->start();
+    return Server_->port();
+  }
+
+  SystemClock Clock_;
+  FakeCallerPort Port_;
+  Settings Settings_;
+  std::unique_ptr<CallerServer> Server_;
+};
+
+} // namespace lagoonpoint::fakes
--- /dev/null
+++ b/test/fakes/RawSocket.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <Poco/Exception.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <string>
+
+namespace lagoonpoint::fakes {
+
+/// One TCP connection on which a test says byte for byte what is sent.
+class RawSocket {
+public:
+  explicit RawSocket(unsigned short Port)
+      : RawSocket(Poco::Net::StreamSocket(
+            Poco::Net::SocketAddress("127.0.0.1", Port))) {}
+  explicit RawSocket(Poco::Net::StreamSocket Socket) : Socket_(Socket) {
+    Socket_.setReceiveTimeout(Poco::Timespan(PatienceSeconds, 0));
+    Socket_.setNoDelay(true);
+  }
+
+  /// \returns false if the peer has closed.
+  bool send(const std::string &Bytes) {
+    try {
+      Socket_.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()),
+                        MSG_NOSIGNAL);
+      return true;
+    } catch (const Poco::Exception &) {
+      return false;
+    }
+  }
+
+  /// Reads until \p Mark has arrived. \returns all up to and with it, or what
+  /// had arrived when the connection ended.
+  std::string readUntil(const std::string &Mark) {
+    std::size_t At;
+    while ((At = Buffer_.find(Mark)) == std::string::npos)
+      if (!more())
+        return take(Buffer_.size());
+    return take(At + Mark.size());
+  }
+
+  std::string readBytes(std::size_t Count) {
+    while (Buffer_.size() < Count)
+      if (!more())
+        break;
+    return take(std::min(Count, Buffer_.size()));
+  }
+
+  std::string readAll() {
+    while (more())
+      continue;
+    return take(Buffer_.size());
+  }
+
+  /// Reads one answer or request with Content-Length or without body.
+  std::string readMessage() {
+    std::string Head = readUntil("\r\n\r\n");
+    std::size_t At = Head.find("Content-Length: ");
+    if (At == std::string::npos)
+      return Head;
+    return Head + readBytes(std::stoul(Head.substr(At + 16)));
+  }
+
+  /// \returns true if the peer closed or reset, within the patience.
+  bool closed() {
+    while (more())
+      continue;
+    return Ended_;
+  }
+  /// \returns true if the connection ended with a reset.
+  bool wasReset() const { return Reset_; }
+
+  void shutdownSend() { Socket_.shutdownSend(); }
+  void close() { Socket_.close(); }
+  void reset() {
+    Socket_.setLinger(true, 0);
+    Socket_.close();
+  }
+
+private:
+  static constexpr long PatienceSeconds = 10;
+
+  bool more() {
+    char Piece[4096];
+    try {
+      int Count = Socket_.receiveBytes(Piece, sizeof(Piece));
+      if (Count > 0) {
+        Buffer_.append(Piece, static_cast<std::size_t>(Count));
+        return true;
+      }
+      Ended_ = true;
+    } catch (const Poco::TimeoutException &) {
+      return false;
+    } catch (const Poco::Exception &) {
+      Ended_ = Reset_ = true;
+    }
+    return false;
+  }
+
+  std::string take(std::size_t Count) {
+    std::string Out = Buffer_.substr(0, Count);
+    Buffer_.erase(0, Count);
+    return Out;
+  }
+
+  Poco::Net::StreamSocket Socket_;
+  std::string Buffer_;
+  bool Ended_ = false;
+  bool Reset_ = false;
+};
+
+} // namespace lagoonpoint::fakes
--- /dev/null
+++ b/test/fakes/ScriptedUpstream.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "fakes/RawSocket.h"
+#include "lagoonpoint/Config"
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lagoonpoint::fakes {
+
+/// An upstream whose every connection runs the test's script.
+class ScriptedUpstream {
+public:
+  using Script = std::function<void(RawSocket &)>;
+
+  explicit ScriptedUpstream(Script OnConnection)
+      : Script_(std::move(OnConnection)),
+        Server_(Poco::Net::SocketAddress("127.0.0.1", 0)),
+        Port_(Server_.address().port()), Accepter_([this] { acceptLoop(); }) {}
+
+  ~ScriptedUpstream() {
+    Ended_ = true;
+    Accepter_.join();
+    for (std::thread &T : Threads_)
+      T.join();
+  }
+
+  Address address() const { return {"127.0.0.1", Port_}; }
+  int connections() const { return Connections_; }
+  int requests() const { return Requests_; }
+
+  /// Reads a request and remembers it; empty once the peer has closed.
+  std::string receive(RawSocket &S) {
+    std::string Message = S.readMessage();
+    if (Message.empty())
+      return Message;
+    ++Requests_;
+    std::lock_guard Lock(SeenLock_);
+    Seen_ += Message;
+    return Message;
+  }
+  /// \returns all bytes of the requests received so far.
+  std::string seen() {
+    std::lock_guard Lock(SeenLock_);
+    return Seen_;
+  }
+
+private:
+  void acceptLoop() {
+    while (!Ended_) {
+      if (!Server_.poll(Poco::Timespan(0, 10'000),
+                        Poco::Net::Socket::SELECT_READ))
+        continue;
+      RawSocket S(Server_.acceptConnection());
+      ++Connections_;
+      Threads_.emplace_back([this, S]() mutable { Script_(S); });
+    }
+  }
+
+  Script Script_;
+  Poco::Net::ServerSocket Server_;
+  unsigned short Port_;
+  std::atomic<bool> Ended_{false};
+  std::atomic<int> Connections_{0};
+  std::atomic<int> Requests_{0};
+  std::mutex SeenLock_;
+  std::string Seen_;
+  std::vector<std::thread> Threads_;
+  std::thread Accepter_;
+};
+
+} // namespace lagoonpoint::fakes
