Carry messages between VMs as HTTP/2 streams

Cause: Transport had no adapter, and nghttp2's C library does no I/O. Change: PeerTransport: a poll loop over POCO sockets, a mutual proof of the cluster secret before any id is said, one stream a message under a session key, bounded queues that drop the oldest, a thread of its own for the handler. Conclusion: VMs can talk; addresses may change while they do.

--- /dev/null
+++ b/lagoonpoint/src/Peer/Connection.cpp
@@ -0,0 +1,101 @@
+#include "lagoonpoint/src/Peer/Connection.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+namespace lagoonpoint::internal {
+
+namespace {
+
+constexpr std::size_t ReadBytes = 64 << 10;
+/// Bound on one turn, so that no connection keeps the others waiting.
+constexpr std::size_t TurnBytes = 1 << 20;
+/// What is taken from the session ahead of the socket: little, so that a small
+/// message doesn't wait behind a large one.
+constexpr std::size_t OutputBytes = 64 << 10;
+
+} // namespace
+
+Connection::Connection(Poco::Net::StreamSocket Socket, Handshake Start,
+                       VmId Self, const PeerLimits &Limits, Time Now)
+    : Socket_(std::move(Socket)), Handshake_(std::move(Start)),
+      Self_(std::move(Self)), Limits_(Limits),
+      Dialed_(Handshake_.role() == Handshake::Role::Dialer), Opened_(Now),
+      LastRead_(Now), LastUse_(Now) {
+  Socket_.setBlocking(false);
+}
+
+Http2Session *Connection::session() const {
+  if (Sender_)
+    return Sender_.get();
+  return Receiver_.get();
+}
+
+std::size_t Connection::read(Time Now) {
+  static thread_local std::array<char, ReadBytes> Buffer;
+  std::size_t Total = 0;
+  while (Total < TurnBytes) {
+    int Count = Socket_.receiveBytes(Buffer.data(), ReadBytes);
+    if (Count < 0)
+      break;
+    if (Count == 0)
+      throw Error("peer.read", peer().str(), "connection closed by the peer");
+    Total += static_cast<std::size_t>(Count);
+    take({Buffer.data(), static_cast<std::size_t>(Count)});
+  }
+  if (Total > 0)
+    LastRead_ = LastUse_ = Now;
+  return Total;
+}
+
+void Connection::take(std::string_view Bytes) {
+  if (Http2Session *Session = session())
+    return Session->receive(Bytes);
+  std::string Rest = Handshake_.receive(Bytes);
+  if (!Handshake_.done())
+    return;
+  startSession();
+  if (!Rest.empty())
+    session()->receive(Rest);
+}
+
+void Connection::startSession() {
+  const std::string &Key = Handshake_.sessionKey();
+  if (Dialed_)
+    Sender_ = std::make_unique<Http2Sender>(peer(), Key);
+  else
+    Receiver_ = std::make_unique<Http2Receiver>(
+        Self_, peer(), Key,
+        Http2Receiver::Limits{Limits_.MessageBytes_, Limits_.PartialBytes_,
+                              Limits_.OpenStreams_});
+}
+
+std::size_t Connection::write(Time Now) {
+  std::size_t Total = 0;
+  while (Total < TurnBytes) {
+    Output_ += Handshake_.takeOutput();
+    if (Http2Session *Session = session())
+      Session->takeOutput(Output_, OutputBytes);
+    if (Output_.empty())
+      break;
+    int Count = Socket_.sendBytes(
+        Output_.data(), static_cast<int>(Output_.size()), MSG_NOSIGNAL);
+    if (Count <= 0)
+      break;
+    Output_.erase(0, static_cast<std::size_t>(Count));
+    Total += static_cast<std::size_t>(Count);
+  }
+  if (Total > 0)
+    LastUse_ = Now;
+  return Total;
+}
+
+bool Connection::wantsWrite() const {
+  if (!Output_.empty() || Handshake_.hasOutput())
+    return true;
+  return session() && session()->wantsWrite();
+}
+
+} // namespace lagoonpoint::internal
--- /dev/null
+++ b/lagoonpoint/src/Peer/Http2Receiver.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "lagoonpoint/src/Peer/Http2Session.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lagoonpoint::internal {
+
+/// \class Http2Receiver
+/// \ingroup Peer
+/// \brief The listener's end: turns requests into envelopes.
+///
+/// A message that names another sender than the connection's, or that is not
+/// authentic, ends the connection; one over the size limit only its stream.
+class Http2Receiver final : public Http2Session {
+public:
+  struct Limits {
+    std::size_t MessageBytes_ = 0;
+    std::size_t PartialBytes_ = 0; ///< of all unfinished messages together
+    std::size_t OpenStreams_ = 0;
+  };
+
+  Http2Receiver(VmId Self, VmId Peer, std::string SessionKey, Limits Bounds);
+
+  /// Takes the messages received whole since the last call.
+  std::vector<Envelope> takeMessages() { return std::exchange(Whole_, {}); }
+  /// Takes the count of streams refused for their size since the last call.
+  std::uint64_t takeTooLarge() { return std::exchange(TooLarge_, 0); }
+
+private:
+  struct Incoming {
+    std::string Method_;
+    std::string Path_;
+    std::string From_;
+    std::string To_;
+    std::string Content_;
+    bool Refused_ = false;
+  };
+
+  static int onBeginHeaders(nghttp2_session *, const nghttp2_frame *Frame,
+                            void *Self);
+  static int onHeader(nghttp2_session *, const nghttp2_frame *Frame,
+                      const std::uint8_t *Name, std::size_t NameSize,
+                      const std::uint8_t *Value, std::size_t ValueSize,
+                      std::uint8_t Flags, void *Self);
+  static int onData(nghttp2_session *, std::uint8_t Flags, std::int32_t Stream,
+                    const std::uint8_t *Data, std::size_t Size, void *Self);
+  static int onFrame(nghttp2_session *, const nghttp2_frame *Frame, void *Self);
+  static int onStreamClose(nghttp2_session *, std::int32_t Stream,
+                           std::uint32_t ErrorCode, void *Self);
+
+  int takeData(std::int32_t Stream, std::string_view Data);
+  int finish(std::int32_t Stream);
+  int refuse(std::int32_t Stream, Incoming &Message);
+
+  VmId Self_;
+  std::string SessionKey_;
+  Limits Limits_;
+  std::map<std::int32_t, Incoming> Open_;
+  std::vector<Envelope> Whole_;
+  std::size_t PartialBytes_ = 0;
+  std::uint64_t TooLarge_ = 0;
+};
+
+} // namespace lagoonpoint::internal
--- /dev/null
+++ b/test/Peer.cpp
@@ -0,0 +1,331 @@
+#include "lagoonpoint/Peer"
+#include "lagoonpoint/src/Peer/Handshake.h"
+#include "lagoonpoint/src/Peer/Http2Sender.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocket.h>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+using namespace lagoonpoint;
+using internal::Handshake;
+
+namespace {
+
+const VmId A("a"), B("b"), C("c");
+const std::string Secret = "a shared secret of the cluster";
+
+/// Waits for a condition; the bound only ends a test that has failed.
+bool eventually(const std::function<bool()> &Condition) {
+  for (int Try = 0; Try < 4000; ++Try) {
+    if (Condition())
+      return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return false;
+}
+
+struct Vm {
+  explicit Vm(const VmId &Id, const std::string &Key = Secret,
+              unsigned short Port = 0, PeerLimits Limits = {})
+      : Transport_(
+            {Id, {"127.0.0.1", Port}, Key, Limits},
+            [this](Envelope M) { take(std::move(M)); }, Clock_,
+            [this](const Error &E) { note(E); }) {
+    Transport_.start();
+  }
+
+  void take(Envelope Message) {
+    while (Blocked_)
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    std::lock_guard Guard(Lock_);
+    Got_.push_back(std::move(Message));
+  }
+  void note(const Error &E) {
+    std::lock_guard Guard(Lock_);
+    Errors_.push_back(E.step() + " " + E.peer() + " " + E.message());
+  }
+  bool sawError(const std::string &Part) const {
+    std::lock_guard Guard(Lock_);
+    return std::any_of(Errors_.begin(), Errors_.end(), [&](const auto &E) {
+      return E.find(Part) != std::string::npos;
+    });
+  }
+  std::size_t got() const {
+    std::lock_guard Guard(Lock_);
+    return Got_.size();
+  }
+  Envelope got(std::size_t At) const {
+    std::lock_guard Guard(Lock_);
+    return Got_.at(At);
+  }
+  Address at() const { return {"127.0.0.1", Transport_.port()}; }
+  void send(const VmId &To, std::string Body,
+            Channel On = Channel::Membership) {
+    Transport_.send({A, To, On, std::move(Body)});
+  }
+
+  SystemClock Clock_;
+  mutable std::mutex Lock_;
+  std::vector<Envelope> Got_;
+  std::vector<std::string> Errors_;
+  std::atomic<bool> Blocked_{false};
+  PeerTransport Transport_;
+};
+
+/// Reads until the other side closes the connection.
+std::string readAll(Poco::Net::StreamSocket &Socket) {
+  std::string All;
+  char Buffer[1024];
+  Socket.setReceiveTimeout(Poco::Timespan(20, 0));
+  try {
+    while (int Count = Socket.receiveBytes(Buffer, sizeof Buffer))
+      All.append(Buffer, static_cast<std::size_t>(Count));
+  } catch (const Poco::Net::NetException &) {
+    // Closed with bytes unread.
+  }
+  return All;
+}
+
+void write(Poco::Net::StreamSocket &Socket, const std::string &Bytes) {
+  Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+}
+
+std::string readExactly(Poco::Net::StreamSocket &Socket, int Count) {
+  std::string Bytes(static_cast<std::size_t>(Count), '\0');
+  for (int At = 0; At < Count;) {
+    int Got = Socket.receiveBytes(Bytes.data() + At, Count - At);
+    REQUIRE(Got > 0);
+    At += Got;
+  }
+  return Bytes;
+}
+
+Poco::Net::StreamSocket connectTo(const Vm &V) {
+  return Poco::Net::StreamSocket(
+      Poco::Net::SocketAddress("127.0.0.1", V.Transport_.port()));
+}
+
+std::string randomText(Random &Dice, std::size_t Size) {
+  std::string Text(Size, '\0');
+  for (char &Byte : Text)
+    Byte = static_cast<char>(Dice());
+  return Text;
+}
+
+} // namespace
+
+TEST_CASE("Two VMs with the same secret") {
+  Vm One(A), Two(B);
+  One.Transport_.setPeers({{B, Two.at()}});
+  Two.Transport_.setPeers({{A, One.at()}});
+
+  SECTION("talk both ways, in order, on every channel") {
+    for (int Number = 1; Number <= 8; ++Number)
+      One.send(B, "to b", static_cast<Channel>(Number));
+    Two.Transport_.send({B, A, Channel::Once, ""});
+    REQUIRE(eventually([&] { return Two.got() == 8 && One.got() == 1; }));
+    for (std::size_t At = 0; At < 8; ++At) {
+      Envelope Got = Two.got(At);
+      CHECK(Got.From_ == A);
+      CHECK(Got.To_ == B);
+      CHECK(Got.Channel_ == static_cast<Channel>(At + 1));
+      CHECK(Got.Body_ == "to b");
+    }
+    CHECK(One.got(0).Channel_ == Channel::Once);
+    CHECK(One.got(0).Body_.empty());
+    CHECK(One.Errors_.empty());
+  }
+  SECTION("pass a large message without holding up small ones") {
+    Random Dice(1);
+    std::string Large = randomText(Dice, 30 << 20);
+    One.send(B, Large);
+    for (int Count = 0; Count < 10; ++Count)
+      One.send(B, "small");
+    REQUIRE(eventually([&] { return Two.got() == 11; }));
+    CHECK(Two.got(0).Body_ == "small");
+    CHECK(Two.got(10).Body_ == Large);
+  }
+  SECTION("drop and count what can't be sent") {
+    One.send(C, "nobody");
+    One.send(B, std::string((64 << 20) + 1, 'x'));
+    CHECK(One.Transport_.counters().DroppedUnknownPeer_ == 1);
+    CHECK(One.Transport_.counters().DroppedTooLarge_ == 1);
+  }
+  SECTION("take up again after one restarts") {
+    One.send(B, "first");
+    REQUIRE(eventually([&] { return Two.got() == 1; }));
+    unsigned short Port = Two.Transport_.port();
+    Two.Transport_.stop();
+    One.send(B, "lost or late");
+    Vm Again(B, Secret, Port);
+    REQUIRE(eventually([&] {
+      One.send(B, "again");
+      return Again.got() > 0;
+    }));
+    CHECK(One.Transport_.counters().Connects_ >= 2);
+  }
+  SECTION("follow a peer to another address") {
+    One.send(B, "first");
+    REQUIRE(eventually([&] { return Two.got() == 1; }));
+    Vm Moved(B);
+    One.Transport_.setPeers({{B, Moved.at()}});
+    REQUIRE(eventually([&] {
+      One.send(B, "moved");
+      return Moved.got() > 0;
+    }));
+  }
+}
+
+TEST_CASE("A slow receiver") {
+  PeerLimits Small;
+  Small.MessageBytes_ = 1 << 20;
+  Small.InboxBytes_ = 1 << 20;
+  Small.QueueBytes_ = 4 << 20;
+  Vm One(A, Secret, 0, Small), Two(B, Secret, 0, Small), Three(C);
+  One.Transport_.setPeers({{B, Two.at()}, {C, Three.at()}});
+  Two.Blocked_ = true;
+  for (int Count = 0; Count < 200; ++Count)
+    One.send(B, std::string(1 << 20, 'x'));
+
+  SECTION("costs its sender a bounded queue and holds up nobody else") {
+    CHECK(One.Transport_.counters().DroppedQueueFull_ > 0);
+    One.send(C, "hello");
+    CHECK(eventually([&] { return Three.got() == 1; }));
+  }
+  SECTION("gets the newest when it goes on") {
+    One.send(B, "newest");
+    Two.Blocked_ = false;
+    CHECK(eventually([&] {
+      std::size_t Count = Two.got();
+      return Count > 0 && Two.got(Count - 1).Body_ == "newest";
+    }));
+  }
+  Two.Blocked_ = false;
+}
+
+TEST_CASE("A process without the secret") {
+  Vm One(A);
+
+  SECTION("that dials is refused, and says nothing") {
+    Vm Stranger(B, "another secret of some cluster");
+    Stranger.Transport_.setPeers({{A, One.at()}});
+    Stranger.send(A, "hello");
+    CHECK(eventually([&] { return One.sawError("wrong proof"); }));
+    CHECK(One.Transport_.counters().AuthFailures_ >= 1);
+    CHECK(One.got() == 0);
+  }
+  SECTION("that listens learns no id and gets no message") {
+    Vm Stranger(B, "another secret of some cluster");
+    One.Transport_.setPeers({{B, Stranger.at()}});
+    One.send(B, "hello");
+    CHECK(eventually([&] { return Stranger.sawError("wrong proof"); }));
+    CHECK(Stranger.got() == 0);
+    CHECK(One.Transport_.counters().MessagesSent_ == 0);
+  }
+  SECTION("gets only the nonce, whatever it sends") {
+    Random Dice(7);
+    for (std::size_t Size : {64, 65, 1000, 5000}) {
+      auto Socket = connectTo(One);
+      write(Socket, randomText(Dice, Size));
+      CHECK(readAll(Socket).size() <= internal::NonceBytes);
+    }
+    CHECK(eventually(
+        [&] { return One.Transport_.counters().AuthFailures_ >= 4; }));
+  }
+  SECTION("that says nothing is cut off") {
+    PeerLimits Hasty;
+    Hasty.HandshakeTimeout_ = Duration::millis(100);
+    Vm Impatient(C, Secret, 0, Hasty);
+    auto Socket = connectTo(Impatient);
+    CHECK(readAll(Socket).size() == internal::NonceBytes);
+    CHECK(
+        eventually([&] { return Impatient.sawError("no handshake in time"); }));
+  }
+}
+
+TEST_CASE("A process that holds the secret and breaks the protocol") {
+  Vm One(A);
+  auto Socket = connectTo(One);
+  Handshake Dialer(Handshake::Role::Dialer, B, A, Secret,
+                   std::string(internal::NonceBytes, 'n'));
+  Dialer.receive(readExactly(Socket, internal::NonceBytes));
+  std::string Proof = Dialer.takeOutput();
+  write(Socket, Proof);
+  Dialer.receive(readExactly(Socket, 32));
+  std::string Hello = Dialer.takeOutput();
+  REQUIRE(Dialer.done());
+
+  SECTION("by garbage after the handshake loses its connection only") {
+    write(Socket, Hello);
+    Random Dice(11);
+    write(Socket, randomText(Dice, 4000));
+    readAll(Socket);
+    CHECK(eventually([&] { return One.sawError("peer.read b"); }));
+    CHECK(One.Transport_.counters().ProtocolErrors_ == 1);
+  }
+  SECTION("by naming another VM as sender") {
+    internal::Http2Sender Sender(A, Dialer.sessionKey());
+    Sender.submit({C, A, Channel::Membership, "I am c"});
+    std::string Bytes = Hello;
+    Sender.takeOutput(Bytes, 1 << 20);
+    write(Socket, Bytes);
+    readAll(Socket);
+    CHECK(eventually([&] { return One.sawError("message from c to a"); }));
+  }
+  SECTION("by changing a message on its way") {
+    internal::Http2Sender Sender(A, Dialer.sessionKey());
+    Sender.submit({B, A, Channel::Membership, "correct"});
+    std::string Bytes = Hello;
+    Sender.takeOutput(Bytes, 1 << 20);
+    Bytes.replace(Bytes.find("correct"), 7, "corrupt");
+    write(Socket, Bytes);
+    readAll(Socket);
+    CHECK(eventually([&] { return One.sawError("authentication failed"); }));
+  }
+  SECTION("by repeating the handshake of another connection") {
+    auto Second = connectTo(One);
+    readExactly(Second, internal::NonceBytes);
+    write(Second, Proof + Hello);
+    CHECK(readAll(Second).empty());
+    CHECK(eventually([&] { return One.sawError("wrong proof"); }));
+  }
+  SECTION("by changing the VM in its hello") {
+    Hello[1] = 'c';
+    write(Socket, Hello);
+    readAll(Socket);
+    CHECK(eventually([&] { return One.sawError("wrong proof of the VM id"); }));
+  }
+  CHECK(One.got() == 0);
+  Vm Two(B);
+  Two.Transport_.setPeers({{A, One.at()}});
+  Two.send(A, "still alive");
+  CHECK(eventually([&] { return One.got() == 1; }));
+}
+
+TEST_CASE("A message over the receiver's limit") {
+  PeerLimits Small;
+  Small.MessageBytes_ = 1000;
+  Vm One(A), Two(B, Secret, 0, Small);
+  One.Transport_.setPeers({{B, Two.at()}});
+  One.send(B, std::string(100'000, 'x'));
+  One.send(B, "small");
+  CHECK(eventually([&] { return Two.got() == 1; }));
+  CHECK(Two.got(0).Body_ == "small");
+  CHECK(eventually(
+      [&] { return One.Transport_.counters().FailedInFlight_ == 1; }));
+  CHECK(Two.Transport_.counters().DroppedTooLarge_ == 1);
+}
+
+TEST_CASE("A connection to the wrong VM is refused") {
+  Vm One(A), Two(B);
+  One.Transport_.setPeers({{C, Two.at()}});
+  One.send(C, "for c only");
+  CHECK(eventually([&] { return Two.sawError("meant for another VM"); }));
+  CHECK(Two.got() == 0);
+}
