Decide retries purely, within a budget

Change: module Retry: tryEnded() over a call's state, the end of a try, the time left and a budget per team and service; TryEnd moves there from Http. Conclusion: a plain or once-request is never sent again after a byte of it may have run; 'ran: no' is said only if none has.

--- a/lagoonpoint/src/Http/CallerPort.h
+++ b/lagoonpoint/src/Http/CallerPort.h
@@ -2,6 +2,7 @@
 
 #include "lagoonpoint/Config"
 #include "lagoonpoint/Core"
+#include "lagoonpoint/src/Retry/TryEnd.h"
 
 #include <cstdint>
 #include <memory>
@@ -54,17 +55,6 @@
   Address Address_;
 };
 
-/// How one try ended.
-enum class TryEnd {
-  Answered,     ///< whole answer received
-  NotConnected, ///< connection refused or not made in time
-  NothingSent,  ///< failed before any byte of the request was written
-  Shed,         ///< upstream said that it didn't run the request
-  TimedOut,     ///< deadline passed after bytes were sent
-  Broken,       ///< connection failed or answer cut after bytes were sent
-  CallerLeft,   ///< caller closed its connection
-};
-
 /// What the listener reports of one try.
 struct TryReport {
   TryEnd End_ = TryEnd::Answered;
--- /dev/null
+++ b/lagoonpoint/src/Retry/Retry.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "lagoonpoint/Config"
+#include "lagoonpoint/Core"
+#include "lagoonpoint/src/Retry/RetryBudget.h"
+#include "lagoonpoint/src/Retry/TryEnd.h"
+
+#include <cstdint>
+
+namespace lagoonpoint {
+
+/// What is known of a try that has ended.
+/// \ingroup Retry
+struct TryOutcome {
+  TryEnd End_ = TryEnd::Answered;
+  std::int64_t BytesSent_ = 0; ///< of the request, to the upstream
+  bool AnswerBegun_ = false;   ///< bytes of the answer have gone to the caller
+};
+
+/// \class RetryState
+/// \ingroup Retry
+/// \brief One call's tries so far.
+struct RetryState {
+  RouteKind Kind_ = RouteKind::Plain;
+  unsigned Tries_ = 0;      ///< ended
+  bool MayHaveRun_ = false; ///< at some upstream, in any of the tries
+  bool Over_ = false;       ///< no more tries
+};
+
+/// What follows a try.
+/// \ingroup Retry
+enum class RetryVerdict {
+  Again,       ///< may be sent to another upstream
+  Delivered,   ///< the caller has its answer
+  CallerLeft,  ///< nobody waits for an answer
+  AnswerBegun, ///< the caller holds a part of an answer
+  MayHaveRun,  ///< a second run can't be excluded
+  NoTime,      ///< the deadline is too near
+  TooMany,     ///< most tries of one call reached
+  NoBudget,    ///< the team's retry budget is used up
+};
+
+/// Most tries of one call, the first one included.
+/// \ingroup Retry
+constexpr unsigned MaxTries = 3;
+
+/// Less time than this until the deadline is not worth another try.
+/// \ingroup Retry
+constexpr Duration MinTimeForRetry = Duration::millis(5);
+
+/// \returns true if the upstream may have run the request: a byte of it was
+/// written, and the upstream didn't say that it shed it.
+/// \ingroup Retry
+bool mayHaveRun(const TryOutcome &Outcome);
+
+/// Records the end of a try and decides whether another may follow.
+/// \ingroup Retry
+/// \param Left time until the call's deadline
+RetryVerdict tryEnded(RetryState &State, const TryOutcome &Outcome,
+                      Duration Left, RetryBudget &Budget,
+                      const RetryBudgetLimits &Limits, Time Now);
+
+/// \returns what a refusal of this call may say.
+/// \ingroup Retry
+Ran ranOf(const RetryState &State);
+
+} // namespace lagoonpoint
