Add the registry of metrics

Cause: latency per team and refusals by reason need histograms and counters. Conclusion: modules can count and time without growing with their callers.

--- /dev/null
+++ b/test/Metrics.cpp
@@ -0,0 +1,108 @@
+#include "lagoonpoint/Metrics"
+#include "lagoonpoint/Core"
+
+#include <catch2/catch.hpp>
+
+#include <cstring>
+#include <set>
+#include <thread>
+#include <vector>
+
+using namespace lagoonpoint;
+using Catch::Matchers::Contains;
+
+TEST_CASE("The table of metrics") {
+  std::set<std::string> Names;
+  for (std::size_t Index = 0; Index < metricTable().size(); ++Index) {
+    const MetricInfo &Info = metricTable()[Index];
+    CHECK(static_cast<std::size_t>(Info.Metric_) == Index);
+    CHECK(std::string(Info.Name_).starts_with("lagoonpoint_"));
+    CHECK(std::strlen(Info.Help_) > 10);
+    CHECK(Names.insert(Info.Name_).second);
+  }
+}
+
+TEST_CASE("A histogram for each team") {
+  MetricRegistry Registry;
+  // 1 to 1000 ms, in an order that is not sorted.
+  for (int Step = 0; Step < 1000; ++Step)
+    Registry.observe(Metric::RequestSeconds, {"tussock", "tags"},
+                     ((Step * 367) % 1000 + 1) / 1000.0);
+  std::string Text = Registry.text();
+
+  SECTION("has buckets that add up") {
+    std::string Series = "lagoonpoint_request_seconds_bucket{team=\"tussock\","
+                         "service=\"tags\",le=";
+    CHECK_THAT(Text, Contains(Series + "\"0.001\"} 1\n"));
+    CHECK_THAT(Text, Contains(Series + "\"0.1\"} 100\n"));
+    CHECK_THAT(Text, Contains(Series + "\"1\"} 1000\n"));
+    CHECK_THAT(Text, Contains(Series + "\"+Inf\"} 1000\n"));
+  }
+  SECTION("has sum and count") {
+    std::string Labels = "{team=\"tussock\",service=\"tags\"} ";
+    CHECK_THAT(
+        Text, Contains("lagoonpoint_request_seconds_sum" + Labels + "500.5\n"));
+    CHECK_THAT(Text,
+               Contains("lagoonpoint_request_seconds_count" + Labels + "1000"));
+  }
+  SECTION("has quantiles near the true ones") {
+    std::string Mark = "lagoonpoint_request_seconds_quantile{team=\"tussock\","
+                       "service=\"tags\",quantile=\"0.99\"} ";
+    std::size_t At = Text.find(Mark);
+    REQUIRE(At != std::string::npos);
+    CHECK(std::stod(Text.substr(At + Mark.size())) ==
+          Approx(0.99).margin(0.02));
+  }
+}
+
+TEST_CASE("Counters and gauges") {
+  MetricRegistry Registry;
+  Registry.add(Metric::InFlight, {"t", "s"}, 3);
+  Registry.add(Metric::InFlight, {"t", "s"}, -1);
+  Registry.set(Metric::Connections, {"callers"}, 7);
+  Registry.add(Metric::Refusals, {"a\"b\\c\nd", "over_rate", "no"});
+  std::string Text = Registry.text();
+  CHECK_THAT(Text, Contains("# TYPE lagoonpoint_in_flight gauge\n"
+                            "lagoonpoint_in_flight{team=\"t\",service=\"s\"} "
+                            "2\n"));
+  CHECK_THAT(Text, Contains("lagoonpoint_connections{listener=\"callers\"} 7"));
+  CHECK_THAT(Text, Contains("{team=\"a\\\"b\\\\c\\nd\",reason=\"over_rate\","
+                            "ran=\"no\"} 1\n"));
+
+  SECTION("show violated invariants") {
+    std::uint64_t Before = invariantViolations();
+    CHECK_THROWS_AS(Registry.add(Metric::InFlight, {"one label"}),
+                    InvariantViolation);
+    CHECK_THAT(Registry.text(), Contains("lagoonpoint_invariant_violations " +
+                                         std::to_string(Before + 1) + "\n"));
+  }
+}
+
+TEST_CASE("Callers can't make the registry grow") {
+  MetricRegistry Registry(4);
+  for (int Team = 0; Team < 1000; ++Team)
+    Registry.add(Metric::Retries, {"team" + std::to_string(Team), "s"});
+  std::string Text = Registry.text();
+  CHECK_THAT(Text, Contains("{team=\"team3\",service=\"s\"} 1\n"));
+  CHECK_THAT(Text, !Contains("team4"));
+  CHECK_THAT(Text, Contains("{team=\"other\",service=\"s\"} 996\n"));
+}
+
+TEST_CASE("Threads count together") {
+  MetricRegistry Registry;
+  std::vector<std::thread> Threads;
+  for (int Number = 0; Number < 4; ++Number)
+    Threads.emplace_back([&, Number] {
+      for (int Step = 0; Step < 2000; ++Step) {
+        Registry.add(Metric::Retries, {"shared", "s"});
+        Registry.observe(Metric::QueueSeconds,
+                         {"t" + std::to_string(Step % 7), "s"}, 0.01);
+        if (Step % 500 == Number)
+          CHECK_FALSE(Registry.text().empty());
+      }
+    });
+  for (std::thread &T : Threads)
+    T.join();
+  CHECK_THAT(Registry.text(),
+             Contains("{team=\"shared\",service=\"s\"} 8000\n"));
+}
