Queue calls fairly by team weight

Cause: when upstreams are the bottleneck, one team's calls must not hold back another's. Figures: test/FairQueue.cpp: 250 and 50 calls of equal weight waiting, of the first 100 served 50 each; weights 3 and 1: 150 and 50 of 200.

--- /dev/null
+++ b/test/FairQueue.cpp
@@ -0,0 +1,101 @@
+#include "lagoonpoint/Limits"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace lagoonpoint;
+
+namespace {
+
+const TeamId Large("large"), Small("small");
+
+void fill(FairQueue &Q, const TeamId &Team, unsigned Weight, int Count,
+          Time Deadline = Time(1'000'000), double Cost = 1) {
+  static std::uint64_t Ticket = 0;
+  for (int I = 0; I < Count; ++I)
+    push(Q, {++Ticket, Team, Cost, Deadline}, Weight, Time(0));
+}
+
+std::map<TeamId, double> served(FairQueue &Q, int Count, Time Now = Time(1)) {
+  std::map<TeamId, double> Units;
+  std::vector<std::uint64_t> Expired;
+  for (int I = 0; I < Count; ++I)
+    if (auto Call = pop(Q, Now, Expired))
+      Units[Call->Team_] += Call->Cost_;
+  return Units;
+}
+
+} // namespace
+
+TEST_CASE("Teams that wait for upstreams") {
+  FairQueue Q;
+
+  SECTION("of equal weight share equally, however many calls one sends") {
+    fill(Q, Large, 1, 250);
+    fill(Q, Small, 1, 50);
+    auto Units = served(Q, 100);
+    CHECK(Units[Large] == 50);
+    CHECK(Units[Small] == 50);
+  }
+  SECTION("share by weight") {
+    fill(Q, Large, 3, 250);
+    fill(Q, Small, 1, 250);
+    auto Units = served(Q, 200);
+    CHECK(Units[Large] == 150);
+    CHECK(Units[Small] == 50);
+  }
+  SECTION("share units, not calls, when one sends costly calls") {
+    fill(Q, Large, 1, 250, Time(1'000'000), 4);
+    fill(Q, Small, 1, 250);
+    auto Units = served(Q, 200);
+    CHECK(Units[Large] == Approx(Units[Small]).margin(4));
+  }
+  SECTION("earn nothing while they don't wait") {
+    fill(Q, Large, 1, 100);
+    served(Q, 50);
+    fill(Q, Small, 1, 100);
+    CHECK(served(Q, 20)[Small] == 10);
+  }
+  SECTION("are served in the order in which they came") {
+    push(Q, {1, Large, 1, Time(99)}, 1, Time(0));
+    push(Q, {2, Large, 1, Time(99)}, 1, Time(0));
+    std::vector<std::uint64_t> Expired;
+    CHECK(pop(Q, Time(1), Expired)->Ticket_ == 1);
+    CHECK(pop(Q, Time(1), Expired)->Ticket_ == 2);
+    CHECK_FALSE(pop(Q, Time(1), Expired));
+  }
+}
+
+TEST_CASE("A call that waits for an upstream") {
+  FairQueue Q;
+  std::vector<std::uint64_t> Expired;
+
+  SECTION("is refused when its team's queue is full") {
+    fill(Q, Large, 1, 256);
+    CHECK_FALSE(push(Q, {1, Large, 1, Time(99)}, 1, Time(0)));
+    CHECK(push(Q, {2, Small, 1, Time(99)}, 1, Time(0)));
+    CHECK(waiting(Q, Large) == 256);
+  }
+  SECTION("is never handed out after its deadline") {
+    push(Q, {1, Large, 1, Time(10)}, 1, Time(0));
+    push(Q, {2, Large, 1, Time(20)}, 1, Time(0));
+    CHECK(pop(Q, Time(10), Expired)->Ticket_ == 2);
+    CHECK(Expired == std::vector<std::uint64_t>{1});
+  }
+  SECTION("is dropped by deadline behind one with a later deadline") {
+    push(Q, {1, Large, 1, Time(50)}, 1, Time(0));
+    push(Q, {2, Large, 1, Time(10)}, 1, Time(0));
+    CHECK(expire(Q, Time(10)) == std::vector<std::uint64_t>{2});
+    CHECK(waiting(Q, Large) == 1);
+  }
+  SECTION("is refused when its deadline has passed already") {
+    CHECK_FALSE(push(Q, {1, Large, 1, Time(5)}, 1, Time(5)));
+  }
+  SECTION("leaves when its caller does") {
+    push(Q, {1, Large, 1, Time(50)}, 1, Time(0));
+    CHECK(cancel(Q, Large, 1));
+    CHECK_FALSE(cancel(Q, Large, 1));
+    CHECK_FALSE(pop(Q, Time(1), Expired));
+  }
+}
