Run once-requests at most once over resends

Cause: callers resend to any VM after lost replies, and a request that may not be repeated must run at most once. Change: module Once: keys that name home zone, epoch and issue time; views of a zone with the epoch since which each process is a member; OnceTable, which dispatches a key only once all members hold its claim. Conclusion: two views that may run one key share a member that remembers it, so no clock is needed for safety.

--- a/lagoonpoint/src/Limits/Floors.cpp
+++ b/lagoonpoint/src/Limits/Floors.cpp
@@ -1,6 +1,6 @@
 #include "lagoonpoint/src/Limits/Floors.h"
 
-#include "lagoonpoint/src/Limits/util/StableHash.h"
+#include "lagoonpoint/src/Core/util/StableHash.h"
 
 #include <cmath>
 #include <vector>
--- a/lagoonpoint/src/Limits/LeaseShard.cpp
+++ b/lagoonpoint/src/Limits/LeaseShard.cpp
@@ -1,7 +1,7 @@
 #include "lagoonpoint/src/Limits/LeaseShard.h"
 
+#include "lagoonpoint/src/Core/util/StableHash.h"
 #include "lagoonpoint/src/Limits/Floors.h"
-#include "lagoonpoint/src/Limits/util/StableHash.h"
 
 #include <utility>
 
--- /dev/null
+++ b/lagoonpoint/src/Once/OnceMessages.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "lagoonpoint/Codec"
+#include "lagoonpoint/Core"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lagoonpoint {
+
+/// What a VM knows of one key.
+enum class OnceState : std::uint8_t {
+  Free = 1,       ///< a claim was released before any dispatch
+  Claimed = 2,    ///< the owner may dispatch it once all members confirmed
+  Dispatched = 3, ///< the owner has, or may have, sent it to an upstream
+  Answered = 4,   ///< it ran; the answer may be kept
+  Unknown = 5,    ///< it may have run; nobody will find out
+};
+
+/// The kept answer of a once-request.
+struct OnceAnswer {
+  int Status_ = 0;
+  std::vector<std::pair<std::string, std::string>> Headers_;
+  std::string Body_;
+
+  friend bool operator==(const OnceAnswer &, const OnceAnswer &) = default;
+  MSGPACK_DEFINE(Status_, Headers_, Body_)
+};
+
+/// Names one attempt of one process to claim a key.
+struct OnceClaimId {
+  VmId Owner_;
+  Incarnation Incarnation_;
+  std::uint64_t Attempt_ = 0; ///< grows over all claims of the process
+
+  friend bool operator==(const OnceClaimId &, const OnceClaimId &) = default;
+  MSGPACK_DEFINE(Owner_, Incarnation_, Attempt_)
+};
+
+/// Owner to members: hold this key for me.
+struct OnceClaim {
+  std::string Key_;
+  std::string Digest_;
+  OnceClaimId Claim_;
+  MSGPACK_DEFINE(Key_, Digest_, Claim_)
+};
+
+/// Why a member doesn't hold a claim.
+enum class OnceVerdict : std::uint8_t {
+  Held = 1,
+  Taken = 2,   ///< another claim holds the key, or it ran
+  Expired = 3, ///< by this member's clock
+  Full = 4,    ///< its table is
+};
+
+/// Member to owner: the answer to a claim.
+struct OnceAck {
+  std::string Key_;
+  OnceClaimId Claim_;
+  Incarnation Incarnation_; ///< of the member's process
+  OnceVerdict Verdict_ = OnceVerdict::Held;
+  VmId Holder_; ///< of a taken key
+  MSGPACK_DEFINE(Key_, Claim_, Incarnation_, Verdict_, Holder_)
+};
+
+/// Owner to members: a claim ended; Free, Answered or Unknown.
+struct OnceOutcome {
+  std::string Key_;
+  std::string Digest_;
+  OnceClaimId Claim_;
+  OnceState State_ = OnceState::Unknown;
+  bool Kept_ = false; ///< Answer_ is set
+  OnceAnswer Answer_;
+  MSGPACK_DEFINE(Key_, Digest_, Claim_, State_, Kept_, Answer_)
+};
+
+/// Member to owner: the outcome arrived.
+struct OnceOutcomeAck {
+  std::string Key_;
+  OnceClaimId Claim_;
+  MSGPACK_DEFINE(Key_, Claim_)
+};
+
+/// Messages from one VM to another.
+struct OnceBatch {
+  std::vector<OnceClaim> Claims_;
+  std::vector<OnceAck> Acks_;
+  std::vector<OnceOutcome> Outcomes_;
+  std::vector<OnceOutcomeAck> OutcomeAcks_;
+  MSGPACK_DEFINE(Claims_, Acks_, Outcomes_, OutcomeAcks_)
+};
+
+} // namespace lagoonpoint
+
+MSGPACK_ADD_ENUM(lagoonpoint::OnceState)
+MSGPACK_ADD_ENUM(lagoonpoint::OnceVerdict)
--- /dev/null
+++ b/lagoonpoint/src/Once/OnceRecord.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "lagoonpoint/src/Once/OnceKey.h"
+#include "lagoonpoint/src/Once/OnceMessages.h"
+
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace lagoonpoint {
+
+/// A call that waits for a claim or for the answer of the first call.
+struct OnceWaiter {
+  std::uint64_t Ticket_ = 0;
+  Time Until_;
+  bool MayForward_ = false;
+};
+
+/// \class OnceRecord
+/// \ingroup Once
+/// \brief What this VM remembers of one key.
+struct OnceRecord {
+  OnceKey Key_;
+  OnceState State_ = OnceState::Claimed;
+  OnceClaimId Claim_;
+  std::string Digest_;
+  std::optional<OnceAnswer> Answer_;
+
+  // The rest is used by the claim's owner.
+  std::set<std::pair<VmId, Incarnation>> Held_; ///< members that confirmed
+  std::optional<OnceWaiter> Claimer_;           ///< call that will run it
+  std::vector<OnceWaiter> Waiters_;             ///< resends meanwhile
+  std::set<VmId> Untold_; ///< members that don't have the outcome yet
+  Time NextSend_;
+  Time StopTelling_;
+};
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Once/OnceTable.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "lagoonpoint/src/Once/OnceRecord.h"
+#include "lagoonpoint/src/Once/OnceView.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lagoonpoint {
+
+/// What to do with a call on a once-route.
+enum class OnceStep : std::uint8_t {
+  Wait,    ///< takeEnded() will name the ticket
+  Run,     ///< dispatch it now, then report how it ended
+  Forward, ///< pass it to the entry VM named
+  Stored,  ///< answer with the kept answer
+  Refuse,  ///< refuse with the reason
+};
+
+/// \class OnceDecision
+/// \ingroup Once
+/// \brief Answer to begin(), or how a wait ended.
+struct OnceDecision {
+  OnceStep Step_ = OnceStep::Refuse;
+  std::uint64_t Ticket_ = 0;
+  VmId ForwardTo_;
+  OnceAnswer Answer_;
+  RefusalReason Reason_ = RefusalReason::Internal;
+  Ran Ran_ = Ran::No;
+};
+
+/// Bounds on what a VM remembers.
+struct OnceLimits {
+  std::size_t Records_ = 200'000;        ///< new keys are refused beyond it
+  std::size_t AnswerBytes_ = 64 << 20;   ///< of all kept answers
+  std::size_t OneAnswerBytes_ = 1 << 20; ///< larger answers are not kept
+  Duration ClaimFor_ = Duration::millis(1000);  ///< wait for confirmations
+  Duration ResendEvery_ = Duration::millis(50); ///< claims and outcomes
+  Duration TellFor_ = Duration::millis(10'000); ///< outcomes
+};
+
+/// \class OnceTable
+/// \ingroup Once
+/// \brief Decides which calls on once-routes may run, so that each idempotency
+/// key is dispatched at most once.
+///
+/// Not thread-safe. Every VM has one; only members of a key's home zone run
+/// it, and only once all members of the zone's view hold the claim. Two views
+/// between which a key of epoch E may run have a member in common that has
+/// been in every view since E, and a member holds one claim a key.
+class OnceTable {
+public:
+  /// \param UnixMillis the wall clock at \p Now; read once, so that later steps
+  /// of the wall clock don't move the expiry of keys
+  OnceTable(VmId Self, ZoneId Zone, Incarnation I, std::int64_t UnixMillis,
+            Time Now, OnceLimits Limits = {});
+
+  /// Takes in a zone's view; older ones are ignored.
+  void setView(const OnceView &View, Time Now);
+  /// How long keys are accepted and answers kept, from a key's issue.
+  void setResultsKept(Duration Kept) { Kept_ = Kept; }
+
+  /// \returns the prefix for keys whose home is \p Zone, empty if its view
+  /// isn't known.
+  std::string prefix(const ZoneId &Zone, Time Now) const;
+
+  /// Decides on a call.
+  /// \param Digest of method, path and body
+  /// \param Forwarded another entry VM sent it here; never passed on again
+  OnceDecision begin(const std::string &Key, const std::string &Digest,
+                     Time Deadline, bool Forwarded, Time Now);
+
+  /// The call that was told to run got its whole answer.
+  void answered(const std::string &Key, const OnceAnswer &Answer, Time Now);
+  /// The call that was told to run provably did not run.
+  void notRun(const std::string &Key, Time Now);
+  /// The call that was told to run may have run.
+  void unknown(const std::string &Key, Time Now);
+
+  /// \returns the waits that ended since the last call.
+  std::vector<OnceDecision> takeEnded();
+
+  /// Call at least every 50 ms.
+  void tick(Time Now);
+  /// \throws CodecError if the message is malformed; nothing is changed then
+  void receive(const Envelope &Message, Time Now);
+  std::vector<Envelope> takeOutbox();
+
+  std::size_t records() const { return Records_.size(); }
+  std::size_t answerBytes() const { return AnswerBytes_; }
+
+private:
+  std::int64_t unixMillis(Time Now) const;
+  void forgetExpired(Time Now);
+  bool expired(const OnceKey &Key) const;
+  const OnceView *homeView() const;
+  bool isMember() const;
+
+  OnceDecision onKnown(const std::string &Text, OnceRecord &R,
+                       const std::string &Digest, const OnceWaiter &Caller,
+                       Time Now);
+  OnceDecision startClaim(const std::string &Text, OnceRecord &R,
+                          const std::string &Digest, const OnceWaiter &Caller,
+                          Time Now);
+  OnceDecision waitFor(const std::string &Text, OnceRecord &R,
+                       const OnceWaiter &Caller);
+  void sendClaims(const std::string &Text, OnceRecord &R, Time Now);
+  void grantIfWhole(const std::string &Text, OnceRecord &R, Time Now);
+  void release(const std::string &Text, OnceRecord &R, OnceDecision How,
+               Time Now);
+  void finish(const std::string &Text, OnceState State,
+              const OnceAnswer *Answer, Time Now);
+  void startTelling(const std::string &Text, OnceRecord &R, Time Now);
+  void tell(const std::string &Text, OnceRecord &R, const VmId &To);
+  void endWaiters(OnceRecord &R, const OnceDecision &How);
+  void keep(const std::string &Text, OnceRecord &R, const OnceAnswer &Answer);
+  void dropAnswer(OnceRecord &R);
+  OnceRecord *insert(const std::string &Text, const OnceKey &Key);
+
+  std::optional<OnceVerdict> judge(const OnceClaim &C);
+  void onClaim(const VmId &From, const OnceClaim &C);
+  void onAck(const VmId &From, const OnceAck &A, Time Now);
+  void onOutcome(const VmId &From, const OnceOutcome &O);
+  void onOutcomeAck(const VmId &From, const OnceOutcomeAck &A);
+  bool tickRecord(const std::string &Text, OnceRecord &R, Time Now);
+
+  VmId Self_;
+  ZoneId Zone_;
+  Incarnation Incarnation_;
+  std::int64_t UnixOrigin_;
+  OnceLimits Limits_;
+  Duration Kept_ = Duration::seconds(600);
+  std::int64_t ForgottenUpTo_ = 0; ///< keys issued by then are refused
+  std::map<ZoneId, OnceView> Views_;
+  std::unordered_map<std::string, OnceRecord> Records_;
+  std::set<std::string> Active_; ///< keys with waits or messages to resend
+  std::multimap<std::int64_t, std::string> ByIssue_;
+  std::deque<std::string> WithAnswer_; ///< oldest first
+  std::size_t AnswerBytes_ = 0;
+  std::uint64_t NextTicket_ = 0;
+  std::uint64_t NextAttempt_ = 0;
+  std::vector<OnceDecision> Ended_;
+  std::map<VmId, OnceBatch> Out_;
+};
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/test/Once.cpp
@@ -0,0 +1,87 @@
+#include "fakes/OnceZone.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lagoonpoint;
+using namespace lagoonpoint::fakes;
+
+TEST_CASE("A once-request") {
+  OnceZone Zone(3);
+  const VmId Home = Zone.homeOf("~key");
+  const std::string Key = Zone.key("~key");
+  const VmId Other = Zone.otherThan(Home);
+
+  SECTION("runs after every VM of the view holds the claim") {
+    Zone.call(Home, Key);
+    CHECK(Zone.runs(Key) == 0);
+    Zone.run(Duration::millis(5));
+    CHECK(Zone.runs(Key) == 1);
+
+    SECTION("and a resend gets the kept answer, at any VM") {
+      Zone.finish(Key);
+      Zone.run(Duration::millis(5));
+      CHECK(Zone.call(Home, Key).Step_ == OnceStep::Stored);
+      CHECK(Zone.call(Other, Key).Answer_.Body_ == "done");
+    }
+    SECTION("and a resend with another body is refused as not run") {
+      OnceDecision D = Zone.call(Home, Key, "other body");
+      CHECK(D.Reason_ == RefusalReason::BadRequest);
+      CHECK(D.Ran_ == Ran::No);
+    }
+    SECTION("and a resend meanwhile waits for the answer") {
+      OnceDecision Wait = Zone.call(Home, Key);
+      CHECK(Wait.Step_ == OnceStep::Wait);
+      Zone.finish(Key);
+      CHECK(Zone.ended(Home, Wait.Ticket_).Step_ == OnceStep::Stored);
+    }
+    SECTION("and is unknown once its VM is lost") {
+      Zone.crash(Home);
+      Zone.changeView();
+      OnceDecision D = Zone.call(Other, Key, "body", true);
+      CHECK(D.Reason_ == RefusalReason::OnceUnknown);
+      CHECK(D.Ran_ == Ran::Unknown);
+      CHECK(Zone.runs(Key) == 1);
+    }
+    SECTION("and may run again only if it provably did not run") {
+      Zone.notRun(Key);
+      Zone.run(Duration::millis(5));
+      Zone.call(Home, Key);
+      Zone.run(Duration::millis(5));
+      CHECK(Zone.runs(Key) == 2);
+    }
+  }
+  SECTION("is passed to its home VM by the others") {
+    CHECK(Zone.call(Other, Key).ForwardTo_ == Home);
+  }
+  SECTION("is refused as not run while a VM of the view is missing") {
+    Zone.crash(Other);
+    OnceDecision Wait = Zone.call(Home, Key);
+    Zone.run(Duration::seconds(2));
+    OnceDecision D = Zone.ended(Home, Wait.Ticket_);
+    CHECK(D.Reason_ == RefusalReason::OnceHomeUnreachable);
+    CHECK(D.Ran_ == Ran::No);
+
+    SECTION("and runs after the view has changed") {
+      Zone.changeView();
+      Zone.call(Home, Key, "body", true);
+      Zone.run(Duration::millis(5));
+      CHECK(Zone.runs(Key) == 1);
+    }
+  }
+  SECTION("is unknown when all VMs of its epoch were restarted") {
+    for (const VmId &Vm : Zone.vms())
+      Zone.restart(Vm);
+    Zone.changeView();
+    OnceDecision D = Zone.call(Home, Key, "body", true);
+    CHECK(D.Reason_ == RefusalReason::OnceUnknown);
+    CHECK(D.Ran_ == Ran::Unknown);
+  }
+  SECTION("is refused as expired when its key is too old") {
+    Zone.run(Duration::seconds(601), Duration::millis(100));
+    CHECK(Zone.call(Home, Key).Reason_ == RefusalReason::OnceKeyExpired);
+  }
+  SECTION("needs a key with a prefix from a look-up") {
+    for (const char *Bad : {"", "x", "z0~1~5~", "z0~01~5~a", "z0~x~5~a"})
+      CHECK(Zone.call(Home, Bad).Reason_ == RefusalReason::OnceKeyMissing);
+  }
+}
