Run a VM: listeners, replica, leases and calls in one process

Cause: the modules had no process to run in. Change: module Node. The lease's end is now told by the replication module, so that a lending leader knows how long it leads.

--- /dev/null
+++ b/lagoonpoint/src/Cli/RunCommand.cpp
@@ -0,0 +1,54 @@
+#include "lagoonpoint/Log"
+#include "lagoonpoint/Node"
+#include "lagoonpoint/src/Cli/Command.h"
+#include "lagoonpoint/src/Cli/util/TextFile.h"
+
+#include <csignal>
+#include <ostream>
+
+namespace lagoonpoint {
+
+namespace {
+
+/// Blocks the signals that end the process, so that one thread can wait for
+/// them. Must run before any thread starts.
+sigset_t blockEndSignals() {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGINT);
+  sigaddset(&Signals, SIGTERM);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return Signals;
+}
+
+void waitForEnd(const sigset_t &Signals) {
+  int Signal = 0;
+  sigwait(&Signals, &Signal);
+}
+
+} // namespace
+
+ExitCode runVm(CommandContext &Context) {
+  std::string File = Context.Options_["settings"].as<std::string>();
+  Findings Errors;
+  Settings S = parseSettings(readTextFile(File), File, Errors);
+  for (const Finding &F : Errors)
+    Context.Err_ << toString(F) << "\n";
+  if (!Errors.empty())
+    return ExitCode::Invalid;
+
+  sigset_t Signals = blockEndSignals();
+  startLog(S.Vm_, S.LogLevel_);
+  Node N(S);
+  N.start();
+  Context.Out_ << "VM " << S.Vm_ << " runs; callers " << toString(S.Callers_)
+               << ", operators " << toString(S.Operators_) << std::endl;
+  waitForEnd(Signals);
+  N.drain();
+  N.stop();
+  stopLog();
+  return ExitCode::Ok;
+}
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Node/ChangeRouter.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "lagoonpoint/src/Node/ReplicaHost.h"
+
+#include <condition_variable>
+
+namespace lagoonpoint {
+
+/// \class UnavailableError
+/// \ingroup Node
+/// \brief No leader answered in time; whether the change is made is unknown.
+class UnavailableError : public Error {
+public:
+  using Error::Error;
+};
+
+/// \class ChangeRouter
+/// \ingroup Node
+/// \brief Brings changes from any VM to the replication leader, and the
+/// verdict back. Thread-safe.
+class ChangeRouter {
+public:
+  /// \param Host this VM's replica, null if it has none
+  /// \param Voters whom to try while the leader is unknown
+  ChangeRouter(VmId Self, std::vector<VmId> Voters, ReplicaHost *Host,
+               const Clock &C, Transport &T);
+
+  /// Submits until a leader has judged the change, resending it with its id.
+  /// \throws UnavailableError after \p Wait
+  ChangeReply submit(const Change &C, Duration Wait);
+
+  /// Handles a message of Channel::Forward.
+  void receive(const Envelope &Message);
+
+private:
+  struct Open {
+    bool Answered_ = false;
+    SubmitResult Result_;
+  };
+
+  SubmitResult tryAt(const VmId &Vm, const Change &C, Duration Wait);
+  void sendTo(const VmId &Vm, std::uint64_t Number, const Change &C);
+  void finish(std::uint64_t Number, SubmitResult Result);
+  void answer(const VmId &To, std::uint64_t Number, const Change &C);
+
+  VmId Self_;
+  std::vector<VmId> Voters_;
+  ReplicaHost *Host_;
+  const Clock &Clock_;
+  Transport &Transport_;
+  std::mutex Lock_;
+  std::condition_variable Answered_;
+  std::map<std::uint64_t, Open> Open_;
+  std::uint64_t NextNumber_ = 1;
+};
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Node/Control.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "lagoonpoint/src/Node/ChangeRouter.h"
+#include "lagoonpoint/src/Node/InForce.h"
+#include "lagoonpoint/src/Node/Upstreams.h"
+
+#include <atomic>
+
+namespace lagoonpoint {
+
+/// One VM as `status` shows it.
+struct VmStatus {
+  VmId Vm_;
+  ZoneId Zone_;
+  std::string State_;
+  Revision Revision_; ///< in force there, as far as known here
+  std::string Why_;   ///< why it lags, if known
+};
+
+/// One voter as `status` shows it.
+struct VoterStatus {
+  VmId Vm_;
+  std::string Role_;
+  LogIndex Durable_;
+};
+
+/// One upstream as `status` shows it.
+struct UpstreamStatus {
+  ServiceId Service_;
+  UpstreamId Upstream_;
+  ZoneId Zone_;
+  std::string State_;
+  unsigned Slots_ = 0;
+  double Load_ = 0;
+};
+
+/// What `status` shows.
+struct ControlStatus {
+  VmId Vm_;
+  ZoneId Zone_;
+  std::string WhyNotReady_;
+  Revision Revision_;
+  VmId Leader_;
+  Term Term_;
+  std::string Repair_; ///< whether losing one more voter loses nothing
+  std::vector<VmStatus> Vms_;
+  std::vector<VoterStatus> Voters_;
+  std::vector<UpstreamStatus> Upstreams_;
+};
+
+/// A change of the voters.
+struct VoterChange {
+  std::string Action_; ///< "add", "remove" or "replace"
+  VmId Vm_;
+  VmId With_; ///< replace: the VM that takes the place of Vm_
+};
+
+/// Where a revision is in force.
+struct ForceReport {
+  std::vector<ZoneId> Zones_; ///< all of whose VMs confirmed it
+  std::vector<VmId> Unconfirmed_;
+};
+
+/// \class Control
+/// \ingroup Node
+/// \brief The control plane of this VM: replica, declarations in force, and
+/// what operators ask of them. Thread-safe.
+class Control {
+public:
+  Control(const Settings &S, const Clock &C, Transport &T, InForceCell &Cell,
+          Upstreams &Ups);
+  ~Control();
+
+  void start();
+  void stop();
+  void receive(Envelope Message);
+
+  /// Submits a change to the leader.
+  /// \throws UnavailableError
+  ChangeReply submit(const Change &C, Duration Wait);
+  /// Withdraws here at once, then everywhere.
+  ChangeReply withdrawKey(const Change &C, Duration Wait);
+  /// Refuses keys of teams or ids that the declarations don't allow.
+  ChangeReply grantKey(const Change &C, Duration Wait);
+  /// Begins a change of the voters. \returns why it is refused, else empty
+  std::string changeVoter(const VoterChange &V, Duration Wait);
+
+  /// Waits until every VM confirmed a revision, or \p Wait has passed.
+  ForceReport awaitInForce(Revision R, Duration Wait);
+
+  bool declares(const Drain &D) const;
+  std::pair<Revision, std::string> declarationsText() const;
+  ControlStatus status();
+  /// \returns why this VM may not serve, empty if it may.
+  std::string whyNotReady() const;
+  LeaderView leaderView() const;
+
+private:
+  void onCatalog(const Catalog &State, const Change *Cause);
+
+  const Settings &Settings_;
+  const Clock &Clock_;
+  InForceCell &InForce_;
+  Upstreams &Upstreams_;
+  mutable std::mutex Lock_;
+  Catalog Catalog_; ///< as in force here
+  std::unique_ptr<ReplicaHost> Host_;
+  ChangeRouter Router_;
+};
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Node/ReplicaHost.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "lagoonpoint/Catalog"
+#include "lagoonpoint/Disk"
+#include "lagoonpoint/Replication"
+#include "lagoonpoint/src/Node/Worker.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace lagoonpoint {
+
+/// What became of a change handed to one replica.
+struct SubmitResult {
+  bool Judged_ = false; ///< false: this replica can't tell the outcome
+  ChangeReply Reply_;   ///< if judged
+  VmId Leader_;         ///< whom to ask instead; empty if unknown
+};
+
+/// Who leads, as one replica knows it.
+struct LeaderView {
+  VmId Leader_;
+  Term Term_;
+  bool Leading_ = false; ///< this VM leads
+  Time LeadsUntil_;      ///< no other VM can lead before; while leading
+};
+
+/// \class ReplicaHost
+/// \ingroup Node
+/// \brief Runs this VM's replica and its catalog on a thread of their own.
+///
+/// Only that thread waits for the disk.
+class ReplicaHost {
+public:
+  /// Called on the replica's thread with each new state of the catalog, and
+  /// the change that led to it; null after a start or a snapshot.
+  using Observer = std::function<void(const Catalog &, const Change *)>;
+  using SubmitDone = std::function<void(SubmitResult)>;
+
+  /// Opens the data folder.
+  /// \throws CorruptError, DiskError
+  ReplicaHost(const Settings &S, const Clock &C, Transport &T, Observer O);
+  ~ReplicaHost();
+
+  void start();
+  void stop();
+
+  void receive(Envelope Message);
+  /// Proposes a change if this VM leads.
+  /// \param Done called once, on the replica's thread
+  void submit(Change C, SubmitDone Done);
+  /// Begins a change of the voters. \returns why it is refused, else empty
+  std::string addVoter(const VmId &Vm);
+  std::string removeVoter(const VmId &Vm);
+
+  LeaderView leaderView() const;
+  ReplicaStatus status();
+
+private:
+  struct Waiting {
+    ChangeId Id_;
+    SubmitDone Done_;
+  };
+
+  void tick();
+  void settle();
+  void applyItem(const CommittedItem &Item);
+  void answerWaiting();
+  void promoteLearners();
+  void publishView();
+  std::string outcome(const ProposeResult &Result);
+
+  const Clock &Clock_;
+  Transport &Transport_;
+  Observer Observer_;
+  PosixFiles Files_;
+  DiskStorage Storage_;
+  std::unique_ptr<Replica> Replica_;
+  Catalog Catalog_;
+  LogIndex Applied_;
+  std::multimap<LogIndex, Waiting> Waiting_;
+  mutable std::mutex ViewLock_;
+  LeaderView View_;
+  std::string LoggedFault_;
+  Worker Worker_;
+};
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Node/Worker.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "lagoonpoint/Core"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <future>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace lagoonpoint {
+
+/// \class Worker
+/// \ingroup Node
+/// \brief A thread that owns some state: it runs posted tasks in order and a
+/// tick at a fixed interval. An error of a task or tick is logged.
+class Worker {
+public:
+  using Task = std::function<void()>;
+
+  /// \param Name step that logged errors name
+  Worker(std::string Name, Duration TickEvery, Task Tick);
+  ~Worker();
+  Worker(const Worker &) = delete;
+  Worker &operator=(const Worker &) = delete;
+
+  void start();
+  /// Finishes the posted tasks and joins the thread.
+  void stop();
+
+  /// Queues a task.
+  /// \returns false if the queue is full or the worker stopped
+  bool post(Task T);
+
+  /// Runs a function on the thread and waits for its result.
+  /// \throws Error if the worker stopped; and what \p F throws
+  template <class Function> auto call(Function F) {
+    using Result = decltype(F());
+    auto Promise = std::make_shared<std::promise<Result>>();
+    std::future<Result> Future = Promise->get_future();
+    bool Posted = post([Promise, F = std::move(F)]() mutable {
+      try {
+        if constexpr (std::is_void_v<Result>) {
+          F();
+          Promise->set_value();
+        } else {
+          Promise->set_value(F());
+        }
+      } catch (...) {
+        Promise->set_exception(std::current_exception());
+      }
+    });
+    if (!Posted)
+      throw Error(Name_, "", "stopped or too busy");
+    return Future.get();
+  }
+
+private:
+  void run();
+  void runOne(const Task &T);
+
+  static constexpr std::size_t MaxQueued = 65'536;
+
+  std::string Name_;
+  Duration TickEvery_;
+  Task Tick_;
+  std::mutex Lock_;
+  std::condition_variable Changed_;
+  std::deque<Task> Queue_;
+  bool Running_ = false;
+  std::thread Thread_;
+};
+
+} // namespace lagoonpoint
--- a/lagoonpoint/src/Replication/Step.cpp
+++ b/lagoonpoint/src/Replication/Step.cpp
@@ -104,11 +104,18 @@
   return Kept >= 2 * Every || isReadyToCompact(S, S.Commit_);
 }
 
-bool leaseValid(const ReplicaState &S, Time Now) {
+std::optional<Time> leaseEnd(const ReplicaState &S, Time Now) {
   if (S.Role_ != ReplicaRole::Leader || S.Commit_ < S.TermStart_)
-    return false;
+    return std::nullopt;
   std::optional<Time> Acked = internal::quorumAckedAt(S, Now);
-  return Acked && Now < *Acked + S.Options_.Timing_.Lease_;
+  if (!Acked)
+    return std::nullopt;
+  return *Acked + S.Options_.Timing_.Lease_;
+}
+
+bool leaseValid(const ReplicaState &S, Time Now) {
+  std::optional<Time> End = leaseEnd(S, Now);
+  return End && Now < *End;
 }
 
 bool survivesOneLoss(const ReplicaState &S, Time Now) {
--- a/lagoonpoint/src/Replication/Step.h
+++ b/lagoonpoint/src/Replication/Step.h
@@ -43,6 +43,10 @@
 /// \ingroup Replication
 bool wantsSnapshot(const ReplicaState &S);
 
+/// \returns until when no other VM can be leader, nothing if that isn't known.
+/// \ingroup Replication
+std::optional<Time> leaseEnd(const ReplicaState &S, Time Now);
+
 /// \returns true while no other VM can be leader: reads here are current.
 /// \ingroup Replication
 bool leaseValid(const ReplicaState &S, Time Now);
--- /dev/null
+++ b/test/Catalog.cpp
@@ -0,0 +1,134 @@
+#include "lagoonpoint/Catalog"
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <sstream>
+
+using namespace lagoonpoint;
+
+namespace {
+
+std::string localDeclarations() {
+  std::ifstream In("deploy/local/declarations.ini");
+  std::stringstream Text;
+  Text << In.rdbuf();
+  return Text.str();
+}
+
+Change declareAt(const char *Id, std::uint64_t Base, std::string Text) {
+  return {.Id_ = ChangeId(Id),
+          .Kind_ = ChangeKind::Declare,
+          .Base_ = Revision(Base),
+          .Text_ = std::move(Text)};
+}
+
+Change onKey(const char *Id, ChangeKind Kind, const KeyGrant &Key) {
+  return {.Id_ = ChangeId(Id), .Kind_ = Kind, .Key_ = Key};
+}
+
+} // namespace
+
+TEST_CASE("An operator edits the declarations") {
+  Catalog State;
+  std::string Text = localDeclarations();
+  ChangeReply First = applyChange(State, declareAt("c1", 0, Text));
+  REQUIRE(First.Verdict_ == ChangeVerdict::Accepted);
+  REQUIRE(First.Revision_ == Revision(1));
+
+  SECTION("and another one raced with the same base") {
+    ChangeReply Second = applyChange(State, declareAt("c2", 0, Text + "\n"));
+    CHECK(Second.Verdict_ == ChangeVerdict::Conflict);
+    CHECK(Second.Revision_ == Revision(1));
+    CHECK(State.Text_ == Text);
+  }
+  SECTION("and resends after a lost reply, when more has changed") {
+    applyChange(State, declareAt("c2", 1, Text + "\n"));
+    CHECK(applyChange(State, declareAt("c1", 0, Text)) == First);
+    CHECK(State.Revision_ == Revision(2));
+    CHECK(State.Text_ == Text + "\n");
+  }
+  SECTION("and the file has errors") {
+    ChangeReply Bad =
+        applyChange(State, declareAt("c2", 1, Text + "\n[vm.x]\n"));
+    CHECK(Bad.Verdict_ == ChangeVerdict::Invalid);
+    CHECK(Bad.Message_.find("vm.x") != std::string::npos);
+    CHECK(State.Text_ == Text);
+    CHECK(State.Revision_ == Revision(1));
+  }
+  SECTION("and drains a zone, twice") {
+    Change Drain{.Id_ = ChangeId("d1"),
+                 .Kind_ = ChangeKind::SetDrain,
+                 .Drain_ = {DrainScope::Zone, "north-a"},
+                 .Drained_ = true};
+    CHECK(applyChange(State, Drain).Revision_ == Revision(2));
+    CHECK(effectiveDeclarations(State).Zones_[ZoneId("north-a")].Drained_);
+    Drain.Id_ = ChangeId("d2");
+    CHECK(applyChange(State, Drain).Revision_ == Revision(2));
+    Drain.Id_ = ChangeId("d3");
+    Drain.Drained_ = false;
+    applyChange(State, Drain);
+    CHECK_FALSE(
+        effectiveDeclarations(State).Zones_[ZoneId("north-a")].Drained_);
+  }
+  SECTION("and the memory of replies is bounded") {
+    for (std::size_t I = 0; I < Catalog::MaxReplies; ++I)
+      applyChange(State, declareAt(std::to_string(I).c_str(), 0, Text));
+    CHECK(State.Replies_.size() == Catalog::MaxReplies);
+    CHECK_FALSE(keptReply(State, ChangeId("c1")));
+    CHECK(applyChange(State, declareAt("c1", 0, Text)).Verdict_ ==
+          ChangeVerdict::Conflict);
+  }
+}
+
+TEST_CASE("An operator grants a key") {
+  Catalog State;
+  NewKey New = makeKey(KeyId("k1"), TeamId("rangers"));
+  applyChange(State, onKey("g1", ChangeKind::GrantKey, New.Grant_));
+
+  SECTION("whose secret is not stored but recognised") {
+    ShownKey Shown = splitKey(New.Shown_);
+    CHECK(encode(State).find(Shown.Secret_) == std::string::npos);
+    const KeyGrant &Kept = State.Granted_.at(KeyId("k1"));
+    CHECK(secretMatches(Kept.Salt_, Kept.Hash_, Shown.Secret_));
+    CHECK_FALSE(secretMatches(Kept.Salt_, Kept.Hash_, Shown.Secret_ + "0"));
+  }
+  SECTION("and withdraws it for good") {
+    applyChange(State, onKey("w1", ChangeKind::WithdrawKey, New.Grant_));
+    CHECK(State.Withdrawn_.count(KeyId("k1")));
+    ChangeReply Again =
+        applyChange(State, onKey("g2", ChangeKind::GrantKey, New.Grant_));
+    CHECK(Again.Verdict_ == ChangeVerdict::Conflict);
+  }
+  SECTION("under an id that exists") {
+    NewKey Other = makeKey(KeyId("k1"), TeamId("agents"));
+    CHECK(applyChange(State, onKey("g2", ChangeKind::GrantKey, Other.Grant_))
+              .Verdict_ == ChangeVerdict::Conflict);
+    CHECK(State.Granted_.at(KeyId("k1")).Team_ == TeamId("rangers"));
+  }
+}
+
+TEST_CASE("A zone's view follows the one before it") {
+  Catalog State;
+  auto View = [](const char *Id, std::uint64_t E) {
+    return Change{.Id_ = ChangeId(Id),
+                  .Kind_ = ChangeKind::SetView,
+                  .View_ = {ZoneId("a"), Epoch(E), {VmId("e1")}}};
+  };
+  CHECK(applyChange(State, View("v1", 1)).Verdict_ == ChangeVerdict::Accepted);
+  CHECK(applyChange(State, View("v2", 1)).Verdict_ == ChangeVerdict::Conflict);
+  CHECK(applyChange(State, View("v3", 3)).Verdict_ == ChangeVerdict::Conflict);
+  CHECK(applyChange(State, View("v4", 2)).Verdict_ == ChangeVerdict::Accepted);
+}
+
+TEST_CASE("Voters and followers of one revision have one digest") {
+  Catalog Voter;
+  applyChange(Voter, declareAt("bad", 7, localDeclarations()));
+  applyChange(Voter, declareAt("c1", 0, localDeclarations()));
+  auto Follower =
+      decode<Catalog>(encodeForFollowers(Voter), "test.decode", "e1");
+  CHECK(digestOf(Follower) == digestOf(Voter));
+  CHECK(Follower.Replies_.empty());
+  applyChange(Voter, declareAt("c2", 1, localDeclarations() + "\n"));
+  CHECK(digestOf(Follower) != digestOf(Voter));
+}
