--- a/lagoonpoint/src/Catalog/Change.h
+++ b/lagoonpoint/src/Catalog/Change.h
@@ -38,11 +38,19 @@
   MSGPACK_DEFINE(Scope_, Id_)
 };
 
-/// The VMs that hold the claims of a zone's once-requests.
+/// One process of a zone's view.
+struct ViewMember {
+  VmId Vm_;
+  Incarnation Incarnation_;
+  Epoch Since_; ///< first view since which it is a member
+  MSGPACK_DEFINE(Vm_, Incarnation_, Since_)
+};
+
+/// The processes that hold the claims of a zone's once-requests.
 struct ZoneView {
   ZoneId Zone_;
   Epoch Epoch_;
-  std::vector<VmId> Members_;
+  std::vector<ViewMember> Members_;
   MSGPACK_DEFINE(Zone_, Epoch_, Members_)
 };
 
--- a/lagoonpoint/src/Cli/FleetCommands.cpp
+++ b/lagoonpoint/src/Cli/FleetCommands.cpp
@@ -72,7 +72,9 @@
     return usage(Context, "the action is grant or withdraw");
   }
   OperatorAnswer Answer = OperatorClient(Context).post("/v1/keys", Body);
-  ExitCode Code = finish(Context, Answer, "key " + Id + " " + Action + "ed");
+  ExitCode Code =
+      finish(Context, Answer,
+             "key " + Id + (Action == "grant" ? " granted" : " withdrawn"));
   std::string Key = textOf(Answer.Body_, "key");
   if (Code == ExitCode::Ok && !Key.empty() && !Context.Options_.count("json"))
     Context.Out_ << "the key, shown only now: " << Key << "\n";
--- a/lagoonpoint/src/Node/CallFront.h
+++ b/lagoonpoint/src/Node/CallFront.h
@@ -14,9 +14,9 @@
 /// \brief Look-ups and calls of this VM.
 class CallFront final : public CallerPort {
 public:
-  CallFront(const Settings &S, const Clock &C, const InForceCell &Cell,
-            Control &Ctl, TeamLimits &Limits, Upstreams &Ups)
-      : Settings_(S), Clock_(C), InForce_(Cell), Control_(Ctl), Limits_(Limits),
+  CallFront(const Settings &S, const InForceCell &Cell, Control &Ctl,
+            TeamLimits &Limits, Upstreams &Ups)
+      : Settings_(S), InForce_(Cell), Control_(Ctl), Limits_(Limits),
         Upstreams_(Ups) {}
 
   LookupReply lookup(const LookupQuery &Query) override;
@@ -31,7 +31,6 @@
   TeamId teamOf(const InForce &F, const RouteDecl &Route, const Call &C) const;
 
   const Settings &Settings_;
-  const Clock &Clock_;
   const InForceCell &InForce_;
   Control &Control_;
   TeamLimits &Limits_;
--- a/lagoonpoint/src/Node/Control.cpp
+++ b/lagoonpoint/src/Node/Control.cpp
@@ -15,7 +15,7 @@
 
 Control::Control(const Settings &S, const Clock &C, Transport &T,
                  InForceCell &Cell, Upstreams &Ups)
-    : Settings_(S), Clock_(C), InForce_(Cell), Upstreams_(Ups),
+    : Settings_(S), InForce_(Cell), Upstreams_(Ups),
       Host_(makeHost(S, C, T,
                      [this](const Catalog &State, const Change *Cause) {
                        onCatalog(State, Cause);
--- a/lagoonpoint/src/Node/Control.h
+++ b/lagoonpoint/src/Node/Control.h
@@ -99,7 +99,6 @@
   void onCatalog(const Catalog &State, const Change *Cause);
 
   const Settings &Settings_;
-  const Clock &Clock_;
   InForceCell &InForce_;
   Upstreams &Upstreams_;
   mutable std::mutex Lock_;
--- a/lagoonpoint/src/Node/Node.cpp
+++ b/lagoonpoint/src/Node/Node.cpp
@@ -46,7 +46,7 @@
                 Incarnation(static_cast<std::uint64_t>(Clock_.unixMillis())),
                 Clock_, Peers_),
         Upstreams_(Clock_), Control_(S, Clock_, Peers_, InForce_, Upstreams_),
-        Calls_(S, Clock_, InForce_, Control_, Limits_, Upstreams_),
+        Calls_(S, InForce_, Control_, Limits_, Upstreams_),
         Announces_(InForce_, Upstreams_), Operators_(Control_),
         CallerServer_(Calls_, S, Clock_),
         UpstreamServer_(Announces_, S, Clock_),
--- /dev/null
+++ b/lagoonpoint/src/Node/OnceHost.cpp
@@ -0,0 +1,121 @@
+#include "lagoonpoint/src/Node/OnceHost.h"
+
+#include <chrono>
+
+namespace lagoonpoint {
+
+namespace {
+
+/// How long a waiter outlasts its deadline before its wait counts as lost.
+constexpr Duration WaitSlack = Duration::millis(200);
+constexpr const char *Step = "once.begin";
+
+} // namespace
+
+OnceHost::OnceHost(const Settings &S, Incarnation I, const Clock &C,
+                   Transport &T)
+    : Clock_(C), Transport_(T),
+      Table_(S.Vm_, S.Zone_, I, C.unixMillis(), C.now()) {}
+
+std::vector<Envelope> OnceHost::collect() {
+  for (OnceDecision &Decision : Table_.takeEnded())
+    if (Waiting_.erase(Decision.Ticket_))
+      Results_[Decision.Ticket_] = std::move(Decision);
+  Ended_.notify_all();
+  return Table_.takeOutbox();
+}
+
+void OnceHost::send(std::vector<Envelope> Messages) {
+  for (Envelope &Message : Messages)
+    Transport_.send(std::move(Message));
+}
+
+template <class Step> void OnceHost::locked(Step S) {
+  std::vector<Envelope> Out;
+  {
+    std::lock_guard Guard(Lock_);
+    S();
+    Out = collect();
+  }
+  send(std::move(Out));
+}
+
+OnceDecision OnceHost::begin(const std::string &Key, const std::string &Digest,
+                             Time Deadline, bool Forwarded) {
+  OnceDecision Decision;
+  locked([&] {
+    Decision = Table_.begin(Key, Digest, Deadline, Forwarded, Clock_.now());
+    if (Decision.Step_ == OnceStep::Wait)
+      Waiting_[Decision.Ticket_] = true;
+  });
+  if (Decision.Step_ == OnceStep::Wait) {
+    std::unique_lock Guard(Lock_);
+    Decision = await(Guard, Decision.Ticket_, Deadline);
+  }
+  if (Decision.Step_ == OnceStep::Refuse)
+    throw Refusal(Decision.Reason_, Decision.Ran_, Step,
+                  "the once-request may not run here now");
+  return Decision;
+}
+
+OnceDecision OnceHost::await(std::unique_lock<std::mutex> &Guard,
+                             std::uint64_t Ticket, Time Deadline) {
+  Duration Left = Deadline - Clock_.now() + WaitSlack;
+  Ended_.wait_for(Guard, std::chrono::milliseconds(Left.count()),
+                  [&] { return Results_.count(Ticket) > 0; });
+  auto It = Results_.find(Ticket);
+  // The table ends each wait by its deadline; a lost one may have run.
+  LAGOONPOINT_ASSERT(It != Results_.end(), Step);
+  OnceDecision Decision = std::move(It->second);
+  Results_.erase(It);
+  return Decision;
+}
+
+void OnceHost::answered(const std::string &Key, const OnceAnswer &Answer) {
+  locked([&] { Table_.answered(Key, Answer, Clock_.now()); });
+}
+
+void OnceHost::notRun(const std::string &Key) {
+  locked([&] { Table_.notRun(Key, Clock_.now()); });
+}
+
+void OnceHost::unknown(const std::string &Key) {
+  locked([&] { Table_.unknown(Key, Clock_.now()); });
+}
+
+std::string OnceHost::prefix(const ZoneId &Zone) {
+  std::lock_guard Guard(Lock_);
+  return Table_.prefix(Zone, Clock_.now());
+}
+
+void OnceHost::setInForce(const InForce &F) {
+  locked([&] {
+    Table_.setResultsKept(F.Declared_.Fleet_.ResultsKept_);
+    for (const auto &[Zone, View] : F.Views_)
+      Table_.setView(onceViewOf(View), Clock_.now());
+  });
+}
+
+void OnceHost::receive(const Envelope &Message) {
+  locked([&] { Table_.receive(Message, Clock_.now()); });
+}
+
+void OnceHost::tick() {
+  locked([&] { Table_.tick(Clock_.now()); });
+}
+
+OnceView onceViewOf(const ZoneView &View) {
+  OnceView Out{View.Zone_, View.Epoch_, {}};
+  for (const ViewMember &M : View.Members_)
+    Out.Members_.push_back({M.Vm_, M.Incarnation_, M.Since_});
+  return Out;
+}
+
+ZoneView zoneViewOf(const OnceView &View) {
+  ZoneView Out{View.Zone_, View.Epoch_, {}};
+  for (const OnceMember &M : View.Members_)
+    Out.Members_.push_back({M.Vm_, M.Incarnation_, M.Since_});
+  return Out;
+}
+
+} // namespace lagoonpoint
--- a/test/Catalog.cpp
+++ b/test/Catalog.cpp
@@ -113,7 +113,7 @@
   auto View = [](const char *Id, std::uint64_t E) {
     return Change{.Id_ = ChangeId(Id),
                   .Kind_ = ChangeKind::SetView,
-                  .View_ = {ZoneId("a"), Epoch(E), {VmId("e1")}}};
+                  .View_ = {ZoneId("a"), Epoch(E), {{VmId("e1")}}}};
   };
   CHECK(applyChange(State, View("v1", 1)).Verdict_ == ChangeVerdict::Accepted);
   CHECK(applyChange(State, View("v2", 1)).Verdict_ == ChangeVerdict::Conflict);
