Steer by blocks, paced shares, regions and upstreams

Cause: nothing chose the VM, the region or the upstream of a call. Change: module Steering, pure: a table of client blocks; look-up answers and region shares that move towards targets within the shift cap of any interval; the region of a call, refused where its share can't be served; max-min fair refusals by team; the choice of an upstream by two candidates' expected wait, with slots, slow start, distrust of reports, ejection with a floor and probes. Conclusion: the entry VM can be wired to it.

--- /dev/null
+++ b/lagoonpoint/src/Steering/LookupPlan.cpp
@@ -0,0 +1,166 @@
+#include "lagoonpoint/src/Steering/LookupPlan.h"
+
+#include "lagoonpoint/src/Steering/Preference.h"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+namespace lagoonpoint {
+
+namespace {
+
+/// How far a VM is from the callers of a zone; smaller is closer.
+struct Nearness {
+  int Tier_ = 0; ///< 0: same zone, 1: same region, 2: linked, 3: unlinked
+  Duration Latency_;
+
+  friend auto operator<=>(const Nearness &, const Nearness &) = default;
+};
+
+bool servesCallers(const Declarations &D, const VmDecl &Vm) {
+  const ZoneDecl &Zone = D.Zones_.at(Vm.Zone_);
+  return Vm.Entry_ && !Vm.Drained_ && !Zone.Drained_ &&
+         !D.Regions_.at(Zone.Region_).Drained_;
+}
+
+Nearness nearness(const Declarations &D, const ZoneId &From, const VmDecl &Vm) {
+  if (Vm.Zone_ == From)
+    return {0, Duration()};
+  const RegionId &Here = D.Zones_.at(From).Region_;
+  const RegionId &There = D.Zones_.at(Vm.Zone_).Region_;
+  if (Here == There)
+    return {1, Duration()};
+  auto Latency = latencyBetween(D, Here, There);
+  return Latency ? Nearness{2, *Latency} : Nearness{3, Duration()};
+}
+
+/// \returns the VMs that may be named, by nearness.
+std::map<Nearness, std::vector<VmId>>
+tiers(const Declarations &D, const std::set<VmId> &Ready, const ZoneId &From) {
+  std::map<Nearness, std::vector<VmId>> Out;
+  for (const auto &[Id, Vm] : D.Vms_)
+    if (Ready.count(Id) && servesCallers(D, Vm))
+      Out[nearness(D, From, Vm)].push_back(Id);
+  return Out;
+}
+
+VmShares target(const Declarations &D, const std::set<VmId> &Ready,
+                const ZoneId &From) {
+  auto Tiers = tiers(D, Ready, From);
+  if (Tiers.empty())
+    return {};
+  std::map<VmId, double> Weights;
+  for (const VmId &Vm : Tiers.begin()->second)
+    Weights[Vm] = 1;
+  return proportional(Weights);
+}
+
+bool isGone(const Declarations &D, const std::set<VmId> &Ready,
+            const VmId &Vm) {
+  auto Decl = D.Vms_.find(Vm);
+  return !Ready.count(Vm) || Decl == D.Vms_.end() || !Decl->second.Entry_;
+}
+
+/// Hands what dead VMs had to the others of the row, or to the target if none
+/// is left.
+void dropGone(VmShares &Row, const VmShares &Target, const Declarations &D,
+              const std::set<VmId> &Ready) {
+  std::erase_if(Row, [&](const auto &E) { return isGone(D, Ready, E.first); });
+  if (sumOf(Row) < ShareTolerance)
+    Row = Target;
+  else
+    normalize(Row);
+}
+
+void advanceRow(LookupPlan::Row &Row, const VmShares &Target,
+                const ShiftRules &Rules, const Declarations &D,
+                const std::set<VmId> &Ready, Time Now) {
+  if (Target.empty())
+    return;
+  dropGone(Row.Shares_, Target, D, Ready);
+  double Step = allowedNow(Row.Ledger_, Rules, Now);
+  double Moved = moveTowards(Row.Shares_, Target, Step, {});
+  if (Moved > 0)
+    recordMove(Row.Ledger_, Rules, std::min(Moved, Step), Now);
+}
+
+/// Sorts by keys drawn so that each VM comes first as often as its weight.
+void orderByWeight(std::vector<EntryTarget> &Targets, Random &Source) {
+  std::uniform_real_distribution<double> Uniform(0, 1);
+  std::vector<std::pair<double, EntryTarget>> Keyed;
+  for (const EntryTarget &T : Targets)
+    Keyed.emplace_back(std::pow(Uniform(Source), 1 / T.Weight_), T);
+  std::sort(Keyed.begin(), Keyed.end(),
+            [](const auto &A, const auto &B) { return A.first > B.first; });
+  for (std::size_t I = 0; I < Keyed.size(); ++I)
+    Targets[I] = Keyed[I].second;
+}
+
+} // namespace
+
+void advance(LookupPlan &Plan, const Declarations &D,
+             const std::set<VmId> &Ready, Time Now) {
+  std::erase_if(Plan.Rows_, [&](const auto &E) {
+    return !D.Services_.count(E.first.Service_) ||
+           !D.Zones_.count(E.first.Zone_);
+  });
+  for (const auto &[Zone, ZoneDecl] : D.Zones_) {
+    VmShares Target = target(D, Ready, Zone);
+    for (const auto &[Service, Decl] : D.Services_) {
+      const ProfileDecl &P = D.Profiles_.at(Decl.Profile_);
+      ShiftRules Rules{P.ShiftCap_, P.ShiftEvery_ + D.Fleet_.LookupTtl_};
+      advanceRow(Plan.Rows_[{Service, Zone}], Target, Rules, D, Ready, Now);
+    }
+  }
+}
+
+std::vector<EntryTarget> answer(const LookupPlan &Plan, const Declarations &D,
+                                const std::set<VmId> &Ready, const Audience &A,
+                                Random &Source) {
+  std::vector<EntryTarget> Out;
+  auto Row = Plan.Rows_.find(A);
+  if (Row == Plan.Rows_.end())
+    return Out;
+  const VmShares &Weights = Row->second.Shares_;
+  for (const auto &[Vm, Weight] : Weights)
+    if (!isGone(D, Ready, Vm))
+      Out.push_back({Vm, Weight});
+  double Sum = 0;
+  for (const EntryTarget &T : Out)
+    Sum += T.Weight_;
+  for (EntryTarget &T : Out)
+    T.Weight_ /= Sum;
+  orderByWeight(Out, Source);
+  for (const auto &[Nearness, Vms] : tiers(D, Ready, A.Zone_))
+    for (const VmId &Vm : Vms)
+      if (!Weights.count(Vm))
+        Out.push_back({Vm, 0});
+  return Out;
+}
+
+LookupPlanCopy copyOf(const LookupPlan &Plan, Time Now) {
+  LookupPlanCopy Out;
+  for (const auto &[A, Row] : Plan.Rows_) {
+    LookupPlanCopy::Row Copy{A.Service_, A.Zone_, {}, copyOf(Row.Ledger_, Now)};
+    for (const auto &[Vm, Share] : Row.Shares_)
+      Copy.Parts_.push_back({Vm, Share});
+    Out.Rows_.push_back(std::move(Copy));
+  }
+  return Out;
+}
+
+LookupPlan planOf(const LookupPlanCopy &Copy, Time Now) {
+  LookupPlan Out;
+  for (const LookupPlanCopy::Row &Row : Copy.Rows_) {
+    LookupPlan::Row Into{{}, ledgerOf(Row.Ledger_, Now)};
+    for (const LookupPlanCopy::Part &Part : Row.Parts_)
+      Into.Shares_[Part.Vm_] = Part.Share_;
+    checkShares(Into.Shares_);
+    Out.Rows_[{Row.Service_, Row.Zone_}] = std::move(Into);
+  }
+  return Out;
+}
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Steering/RegionTargets.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "lagoonpoint/Config"
+#include "lagoonpoint/src/Steering/Shares.h"
+
+#include <compare>
+#include <map>
+#include <set>
+
+namespace lagoonpoint {
+
+/// Calls of one service by callers of one region.
+struct Flow {
+  ServiceId Service_;
+  RegionId Origin_;
+
+  friend auto operator<=>(const Flow &, const Flow &) = default;
+};
+
+/// A service's upstreams in one region.
+struct ServicePlace {
+  ServiceId Service_;
+  RegionId Region_;
+
+  friend auto operator<=>(const ServicePlace &, const ServicePlace &) = default;
+};
+
+/// \class SteeringView
+/// \ingroup Steering
+/// \brief What one VM knows of the moment.
+struct SteeringView {
+  /// Places with at least one upstream that takes work, as far as this VM can
+  /// reach and tell.
+  std::set<ServicePlace> Usable_;
+  /// Requests a second that this VM may send to a region, all services
+  /// together. Absent where its authority still grants what is asked.
+  std::map<RegionId, double> Credit_;
+  /// Requests a second that callers bring to this VM, smoothed.
+  std::map<Flow, double> Demand_;
+};
+
+/// Works out where each flow should go: the objective's choice first, and what
+/// exceeds a region's credit to the next region of the preference.
+///
+/// What no region has credit for stays with the first choice and is refused
+/// there. A flow without any usable region has no target.
+/// \ingroup Steering
+std::map<Flow, RegionShares> targets(const Declarations &D,
+                                     const SteeringView &View);
+
+/// \returns where a flow goes by the declarations alone, as if all regions
+/// were usable and had headroom.
+/// \ingroup Steering
+RegionShares declaredTarget(const Declarations &D, const Flow &F);
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Steering/UpstreamChoice.cpp
@@ -0,0 +1,204 @@
+#include "lagoonpoint/src/Steering/UpstreamChoice.h"
+
+#include "lagoonpoint/src/Steering/util/Hash.h"
+#include "lagoonpoint/src/Steering/util/UpstreamHealth.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace lagoonpoint {
+
+namespace {
+
+using namespace internal;
+
+/// A cold upstream starts with this part of its slots.
+constexpr double ColdestWarmth = 0.1;
+/// Waits that differ by less are equal.
+constexpr double NoiseFactor = 1.1;
+/// How much a share of failures adds to the expected wait.
+constexpr double FailureWeight = 10;
+
+Upstream *find(UpstreamGroup &G, const UpstreamId &Id) {
+  auto Found = std::find_if(G.Upstreams_.begin(), G.Upstreams_.end(),
+                            [&](const Upstream &U) { return U.Id_ == Id; });
+  return Found == G.Upstreams_.end() ? nullptr : &*Found;
+}
+
+bool takesWork(const Upstream &U, Time Now) {
+  return !U.Leaving_ && Now < U.LeaseUntil_;
+}
+
+/// \returns how many calls of this VM may be at an upstream at once.
+unsigned slotsNow(const Upstream &U, const ChoiceRules &Rules, Time Now) {
+  unsigned Most = std::min(U.HeldSlots_, U.Connections_);
+  if (Most == 0)
+    return 0;
+  double Warm = warmth(U, Rules, Now) * Most;
+  return std::clamp(static_cast<unsigned>(std::ceil(Warm)), 1u, Most);
+}
+
+bool isFree(const Upstream &U, const ChoiceRules &Rules, const Placement &P,
+            Time Now) {
+  if (!takesWork(U, Now) || Now < U.BackOffUntil_)
+    return false;
+  if (P.Exclude_.count(U.Id_))
+    return false;
+  return U.InFlight_ < slotsNow(U, Rules, Now);
+}
+
+double expectedWait(const Upstream &U, const ChoiceRules &Rules, double Typical,
+                    Time Now) {
+  Observed Known = faded(U, Rules, Typical, Now);
+  double Queue = 1.0 + U.InFlight_;
+  double Load = 1.0 + assumedLoad(U, Rules, Now);
+  double Failing = 1.0 + FailureWeight * Known.Failures_;
+  return Known.LatencyMillis_ * Queue * Load * Failing / warmth(U, Rules, Now);
+}
+
+/// \returns the free upstreams of the first choice there is: healthy ones of
+/// the zone, healthy ones elsewhere, then those that may only be probed.
+std::vector<Upstream *> candidates(UpstreamGroup &G, const Placement &P,
+                                   Time Now) {
+  std::vector<Upstream *> Near, Far, Probes;
+  for (Upstream &U : G.Upstreams_) {
+    if (!isFree(U, G.Rules_, P, Now))
+      continue;
+    if (U.Phase_ == UpstreamPhase::Serving)
+      (U.Zone_ == P.Zone_ ? Near : Far).push_back(&U);
+    else if (U.Phase_ == UpstreamPhase::Probing && U.InFlight_ == 0 &&
+             P.MayProbe_)
+      Probes.push_back(&U);
+  }
+  if (!Near.empty())
+    return Near;
+  return !Far.empty() ? Far : Probes;
+}
+
+/// \returns an upstream whose probe is due, if the call may serve as one.
+Upstream *dueProbe(UpstreamGroup &G, const Placement &P, Time Now) {
+  if (!P.MayProbe_)
+    return nullptr;
+  for (Upstream &U : G.Upstreams_)
+    if (U.Phase_ == UpstreamPhase::Probing && U.InFlight_ == 0 &&
+        U.RetryAt_ <= Now && isFree(U, G.Rules_, P, Now))
+      return &U;
+  return nullptr;
+}
+
+Upstream *betterOfTwo(const UpstreamGroup &G,
+                      const std::vector<Upstream *> &From, Time Now,
+                      Random &Source) {
+  if (From.size() == 1)
+    return From.front();
+  std::size_t First = Source() % From.size();
+  std::size_t Second = (First + 1 + Source() % (From.size() - 1)) % From.size();
+  double Typical = typicalLatency(G);
+  double WaitA = expectedWait(*From[First], G.Rules_, Typical, Now);
+  double WaitB = expectedWait(*From[Second], G.Rules_, Typical, Now);
+  return WaitA <= WaitB * NoiseFactor ? From[First] : From[Second];
+}
+
+} // namespace
+
+double warmth(const Upstream &U, const ChoiceRules &Rules, Time Now) {
+  if (Rules.SlowStart_ <= Duration())
+    return 1;
+  double Part = (Now - U.WarmSince_).inSeconds() / Rules.SlowStart_.inSeconds();
+  return std::clamp(Part, ColdestWarmth, 1.0);
+}
+
+double assumedLoad(const Upstream &U, const ChoiceRules &Rules, Time Now) {
+  double Own = U.Slots_ ? static_cast<double>(U.InFlight_) / U.Slots_ : 1.0;
+  if (!U.Report_)
+    return std::max(Own, Rules.AssumedLoad_);
+  Duration Age = Now - U.Report_->At_;
+  double Span = (Rules.StaleReport_ - Rules.FreshReport_).inSeconds();
+  double Doubt = (Age - Rules.FreshReport_).inSeconds() / std::max(Span, 1e-3);
+  Doubt = std::clamp(Doubt, 0.0, 1.0);
+  double Load = std::clamp(U.Report_->Load_, 0.0, 1.0);
+  double Cautious = std::max(Load, Rules.AssumedLoad_);
+  return std::max(Own, Load + Doubt * (Cautious - Load));
+}
+
+void learn(UpstreamGroup &G, const UpstreamNews &News, unsigned HeldSlots,
+           Time Now) {
+  Upstream *U = find(G, News.Id_);
+  bool IsNew = !U || U->LeaseUntil_ <= Now;
+  if (!U) {
+    G.Upstreams_.emplace_back();
+    U = &G.Upstreams_.back();
+    U->Id_ = News.Id_;
+  }
+  if (IsNew) {
+    U->WarmSince_ = Now;
+    U->Leaving_ = false;
+  }
+  U->Zone_ = News.Zone_;
+  U->Address_ = News.Address_;
+  U->Slots_ = News.Slots_;
+  U->Connections_ = News.Connections_;
+  U->HeldSlots_ = std::min(HeldSlots, News.Slots_);
+  U->Leaving_ = U->Leaving_ || News.Leaving_;
+  U->LeaseUntil_ = Now + News.Lease_;
+  if (News.Load_)
+    U->Report_ = LoadReport{*News.Load_, Now};
+}
+
+void forgetExpired(UpstreamGroup &G, Time Now) {
+  std::erase_if(G.Upstreams_, [&](const Upstream &U) {
+    return U.LeaseUntil_ <= Now && U.InFlight_ == 0;
+  });
+}
+
+unsigned divideSlots(const UpstreamId &Id, unsigned Slots,
+                     const std::set<VmId> &Vms, const VmId &Self) {
+  if (!Vms.count(Self))
+    return 0;
+  auto Count = static_cast<unsigned>(Vms.size());
+  unsigned Rank = 0;
+  std::uint64_t Mine = stableHash(Id.str() + "/" + Self.str());
+  for (const VmId &Vm : Vms) {
+    std::uint64_t Theirs = stableHash(Id.str() + "/" + Vm.str());
+    Rank += std::pair(Theirs, Vm) < std::pair(Mine, Self);
+  }
+  return Slots / Count + (Rank < Slots % Count);
+}
+
+Upstream *place(UpstreamGroup &G, const Placement &P, Time Now,
+                Random &Source) {
+  reviveDue(G, Now);
+  Upstream *Chosen = dueProbe(G, P, Now);
+  if (!Chosen) {
+    std::vector<Upstream *> From = candidates(G, P, Now);
+    if (From.empty())
+      return nullptr;
+    Chosen = betterOfTwo(G, From, Now, Source);
+  }
+  LAGOONPOINT_ASSERT(!Chosen->Leaving_, "steering.place");
+  LAGOONPOINT_ASSERT(Chosen->InFlight_ < Chosen->HeldSlots_, "steering.place");
+  LAGOONPOINT_ASSERT(Chosen->HeldSlots_ <= Chosen->Slots_, "steering.place");
+  ++Chosen->InFlight_;
+  return Chosen;
+}
+
+void finish(UpstreamGroup &G, const UpstreamId &Id, TryOutcome Outcome,
+            Duration Spent, Time Now) {
+  Upstream *U = find(G, Id);
+  if (!U)
+    return;
+  LAGOONPOINT_ASSERT(U->InFlight_ > 0, "steering.finish");
+  --U->InFlight_;
+  judge(G, *U, Outcome, Spent, Now);
+}
+
+bool isUsable(const UpstreamGroup &G, Time Now) {
+  return std::any_of(G.Upstreams_.begin(), G.Upstreams_.end(),
+                     [&](const Upstream &U) {
+                       return takesWork(U, Now) && U.HeldSlots_ > 0 &&
+                              U.Phase_ != UpstreamPhase::Ejected;
+                     });
+}
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/test/Shift.cpp
@@ -0,0 +1,376 @@
+#include "fakes/Firms.h"
+#include "lagoonpoint/Steering"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace lagoonpoint;
+
+namespace {
+
+const ServiceId Tellimus("tellimus");
+const RegionId Tallinn("tallinn"), Tartu("tartu"), Parnu("parnu");
+const Duration Tick = Duration::millis(500);
+
+SteeringView allUsable(const Declarations &D) {
+  SteeringView View;
+  for (const auto &[Service, S] : D.Services_)
+    for (const auto &[Region, R] : D.Regions_)
+      View.Usable_.insert({Service, Region});
+  return View;
+}
+
+void failRegion(SteeringView &View, const RegionId &Region) {
+  std::erase_if(View.Usable_,
+                [&](const ServicePlace &P) { return P.Region_ == Region; });
+}
+
+/// Watches one row: no interval may see more of it move than the cap.
+struct Watch {
+  struct Seen {
+    Time At_;
+    RegionShares Shares_;
+    double Cap_;
+  };
+  std::deque<Seen> Seen_;
+  double Worst_ = 0; ///< largest part of the cap that an interval saw
+
+  void look(const RegionShares &Row, const ProfileDecl &P, Time Now) {
+    while (!Seen_.empty() && Seen_.front().At_ <= Now - P.ShiftEvery_)
+      Seen_.pop_front();
+    Seen_.push_back({Now, Row, P.ShiftCap_});
+    double Cap = 0;
+    for (const Seen &S : Seen_)
+      Cap = std::max(Cap, S.Cap_);
+    for (const Seen &S : Seen_)
+      if (!S.Shares_.empty() && !Row.empty())
+        Worst_ = std::max(Worst_, distance(S.Shares_, Row) / Cap);
+  }
+};
+
+/// One VM's plan under a virtual clock.
+struct Story {
+  Declarations D_ = fakes::declarationsOf("kaasik");
+  SteeringView View_ = allUsable(D_);
+  RegionPlan Plan_;
+  Time Now_{1000};
+  std::map<Flow, Watch> Watches_;
+
+  ProfileDecl &profile(const ServiceId &Service = Tellimus) {
+    return D_.Profiles_.at(D_.Services_.at(Service).Profile_);
+  }
+  double share(const RegionId &Origin, const RegionId &Region) {
+    return shareOf(Plan_.Rows_.at({Tellimus, Origin}).Shares_, Region);
+  }
+  void run(Duration Span) {
+    for (Time End = Now_ + Span; Now_ < End; Now_ = Now_ + Tick) {
+      advance(Plan_, D_, View_, Now_);
+      for (const auto &[F, Row] : Plan_.Rows_)
+        Watches_[F].look(Row.Shares_, profile(F.Service_), Now_);
+    }
+  }
+  double worst() const {
+    double Out = 0;
+    for (const auto &[F, W] : Watches_)
+      Out = std::max(Out, W.Worst_);
+    return Out;
+  }
+};
+
+constexpr double WithinCap = 1.0 + 1e-6;
+
+} // namespace
+
+TEST_CASE("A service's traffic stays close until something changes") {
+  Story S;
+  S.run(Duration::seconds(30));
+  for (const RegionId &R : {Tallinn, Tartu, Parnu})
+    CHECK(S.share(R, R) == 1);
+
+  SECTION("a declared drain moves it out, paced, to the next region") {
+    S.D_.Regions_.at(Parnu).Drained_ = true;
+    S.run(Duration::seconds(50));
+    CHECK(S.share(Parnu, Parnu) == Approx(0.5).margin(0.11));
+    S.run(Duration::seconds(60));
+    CHECK(S.share(Parnu, Parnu) == 0);
+    CHECK(S.share(Parnu, Tallinn) == 1); // same latency as Tartu, first by id
+    CHECK(S.share(Tartu, Tartu) == 1);
+
+    SECTION("and the end of the drain moves it back, paced") {
+      S.D_.Regions_.at(Parnu).Drained_ = false;
+      S.run(Duration::seconds(110));
+      CHECK(S.share(Parnu, Parnu) == 1);
+    }
+  }
+  SECTION("a failed region gives its traffic to the survivors, paced") {
+    failRegion(S.View_, Tallinn);
+    S.run(Tick);
+    CHECK(S.share(Tallinn, Tallinn) == Approx(0.9));
+    S.run(Duration::seconds(105));
+    CHECK(S.share(Tallinn, Tallinn) == 0);
+
+    SECTION("and takes it back, paced, when it returns") {
+      S.View_ = allUsable(S.D_);
+      S.run(Duration::seconds(5));
+      CHECK(S.share(Tallinn, Tallinn) <= 0.06);
+      S.run(Duration::seconds(110));
+      CHECK(S.share(Tallinn, Tallinn) == 1);
+    }
+  }
+  SECTION("an edit of the profile moves it, paced") {
+    S.profile().Objective_ = Objective::Spread;
+    S.D_.Regions_.at(Tallinn).Capacity_ = Rate(1000);
+    S.run(Duration::seconds(110));
+    CHECK(S.share(Parnu, Tallinn) == Approx(0.5));
+    CHECK(S.share(Parnu, Tartu) == Approx(0.25));
+
+    SECTION("and allowed regions are all that is left in the end") {
+      S.profile().Allowed_ = {Tartu};
+      S.run(Duration::seconds(110));
+      CHECK(S.share(Parnu, Tartu) == 1);
+      CHECK(S.share(Tallinn, Tartu) == 1);
+    }
+  }
+  SECTION("a new price moves what can't stay at home, paced") {
+    S.profile().Objective_ = Objective::Cheapest;
+    S.profile().Avoid_ = {Parnu};
+    S.run(Duration::seconds(110));
+    CHECK(S.share(Parnu, Tallinn) == 1);
+    for (LinkDecl &L : S.D_.Links_)
+      if (L.From_ == Tallinn || L.To_ == Tallinn)
+        L.Price_ = Price(20);
+    S.run(Duration::seconds(110));
+    CHECK(S.share(Parnu, Tartu) == 1);
+  }
+  SECTION("what exceeds a region's credit spills to the next") {
+    S.View_.Credit_[Tallinn] = 300;
+    S.View_.Credit_[Parnu] = 100;
+    S.View_.Demand_[{Tellimus, Tallinn}] = 400;
+    S.run(Duration::seconds(60));
+    CHECK(S.share(Tallinn, Tallinn) == Approx(0.75).margin(0.01));
+    CHECK(S.share(Tallinn, Parnu) == Approx(0.25).margin(0.01));
+
+    SECTION("and without credit anywhere it stays, to be refused") {
+      S.View_.Credit_[Parnu] = 0;
+      S.View_.Credit_[Tartu] = 0;
+      S.run(Duration::seconds(60));
+      CHECK(S.share(Tallinn, Tallinn) == Approx(1).margin(0.01));
+    }
+  }
+  SECTION("nothing moves when no region is usable") {
+    S.View_.Usable_.clear();
+    S.run(Duration::seconds(60));
+    CHECK(S.share(Tallinn, Tallinn) == 1);
+  }
+  CHECK(S.worst() <= WithinCap);
+}
+
+TEST_CASE("A restarted VM goes on where the others are") {
+  Story S;
+  S.run(Duration::seconds(5));
+  S.D_.Regions_.at(Parnu).Drained_ = true;
+  S.run(Duration::seconds(33));
+  std::string Bytes = encode(copyOf(S.Plan_, S.Now_));
+  double Before = S.share(Parnu, Parnu);
+  Time Later = Time(50) + Duration::seconds(7); // of the other VM's clock
+
+  SECTION("with its shares, and with what is left of the cap") {
+    S.Plan_ = planOf(decode<PlanCopy>(Bytes, "test", "vm"), S.Now_);
+    CHECK(S.share(Parnu, Parnu) == Before);
+    S.run(Duration::seconds(20));
+    CHECK(S.worst() <= WithinCap);
+  }
+  SECTION("whatever its clock says") {
+    RegionPlan Plan = planOf(decode<PlanCopy>(Bytes, "test", "vm"), Later);
+    const RegionPlan::Row &Row = Plan.Rows_.at({Tellimus, Parnu});
+    ShiftRules Rules{0.1, Duration::seconds(10)};
+    CHECK(allowedNow(Row.Ledger_, Rules, Later) < 0.02);
+  }
+  SECTION("but never with shares that are none") {
+    for (double Share : {-0.1, 0.5, 2.0, std::nan("")}) {
+      PlanCopy Bad = copyOf(S.Plan_, S.Now_);
+      Bad.Rows_.at(0).Parts_ = {{Parnu, Share}};
+      CHECK_THROWS_AS(planOf(Bad, S.Now_), Error);
+    }
+  }
+}
+
+TEST_CASE("Look-ups name the closest VMs and move callers paced") {
+  Declarations D = fakes::declarationsOf("kaasik");
+  std::set<VmId> Ready;
+  for (const auto &[Id, Vm] : D.Vms_)
+    Ready.insert(Id);
+  LookupPlan Plan;
+  Random Source(1);
+  Time Now(1000);
+  Audience InA{Tellimus, ZoneId("tallinn-a")};
+  auto Run = [&](Duration Span) {
+    for (Time End = Now + Span; Now < End; Now = Now + Tick)
+      advance(Plan, D, Ready, Now);
+  };
+  auto Weight = [&](const char *Vm) {
+    for (const EntryTarget &T : answer(Plan, D, Ready, InA, Source))
+      if (T.Vm_ == VmId(Vm))
+        return T.Weight_;
+    return -1.0;
+  };
+  Run(Duration::seconds(1));
+  CHECK(Weight("ta1") == 0.5);
+  CHECK(Weight("ta2") == 0.5);
+  CHECK(Weight("ta3") == 0);
+  CHECK(answer(Plan, D, Ready, InA, Source).size() == 9);
+  CHECK(answer(Plan, D, Ready, InA, Source).at(2).Vm_ == VmId("ta3"));
+
+  SECTION("a dead VM is left out at once, its callers stay in the zone") {
+    Ready.erase(VmId("ta1"));
+    CHECK(Weight("ta1") == -1);
+    Run(Tick);
+    CHECK(Weight("ta2") == 1);
+
+    SECTION("and gets its callers back paced, over interval and TTL") {
+      Ready.insert(VmId("ta1"));
+      Run(Duration::seconds(14));
+      CHECK(Weight("ta1") == Approx(0.1));
+      Run(Duration::seconds(2));
+      CHECK(Weight("ta1") == Approx(0.2));
+    }
+  }
+  SECTION("a dead zone's callers go to the region's other zone") {
+    Ready.erase(VmId("ta1"));
+    Ready.erase(VmId("ta2"));
+    Run(Tick);
+    CHECK(Weight("ta3") == 0.5);
+  }
+  SECTION("a drained region's callers move paced") {
+    D.Regions_.at(Tallinn).Drained_ = true;
+    Run(Tick);
+    CHECK(Weight("ta1") == Approx(0.45));
+    Run(Duration::seconds(151));
+    CHECK(Weight("ta1") == -1);
+    CHECK(Weight("pa1") == Approx(0.2)); // Tartu is as close as Parnu
+  }
+  SECTION("with no VM known to be ready there is nobody to name") {
+    Ready.clear();
+    CHECK(answer(Plan, D, Ready, InA, Source).empty());
+  }
+  SECTION("callers who use only the first are spread by weight") {
+    int First = 0;
+    for (int I = 0; I < 1000; ++I)
+      First += answer(Plan, D, Ready, InA, Source).at(0).Vm_ == VmId("ta1");
+    CHECK(First == Approx(500).margin(80));
+  }
+}
+
+namespace {
+
+/// Several VMs with views of their own, and callers that move between them.
+struct Fleet {
+  static constexpr std::size_t Vms = 9;
+  Declarations D_ = fakes::declarationsOf("kaasik");
+  std::vector<Declarations> Known_{Vms, D_};
+  std::vector<SteeringView> Views_{Vms, allUsable(D_)};
+  std::vector<RegionPlan> Plans_{Vms};
+  std::vector<std::map<Flow, double>> Entering_{Vms}; ///< calls a second
+  std::deque<std::pair<Time, std::vector<RegionPlan>>> History_;
+  Time Now_{1000};
+  double Worst_ = 0;
+
+  RegionId anyRegion(Random &R) {
+    return std::next(D_.Regions_.begin(),
+                     static_cast<long>(R() % D_.Regions_.size()))
+        ->first;
+  }
+  void disturb(Random &R) {
+    std::size_t Vm = R() % Vms;
+    std::vector<ServiceId> Services{Tellimus, ServiceId("ringplaan")};
+    ProfileDecl &P =
+        D_.Profiles_.at(D_.Services_.at(Services[R() % 2]).Profile_);
+    switch (R() % 9) {
+    case 0:
+      failRegion(Views_[Vm], anyRegion(R));
+      break;
+    case 1:
+      Views_[Vm] = allUsable(D_);
+      break;
+    case 2: {
+      RegionDecl &Region = D_.Regions_.at(anyRegion(R));
+      Region.Drained_ = !Region.Drained_;
+      break;
+    }
+    case 3:
+      P.Objective_ = static_cast<Objective>(R() % 3);
+      break;
+    case 4:
+      P.Avoid_ = R() % 2 ? std::vector{anyRegion(R)} : std::vector<RegionId>();
+      break;
+    case 5:
+      D_.Links_[R() % D_.Links_.size()].Price_ = Price(double(R() % 9));
+      break;
+    case 6:
+      Known_[Vm] = D_; // the others hear of edits later
+      break;
+    case 7:
+      Views_[Vm].Credit_[anyRegion(R)] = double(R() % 200);
+      break;
+    default:
+      Plans_[Vm] = planOf(copyOf(Plans_[R() % Vms], Now_), Now_);
+      History_.clear(); // the copy's source was watched, not this VM
+    }
+    for (auto &[F, Rate] : Entering_[Vm])
+      Rate = double(R() % 100);
+  }
+  /// \returns the part of a service's traffic that goes elsewhere now than by
+  /// \p Then, weighted by where callers enter at this moment.
+  double movedSince(const std::vector<RegionPlan> &Then,
+                    const ServiceId &Service) const {
+    double Moved = 0;
+    double All = 0;
+    for (std::size_t Vm = 0; Vm < Vms; ++Vm)
+      for (const auto &[F, Rate] : Entering_[Vm]) {
+        if (F.Service_ != Service || Rate <= 0)
+          continue;
+        All += Rate;
+        Moved += Rate * distance(Then[Vm].Rows_.at(F).Shares_,
+                                 Plans_[Vm].Rows_.at(F).Shares_);
+      }
+    return All > 0 ? Moved / All : 0;
+  }
+  void step() {
+    for (std::size_t Vm = 0; Vm < Vms; ++Vm) {
+      Views_[Vm].Demand_ = Entering_[Vm];
+      advance(Plans_[Vm], Known_[Vm], Views_[Vm], Now_);
+    }
+    while (!History_.empty() &&
+           History_.front().first <= Now_ - Duration::seconds(10))
+      History_.pop_front();
+    for (const auto &[At, Then] : History_)
+      for (const auto &[Service, S] : D_.Services_)
+        Worst_ = std::max(Worst_, movedSince(Then, Service));
+    History_.emplace_back(Now_, Plans_);
+    Now_ = Now_ + Tick;
+  }
+};
+
+} // namespace
+
+TEST_CASE("Whatever happens, no interval sees more than the cap move") {
+  for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    INFO("seed " << Seed);
+    Random Source(Seed);
+    Fleet F;
+    std::uint64_t Before = invariantViolations();
+    for (const auto &[Service, S] : F.D_.Services_)
+      for (const auto &[Region, R] : F.D_.Regions_)
+        for (auto &Entering : F.Entering_)
+          Entering[{Service, Region}] = double(Source() % 100);
+    for (int I = 0; I < 2000; ++I) {
+      if (Source() % 20 == 0)
+        F.disturb(Source);
+      F.step();
+    }
+    CHECK(F.Worst_ > 0.02);
+    CHECK(F.Worst_ <= 0.1 * WithinCap);
+    CHECK(invariantViolations() == Before);
+  }
+}
--- /dev/null
+++ b/test/UpstreamChoice.cpp
@@ -0,0 +1,321 @@
+#include "lagoonpoint/Steering"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace lagoonpoint;
+
+namespace {
+
+const ZoneId Here("here"), There("there");
+constexpr unsigned Slots = 3;
+
+/// Upstreams of one service under a virtual clock.
+struct Story {
+  UpstreamGroup G_;
+  Time Now_{1000};
+  Random Source_{5};
+  std::map<UpstreamId, int> Placed_;
+
+  void announce(const std::string &Id, std::optional<double> Load,
+                ZoneId Zone = Here, bool Leaving = false) {
+    UpstreamNews News{UpstreamId(Id), Zone,    {"10.0.0.1", 80},    Slots, 400,
+                      Load,           Leaving, Duration::seconds(5)};
+    learn(G_, News, Slots, Now_);
+  }
+  void announceAll(int Count, std::optional<double> Load = 0.5) {
+    for (int I = 0; I < Count; ++I)
+      announce("u" + std::to_string(I), Load);
+  }
+  void pass(Duration Span) { Now_ = Now_ + Span; }
+  /// Lets more than the slow start pass while they go on announcing.
+  void warm(int Count) {
+    for (int I = 0; I < 8; ++I) {
+      announceAll(Count);
+      pass(Duration::seconds(4));
+    }
+    announceAll(Count);
+  }
+  Upstream &at(const std::string &Id) {
+    for (Upstream &U : G_.Upstreams_)
+      if (U.Id_ == UpstreamId(Id))
+        return U;
+    throw std::out_of_range(Id);
+  }
+  Upstream *tryPlace(const Placement &P) { return place(G_, P, Now_, Source_); }
+  /// Places a call and ends it at once.
+  UpstreamId call(TryOutcome End = TryOutcome::Answered,
+                  Duration Spent = Duration::millis(10)) {
+    Upstream *U = tryPlace({Here, {}, true});
+    REQUIRE(U);
+    UpstreamId Id = U->Id_;
+    ++Placed_[Id];
+    finish(G_, Id, End, Spent, Now_);
+    return Id;
+  }
+  /// Calls that time out at one upstream and are answered elsewhere.
+  void callsWithFailing(const std::string &Bad, int Count, Duration Apart) {
+    for (int I = 0; I < Count; ++I, pass(Apart)) {
+      Upstream *U = tryPlace({Here, {}, true});
+      REQUIRE(U);
+      bool IsBad = U->Id_ == UpstreamId(Bad);
+      ++Placed_[U->Id_];
+      finish(G_, U->Id_, IsBad ? TryOutcome::TimedOut : TryOutcome::Answered,
+             Duration::millis(IsBad ? 2000 : 10), Now_);
+    }
+  }
+};
+
+const Placement AnyCall{Here, {}, true};
+
+} // namespace
+
+TEST_CASE("A call goes to a free upstream, and none gets more than its slots") {
+  Story S;
+  S.warm(2);
+  int Placed = 0;
+  while (S.tryPlace(AnyCall))
+    ++Placed;
+  CHECK(Placed == 2 * Slots);
+  finish(S.G_, UpstreamId("u1"), TryOutcome::Answered, Duration(5), S.Now_);
+  Upstream *Freed = S.tryPlace(AnyCall);
+  REQUIRE(Freed);
+  CHECK(Freed->Id_ == UpstreamId("u1"));
+  CHECK_THROWS_AS(
+      [&] {
+        for (unsigned I = 0; I <= Slots; ++I)
+          finish(S.G_, UpstreamId("u0"), TryOutcome::Answered, Duration(),
+                 S.Now_);
+      }(),
+      InvariantViolation);
+}
+
+TEST_CASE("Where a call may not go") {
+  Story S;
+  S.warm(1);
+
+  SECTION("to one that was tried before") {
+    CHECK(!S.tryPlace({Here, {UpstreamId("u0")}, true}));
+  }
+  SECTION("to one that leaves, though an older announcement comes late") {
+    S.announce("u0", 0.1, Here, true);
+    S.announce("u0", 0.1);
+    CHECK(!S.tryPlace(AnyCall));
+    CHECK(!isUsable(S.G_, S.Now_));
+    SECTION("until it comes back after its lease") {
+      S.pass(Duration::seconds(6));
+      S.announce("u0", 0.1);
+      CHECK(S.tryPlace(AnyCall));
+    }
+  }
+  SECTION("to one whose lease has ended, which is then forgotten") {
+    S.pass(Duration::seconds(5));
+    CHECK(!S.tryPlace(AnyCall));
+    forgetExpired(S.G_, S.Now_);
+    CHECK(S.G_.Upstreams_.empty());
+  }
+  SECTION("to one of which this VM holds no slot") {
+    S.at("u0").HeldSlots_ = 0;
+    CHECK(!S.tryPlace(AnyCall));
+  }
+  SECTION("to one that has just shed a call") {
+    S.call(TryOutcome::Shed);
+    CHECK(!S.tryPlace(AnyCall));
+    S.pass(Duration::millis(60));
+    CHECK(S.tryPlace(AnyCall));
+  }
+  SECTION("to another zone while its own has room") {
+    S.announce("far", 0.0, There);
+    S.at("far").WarmSince_ = Time(0);
+    for (unsigned I = 0; I < Slots; ++I)
+      CHECK(S.tryPlace(AnyCall)->Id_ == UpstreamId("u0"));
+    CHECK(S.tryPlace(AnyCall)->Id_ == UpstreamId("far"));
+  }
+}
+
+TEST_CASE("A cold upstream is warmed up") {
+  Story S;
+  S.warm(3);
+  S.announce("cold", 0.0);
+  for (int I = 0; I < 600; ++I)
+    S.call();
+  CHECK(S.Placed_[UpstreamId("cold")] < 60);
+  CHECK(S.tryPlace(
+      {Here, {UpstreamId("u0"), UpstreamId("u1"), UpstreamId("u2")}, true}));
+  CHECK(!S.tryPlace({Here,
+                     {UpstreamId("u0"), UpstreamId("u1"), UpstreamId("u2")},
+                     true})); // one slot while cold
+  for (int I = 0; I < 5; ++I) {
+    S.pass(Duration::seconds(3));
+    S.announce("cold", 0.0);
+  }
+  CHECK(warmth(S.at("cold"), S.G_.Rules_, S.Now_) == Approx(0.5));
+}
+
+TEST_CASE("Reports are trusted as far as they deserve") {
+  Story S;
+  S.warm(2);
+  S.announce("u0", 0.1);
+  S.announce("u1", 0.9);
+  const ChoiceRules &Rules = S.G_.Rules_;
+
+  SECTION("a fresh one as it is") {
+    CHECK(assumedLoad(S.at("u0"), Rules, S.Now_) == Approx(0.1));
+    for (int I = 0; I < 100; ++I)
+      S.call();
+    CHECK(S.Placed_[UpstreamId("u0")] > 90);
+  }
+  SECTION("one ten seconds old no better than none") {
+    S.pass(Duration::seconds(10));
+    CHECK(assumedLoad(S.at("u0"), Rules, S.Now_) == Rules.AssumedLoad_);
+    CHECK(assumedLoad(S.at("u1"), Rules, S.Now_) == Approx(0.9));
+  }
+  SECTION("a missing one never counts as zero") {
+    S.announce("new", std::nullopt);
+    CHECK(assumedLoad(S.at("new"), Rules, S.Now_) == Rules.AssumedLoad_);
+  }
+  SECTION("none below what this VM has there itself") {
+    S.at("u0").InFlight_ = 3;
+    CHECK(assumedLoad(S.at("u0"), Rules, S.Now_) == 1);
+  }
+}
+
+TEST_CASE("An upstream that reports no load but times out is found out") {
+  Story S;
+  S.warm(4);
+  for (int Round = 0; Round < 40; ++Round) {
+    S.announceAll(4);
+    S.announce("u0", 0.0);
+    S.callsWithFailing("u0", 50, Duration::millis(20));
+  }
+  CHECK(S.Placed_[UpstreamId("u0")] < 20); // of 2000
+
+  SECTION("and has its part again a minute after it recovers") {
+    auto CallFor = [&](int Seconds) {
+      for (int I = 0; I < Seconds * 50; ++I) {
+        if (I % 100 == 0)
+          S.announceAll(4);
+        S.call();
+        S.pass(Duration::millis(20));
+      }
+    };
+    CallFor(60);
+    S.Placed_.clear();
+    CallFor(20);
+    CHECK(S.Placed_[UpstreamId("u0")] > 150); // of 1000; a quarter is its part
+  }
+}
+
+TEST_CASE("An upstream that fails again and again is ejected") {
+  Story S;
+  S.warm(4);
+  Placement OnlyU0{
+      Here, {UpstreamId("u1"), UpstreamId("u2"), UpstreamId("u3")}, true};
+  for (int I = 0; I < 3; ++I) {
+    REQUIRE(S.tryPlace(OnlyU0));
+    finish(S.G_, UpstreamId("u0"), TryOutcome::Refused, Duration(1), S.Now_);
+  }
+  CHECK(!S.tryPlace(OnlyU0));
+  S.pass(Duration::millis(2100));
+
+  SECTION("and taken back, warming up, when its probe is answered") {
+    CHECK(S.call() == UpstreamId("u0"));
+    CHECK(S.at("u0").Phase_ == UpstreamPhase::Serving);
+    CHECK(warmth(S.at("u0"), S.G_.Rules_, S.Now_) == Approx(0.1));
+  }
+  SECTION("with one probe at a time, and longer if that fails") {
+    CHECK(S.tryPlace(OnlyU0));
+    CHECK(!S.tryPlace(OnlyU0));
+    finish(S.G_, UpstreamId("u0"), TryOutcome::Broken, Duration(1), S.Now_);
+    S.announceAll(4);
+    S.pass(Duration::millis(2100));
+    CHECK(!S.tryPlace(OnlyU0));
+    S.pass(Duration::millis(2000));
+    CHECK(S.tryPlace(OnlyU0));
+  }
+  SECTION("but a call that must not run twice is no probe") {
+    OnlyU0.MayProbe_ = false;
+    CHECK(!S.tryPlace(OnlyU0));
+  }
+}
+
+TEST_CASE("A bad measurement can't empty a service") {
+  Story S;
+  S.warm(6);
+  for (int I = 0; I < 200; ++I)
+    S.call(TryOutcome::Broken);
+  auto Serving = std::count_if(
+      S.G_.Upstreams_.begin(), S.G_.Upstreams_.end(),
+      [](const Upstream &U) { return U.Phase_ == UpstreamPhase::Serving; });
+  CHECK(Serving == 3);
+
+  SECTION("a caller's short deadline is no failure of the upstream") {
+    Story Short;
+    Short.announceAll(1);
+    Short.call();
+    for (int I = 0; I < 50; ++I)
+      Short.call(TryOutcome::TimedOut, Duration::millis(5));
+    CHECK(Short.at("u0").Failures_ == 0);
+  }
+}
+
+TEST_CASE("The VMs of a zone divide an upstream's slots") {
+  std::set<VmId> Vms{VmId("a"), VmId("b"), VmId("c"), VmId("d")};
+  std::map<VmId, unsigned> Total;
+  for (int I = 0; I < 400; ++I) {
+    UpstreamId Id("u" + std::to_string(I));
+    unsigned Sum = 0;
+    for (const VmId &Vm : Vms) {
+      unsigned Part = divideSlots(Id, Slots, Vms, Vm);
+      Sum += Part;
+      Total[Vm] += Part;
+    }
+    REQUIRE(Sum == Slots);
+  }
+  for (const auto &[Vm, Sum] : Total)
+    CHECK(Sum == Approx(300).margin(45));
+  CHECK(divideSlots(UpstreamId("u"), Slots, Vms, VmId("afar")) == 0);
+}
+
+TEST_CASE("Long random runs keep every bound") {
+  for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+    INFO("seed " << Seed);
+    Story S;
+    S.Source_.seed(Seed);
+    std::vector<UpstreamId> Running;
+    std::uint64_t Before = invariantViolations();
+    Random Faults(Seed + 100);
+    int Placed = 0;
+    for (int Step = 0; Step < 20000; ++Step) {
+      S.pass(Duration::millis(static_cast<std::int64_t>(Faults() % 20)));
+      std::string Id = "u" + std::to_string(Faults() % 8);
+      if (Faults() % 10 == 0)
+        S.announce(Id,
+                   Faults() % 3 ? std::optional(double(Faults() % 3))
+                                : std::nullopt,
+                   Faults() % 2 ? Here : There, Faults() % 30 == 0);
+      if (Faults() % 50 == 0)
+        forgetExpired(S.G_, S.Now_);
+      if (Faults() % 2) {
+        Upstream *U = S.tryPlace({Here, {}, Faults() % 2 == 0});
+        if (U) {
+          ++Placed;
+          REQUIRE(!U->Leaving_);
+          REQUIRE(U->LeaseUntil_ > S.Now_);
+          REQUIRE(U->InFlight_ <= Slots);
+          REQUIRE(U->Phase_ != UpstreamPhase::Ejected);
+          Running.push_back(U->Id_);
+        }
+      } else if (!Running.empty()) {
+        std::swap(Running[Faults() % Running.size()], Running.back());
+        finish(S.G_, Running.back(), static_cast<TryOutcome>(Faults() % 6),
+               Duration::millis(static_cast<std::int64_t>(Faults() % 500)),
+               S.Now_);
+        Running.pop_back();
+      }
+    }
+    CHECK(Placed > 1000);
+    CHECK(invariantViolations() == Before);
+  }
+}
