Test the proxy's faults and malformed input

Cause: POCO hides cut bodies, and an early answer was noticed only once the caller had sent more of its body: a caller that waits for the answer hung.

--- a/lagoonpoint/src/Http/CallerServer.cpp
+++ b/lagoonpoint/src/Http/CallerServer.cpp
@@ -1,11 +1,11 @@
 #include "lagoonpoint/src/Http/CallerServer.h"
 
+#include "lagoonpoint/Log"
 #include "lagoonpoint/src/Http/util/Forwarding.h"
 #include "lagoonpoint/src/Http/util/ProxyCall.h"
 
 #include <Poco/Exception.h>
 #include <Poco/URI.h>
-#include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <atomic>
@@ -105,6 +105,15 @@
   std::atomic<unsigned> &Count_;
 };
 
+void logFailure(const Call &C, const std::exception &E) {
+  LogLine Line;
+  Line.Level_ = LogLevel::Error;
+  Line.Step_ = "http.call";
+  Line.Message_ = E.what();
+  Line.Request_ = C.Request_;
+  log(Line);
+}
+
 } // namespace
 
 struct CallerServer::Impl {
@@ -189,9 +198,9 @@
     if (!Passed.answerBegun())
       throw Refusal(R.reason(), Truth(R.ran()), R.step(), R.message(),
                     R.retryAfter());
-    spdlog::error("call {} failed: {}", C.Request_.str(), R.what());
+    logFailure(C, R);
   } catch (const std::exception &E) {
-    spdlog::error("call {} failed: {}", C.Request_.str(), E.what());
+    logFailure(C, E);
     if (!Passed.answerBegun())
       throw Refusal(RefusalReason::Internal, Truth(Ran::No), "http.call",
                     "internal error, see this VM's log");
--- a/lagoonpoint/src/Http/OperatorServer.cpp
+++ b/lagoonpoint/src/Http/OperatorServer.cpp
@@ -60,6 +60,9 @@
                   "the operators' listener serves /v1/..., /metrics and "
                   "/healthz");
   checkKey(S, Request.Key_);
+  if (!Request.Query_.empty())
+    throw Refusal(RefusalReason::BadRequest, Ran::No, "http.operator",
+                  "parameters belong into the body, not the URL");
   return portAnswer(Port, Request);
 }
 
--- a/lagoonpoint/src/Http/util/BodyReader.cpp
+++ b/lagoonpoint/src/Http/util/BodyReader.cpp
@@ -29,7 +29,7 @@
 }
 
 BodyEnd BodyReader::next(std::string_view &Piece, const Until &Limit,
-                         const Wire *Watched) {
+                         Watch Other) {
   releasePiece();
   for (;;) {
     if (State_ == State::Done)
@@ -39,15 +39,15 @@
       return Step;
     if (Step == BodyEnd::Whole)
       continue;
-    switch (In_.fill(Limit, Watched)) {
+    switch (In_.fill(Limit, Other)) {
     case WireEnd::Ready:
       break;
     case WireEnd::Closed:
       return BodyEnd::Cut;
     case WireEnd::TimedOut:
       return BodyEnd::TimedOut;
-    case WireEnd::WatchedLeft:
-      return BodyEnd::WatchedLeft;
+    case WireEnd::Watched:
+      return BodyEnd::Watched;
     }
   }
 }
--- a/lagoonpoint/src/Http/util/BodyReader.h
+++ b/lagoonpoint/src/Http/util/BodyReader.h
@@ -10,12 +10,12 @@
 
 /// What the next step of reading a body gave.
 enum class BodyEnd {
-  Piece,       ///< bytes of the body
-  Whole,       ///< the body has ended as its framing says
-  Cut,         ///< connection closed before that
-  TimedOut,    ///< time limit passed
-  WatchedLeft, ///< the watched connection was closed
-  Malformed,   ///< broken chunk framing
+  Piece,     ///< bytes of the body
+  Whole,     ///< the body has ended as its framing says
+  Cut,       ///< connection closed before that
+  TimedOut,  ///< time limit passed
+  Watched,   ///< the watched connection ended the wait
+  Malformed, ///< broken chunk framing
 };
 
 /// \class BodyReader
@@ -30,8 +30,7 @@
 
   /// Reads on.
   /// \param[out] Piece valid until the next call
-  BodyEnd next(std::string_view &Piece, const Until &Limit,
-               const Wire *Watched = nullptr);
+  BodyEnd next(std::string_view &Piece, const Until &Limit, Watch Other = {});
   /// \returns true once Whole was returned, or if there is no body.
   bool whole() const { return State_ == State::Done; }
 
--- a/lagoonpoint/src/Http/util/JsonService.cpp
+++ b/lagoonpoint/src/Http/util/JsonService.cpp
@@ -1,5 +1,6 @@
 #include "lagoonpoint/src/Http/util/JsonService.h"
 
+#include "lagoonpoint/Log"
 #include "lagoonpoint/src/Http/util/BodyReader.h"
 #include "lagoonpoint/src/Http/util/PathCheck.h"
 
@@ -7,7 +8,6 @@
 #include <Poco/JSON/Parser.h>
 #include <Poco/SHA2Engine.h>
 #include <Poco/String.h>
-#include <spdlog/spdlog.h>
 
 namespace lagoonpoint::internal {
 
@@ -122,7 +122,7 @@
   } catch (const Refusal &R) {
     return refusalAnswer(R, Request.Id_);
   } catch (const std::exception &E) {
-    spdlog::error("request {} failed: {}", Request.Id_.str(), E.what());
+    logError(Error("http.handle", Request.Id_.str(), E.what()));
     return refusalAnswer(
         Refusal(RefusalReason::Internal, Ran::Unknown, "http.handle", E.what()),
         Request.Id_);
--- a/lagoonpoint/src/Http/util/Listener.cpp
+++ b/lagoonpoint/src/Http/util/Listener.cpp
@@ -1,8 +1,9 @@
 #include "lagoonpoint/src/Http/util/Listener.h"
 
+#include "lagoonpoint/Log"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
-#include <spdlog/spdlog.h>
 
 #include <chrono>
 #include <poll.h>
@@ -86,8 +87,9 @@
 void Listener::cutServing() {
   std::lock_guard Lock(QueueLock_);
   for (Connection *C : Serving_) {
-    spdlog::warn("drain limit reached, closing the connection of {}",
-                 C->ClientAddress_);
+    logError(Error("http.stop", C->ClientAddress_,
+                   "drain limit reached, connection closed"),
+             LogLevel::Warning);
     C->Wire_.shutdown();
   }
 }
@@ -122,7 +124,7 @@
       accept(Server_.acceptConnection());
     } catch (const Poco::Exception &E) {
       // Out of descriptors, or the peer has left again.
-      spdlog::warn("accept failed: {}", E.displayText());
+      logError(Error("http.accept", "", E.displayText()), LogLevel::Warning);
       return;
     }
   }
@@ -215,7 +217,7 @@
   try {
     Keep = C->Closing_ ? discard(*C) : serveArrived(*C);
   } catch (const std::exception &E) {
-    spdlog::error("connection of {} failed: {}", C->ClientAddress_, E.what());
+    logError(Error("http.connection", C->ClientAddress_, E.what()));
   }
   {
     std::lock_guard Lock(QueueLock_);
--- a/lagoonpoint/src/Http/util/ProxyCall.cpp
+++ b/lagoonpoint/src/Http/util/ProxyCall.cpp
@@ -224,13 +224,14 @@
       Until(Context_.Clock_, Caller_.Arrived_ + Context_.Settings_.BodyTimeout_)
           .min(Ticket_->deadline());
   for (;;) {
-    // An answer that comes before the body's end makes the rest needless.
-    if (T.Wire_->readable())
-      return true;
     std::string_view Piece;
-    BodyEnd End = Body_.next(Piece, Limit);
+    BodyEnd End = Body_.next(Piece, Limit, {T.Wire_.get(), true});
     if (End == BodyEnd::Whole)
       break;
+    // An answer that comes before the body's end makes the rest needless.
+    bool AnswerCame = End == BodyEnd::Watched || T.Wire_->readable();
+    if (AnswerCame)
+      return true;
     if (End != BodyEnd::Piece)
       return fail(T, TryEnd::CallerLeft);
     BodyBytes_ += Piece.size();
@@ -302,7 +303,7 @@
       break;
     if (Slow && !isOnce())
       return true;
-    if (End == BodyEnd::WatchedLeft)
+    if (End == BodyEnd::Watched)
       return fail(T, TryEnd::CallerLeft);
     return fail(T,
                 End == BodyEnd::TimedOut ? TryEnd::TimedOut : TryEnd::Broken);
@@ -394,7 +395,7 @@
     BodyEnd End = Reader.next(Piece, Limit, &Caller_.Wire_);
     if (End == BodyEnd::Whole)
       break;
-    if (End == BodyEnd::WatchedLeft)
+    if (End == BodyEnd::Watched)
       return TryEnd::CallerLeft;
     if (End != BodyEnd::Piece)
       return End == BodyEnd::TimedOut ? TryEnd::TimedOut : TryEnd::Broken;
@@ -411,7 +412,7 @@
 }
 
 bool ProxyCall::failWire(Try &T, WireEnd End) {
-  if (End == WireEnd::WatchedLeft)
+  if (End == WireEnd::Watched)
     return fail(T, TryEnd::CallerLeft);
   if (T.Report_.BytesSent_ == 0)
     return fail(T, TryEnd::NothingSent);
--- a/lagoonpoint/src/Http/util/UpstreamPool.cpp
+++ b/lagoonpoint/src/Http/util/UpstreamPool.cpp
@@ -69,12 +69,12 @@
 }
 
 std::unique_ptr<Wire> connectTo(const Address &To, const Until &Limit,
-                                const Wire *Watched) {
+                                Watch Other) {
   try {
     Poco::Net::StreamSocket Socket;
     Socket.connectNB(Poco::Net::SocketAddress(To.Host_, To.Port_));
     auto Out = std::make_unique<Wire>(Socket);
-    if (Out->waitConnected(Limit, Watched) != WireEnd::Ready)
+    if (Out->waitConnected(Limit, Other) != WireEnd::Ready)
       return nullptr;
     Socket.setNoDelay(true);
     return Out;
--- a/lagoonpoint/src/Http/util/UpstreamPool.h
+++ b/lagoonpoint/src/Http/util/UpstreamPool.h
@@ -47,9 +47,8 @@
 
 /// Opens a connection.
 /// \ingroup Http
-/// \param Watched connection whose closing ends the wait, or null
 /// \returns null if it was refused or not made in time
 std::unique_ptr<Wire> connectTo(const Address &To, const Until &Limit,
-                                const Wire *Watched);
+                                Watch Other);
 
 } // namespace lagoonpoint::internal
--- a/lagoonpoint/src/Http/util/Wire.cpp
+++ b/lagoonpoint/src/Http/util/Wire.cpp
@@ -63,9 +63,9 @@
   }
 }
 
-WireEnd Wire::fill(const Until &Limit, const Wire *Watched) {
+WireEnd Wire::fill(const Until &Limit, Watch Other) {
   for (;;) {
-    WireEnd Waited = wait(POLLIN, Limit, Watched);
+    WireEnd Waited = wait(POLLIN, Limit, Other);
     if (Waited != WireEnd::Ready)
       return Waited;
     WireEnd Read = fillNow();
@@ -75,7 +75,7 @@
 }
 
 WireEnd Wire::write(std::string_view Bytes, const Until &Limit,
-                    std::int64_t &Written, const Wire *Watched) {
+                    std::int64_t &Written, Watch Other) {
   while (!Bytes.empty()) {
     int Count = sendSome(Bytes);
     if (Count < 0)
@@ -84,7 +84,7 @@
     Bytes.remove_prefix(static_cast<std::size_t>(Count));
     if (Bytes.empty())
       break;
-    WireEnd Waited = wait(POLLOUT, Limit, Watched);
+    WireEnd Waited = wait(POLLOUT, Limit, Other);
     if (Waited != WireEnd::Ready)
       return Waited;
   }
@@ -105,16 +105,17 @@
   }
 }
 
-WireEnd Wire::wait(short Events, const Until &Limit,
-                   const Wire *Watched) const {
+WireEnd Wire::wait(short Events, const Until &Limit, Watch Other) const {
   pollfd Polled[2] = {{fd(), Events, 0}, {-1, POLLRDHUP, 0}};
-  if (Watched)
-    Polled[1].fd = Watched->fd();
+  if (Other.Wire_)
+    Polled[1].fd = Other.Wire_->fd();
+  if (Other.ForBytes_)
+    Polled[1].events |= POLLIN;
   for (;;) {
     int Left = Limit.millisLeft();
     int Count = ::poll(Polled, 2, Left);
     if (Count > 0 && Polled[1].revents != 0)
-      return WireEnd::WatchedLeft;
+      return WireEnd::Watched;
     if (Count > 0)
       return WireEnd::Ready;
     if (Count == 0 && Left == 0)
@@ -122,8 +123,8 @@
   }
 }
 
-WireEnd Wire::waitConnected(const Until &Limit, const Wire *Watched) {
-  WireEnd Waited = wait(POLLOUT, Limit, Watched);
+WireEnd Wire::waitConnected(const Until &Limit, Watch Other) {
+  WireEnd Waited = wait(POLLOUT, Limit, Other);
   if (Waited != WireEnd::Ready)
     return Waited;
   return Socket_.impl()->socketError() == 0 ? WireEnd::Ready : WireEnd::Closed;
--- a/lagoonpoint/src/Http/util/Wire.h
+++ b/lagoonpoint/src/Http/util/Wire.h
@@ -29,7 +29,19 @@
 };
 
 /// How a read or a write ended.
-enum class WireEnd { Ready, Closed, TimedOut, WatchedLeft };
+enum class WireEnd { Ready, Closed, TimedOut, Watched };
+
+class Wire;
+
+/// A second connection that ends a wait.
+struct Watch {
+  /// \param ForBytes also when bytes arrive on it, not only its closing
+  Watch(const Wire *W = nullptr, bool ForBytes = false)
+      : Wire_(W), ForBytes_(ForBytes) {}
+
+  const Wire *Wire_;
+  bool ForBytes_;
+};
 
 /// \class Wire
 /// \ingroup Http
@@ -53,15 +65,14 @@
   /// Reads what has arrived; TimedOut if nothing has.
   WireEnd fillNow();
   /// Waits for bytes and reads them.
-  /// \param Watched connection whose closing ends the wait, or null
-  WireEnd fill(const Until &Limit, const Wire *Watched = nullptr);
+  WireEnd fill(const Until &Limit, Watch Other = {});
   /// Writes all bytes.
   /// \param[out] Written grows by the bytes handed to the operating system
   WireEnd write(std::string_view Bytes, const Until &Limit,
-                std::int64_t &Written, const Wire *Watched = nullptr);
+                std::int64_t &Written, Watch Other = {});
 
   /// Waits until a connection begun by connectNB is made or refused.
-  WireEnd waitConnected(const Until &Limit, const Wire *Watched);
+  WireEnd waitConnected(const Until &Limit, Watch Other);
 
   /// \returns true if bytes or the end of the stream wait to be read.
   bool readable() const;
@@ -80,7 +91,7 @@
 
 private:
   int fd() const;
-  WireEnd wait(short Events, const Until &Limit, const Wire *Watched) const;
+  WireEnd wait(short Events, const Until &Limit, Watch Other) const;
   int sendSome(std::string_view Bytes);
 
   Poco::Net::StreamSocket Socket_;
--- /dev/null
+++ b/test/ProxyFaults.cpp
@@ -0,0 +1,497 @@
+#include "fakes/FakeCallerPort.h"
+#include "fakes/ScriptedUpstream.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+using namespace lagoonpoint;
+using Catch::Matchers::Contains;
+using Catch::Matchers::EndsWith;
+using Catch::Matchers::StartsWith;
+using fakes::RawSocket;
+using fakes::ScriptedUpstream;
+
+namespace {
+
+const std::string Get = "GET /tags/7 HTTP/1.1\r\nHost: vm\r\n\r\n";
+const std::string Ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const std::string Shed =
+    "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nbusy";
+constexpr std::size_t LongBytes = 200'000; ///< more than is held back
+
+void pause(int Millis) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(Millis));
+}
+
+/// Waits until a condition holds, for at most ten seconds.
+template <class Condition> bool eventually(Condition Holds) {
+  for (int Step = 0; Step < 1000; ++Step) {
+    if (Holds())
+      return true;
+    pause(10);
+  }
+  return false;
+}
+
+/// An upstream that answers each request with the next of some texts and
+/// closes after the last; an empty text closes without an answer.
+class Answering {
+public:
+  explicit Answering(std::vector<std::string> Texts)
+      : Texts_(std::move(Texts)), Upstream_([this](RawSocket &S) {
+          while (Next_ < Texts_.size() && !Upstream_.receive(S).empty()) {
+            std::string Text = Texts_[Next_++];
+            if (Text.empty())
+              break;
+            S.send(Text);
+          }
+          S.close();
+        }) {}
+
+  ScriptedUpstream *operator->() { return &Upstream_; }
+
+private:
+  std::vector<std::string> Texts_;
+  std::atomic<std::size_t> Next_{0};
+  ScriptedUpstream Upstream_;
+};
+
+TryReport onlyReport(const fakes::CallerRig &Rig) {
+  auto Reports = Rig.Port_.reports();
+  REQUIRE(Reports.size() == 1);
+  return Reports[0];
+}
+
+} // namespace
+
+TEST_CASE("An answer that is cut or malformed is never a short 200") {
+  std::string Text = GENERATE(
+      as<std::string>(), "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0"
+      "\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n"
+      "\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+      "HTTP/1.1 200 OK\r\n\r\nno framing at all", "HTTP/1.1 200 OK\r\nCont",
+      "HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX-A : 1\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 101 Switching\r\nContent-Length: 0\r\n\r\n", "");
+  CAPTURE(Text);
+  Answering Upstream({Text});
+  fakes::CallerRig Rig;
+  RawSocket Caller(Rig.start(Upstream->address()));
+  Caller.send(Get);
+  std::string Answer = Caller.readMessage();
+  CHECK_THAT(Answer, StartsWith("HTTP/1.1 502 "));
+  CHECK_THAT(Answer, Contains("\"upstream_failed\",\"ran\":\"unknown\""));
+  CHECK(onlyReport(Rig).End_ == TryEnd::Broken);
+}
+
+TEST_CASE("An answer that is cut after it has begun can't look whole") {
+  std::string Head = "HTTP/1.1 200 OK\r\n";
+  std::string Body(LongBytes, 'x');
+  fakes::CallerRig Rig;
+  SECTION("with a length") {
+    Answering Upstream({Head + "Content-Length: 300000\r\n\r\n" + Body});
+    RawSocket Caller(Rig.start(Upstream->address()));
+    Caller.send(Get);
+    std::string Answer = Caller.readAll();
+    CHECK(Caller.closed());
+    CHECK(Answer.size() < 300'000);
+  }
+  SECTION("in chunks") {
+    Answering Upstream(
+        {Head + "Transfer-Encoding: chunked\r\n\r\n30d40\r\n" + Body + "\r\n"});
+    RawSocket Caller(Rig.start(Upstream->address()));
+    Caller.send(Get);
+    CHECK_THAT(Caller.readAll(), !EndsWith("0\r\n\r\n"));
+    CHECK(Caller.closed());
+  }
+  SECTION("to a caller whose protocol ends bodies by closing") {
+    Answering Upstream(
+        {Head + "Transfer-Encoding: chunked\r\n\r\n30d40\r\n" + Body + "\r\n"});
+    RawSocket Caller(Rig.start(Upstream->address()));
+    Caller.send("GET / HTTP/1.0\r\n\r\n");
+    Caller.readAll();
+    CHECK(Caller.wasReset());
+  }
+  TryReport Report = onlyReport(Rig);
+  CHECK(Report.End_ == TryEnd::Broken);
+  CHECK(Report.AnswerBegun_);
+}
+
+TEST_CASE("A long or slow answer is passed on whole") {
+  std::string Body(LongBytes, 'x');
+  fakes::CallerRig Rig;
+  SECTION("with a length") {
+    Answering Upstream(
+        {"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + Body});
+    RawSocket Caller(Rig.start(Upstream->address()));
+    Caller.send(Get);
+    CHECK_THAT(Caller.readMessage(), EndsWith("\r\n\r\n" + Body));
+  }
+  SECTION("in chunks, after an interim answer") {
+    Answering Upstream({"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n30d40\r\n" +
+                        Body + "\r\n0\r\nX-Trailer: 1\r\n\r\n"});
+    RawSocket Caller(Rig.start(Upstream->address()));
+    Caller.send(Get);
+    std::string Answer = Caller.readUntil("\r\n0\r\n\r\n");
+    CHECK_THAT(Answer, StartsWith("HTTP/1.1 200 OK\r\n"));
+    CHECK(std::count(Answer.begin(), Answer.end(), 'x') >= 200'000);
+  }
+  SECTION("and as it comes") {
+    std::atomic<bool> Seen{false};
+    ScriptedUpstream Upstream([&](RawSocket &S) {
+      S.readMessage();
+      S.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab");
+      eventually([&] { return Seen.load(); });
+      S.send("cd");
+    });
+    RawSocket Caller(Rig.start(Upstream.address()));
+    Caller.send(Get);
+    CHECK_THAT(Caller.readUntil("\r\n\r\nab"), EndsWith("ab"));
+    Seen = true;
+    CHECK(Caller.readBytes(2) == "cd");
+  }
+  SECTION("to HEAD, with the length but no body") {
+    Answering Upstream({"HTTP/1.1 200 OK\r\nContent-Length: 70\r\n\r\n", Ok});
+    RawSocket Caller(Rig.start(Upstream->address()));
+    Caller.send("HEAD / HTTP/1.1\r\nHost: vm\r\n\r\n" + Get);
+    CHECK_THAT(Caller.readUntil("\r\n\r\n"), Contains("Content-Length: 70"));
+    CHECK_THAT(Caller.readMessage(), EndsWith("\r\n\r\nok"));
+  }
+}
+
+TEST_CASE("A request body that is cut is not passed on as whole") {
+  Answering Upstream({Ok});
+  fakes::CallerRig Rig;
+  RawSocket Caller(Rig.start(Upstream->address()));
+  std::string Head = "POST /tags HTTP/1.1\r\nHost: vm\r\n";
+
+  SECTION("and a short one reaches no upstream") {
+    std::string Body = GENERATE(
+        as<std::string>(), "Content-Length: 10\r\n\r\nshort",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nhel",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nhelloXX0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n-5\r\nhello\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\nfffffffff\r\nhello\r\n0\r\n\r\n");
+    CAPTURE(Body);
+    Caller.send(Head + Body);
+    Caller.shutdownSend();
+    std::string Answer = Caller.readAll();
+    CHECK_THAT(Answer, StartsWith("HTTP/1.1 400 "));
+    CHECK_THAT(Answer, Contains("\"ran\":\"no\""));
+    CHECK(Upstream->connections() == 0);
+  }
+  SECTION("and a long one ends the upstream's connection early") {
+    Caller.send(Head + "Content-Length: 300000\r\n\r\n" +
+                std::string(LongBytes, 'x'));
+    Caller.shutdownSend();
+    CHECK(eventually([&] { return Rig.Port_.reports().size() == 1; }));
+    CHECK(onlyReport(Rig).End_ == TryEnd::CallerLeft);
+    CHECK(eventually([&] { return Upstream->requests() == 1; }));
+    CHECK(Upstream->seen().size() < 300'000);
+  }
+}
+
+TEST_CASE("A long request body is passed on while it comes") {
+  fakes::CallerRig Rig;
+  SECTION("whole") {
+    Answering Upstream({Ok});
+    RawSocket Caller(Rig.start(Upstream->address()));
+    Caller.send("POST /tags HTTP/1.1\r\nHost: vm\r\nContent-Length: 200000"
+                "\r\n\r\n" +
+                std::string(LongBytes, 'x'));
+    CHECK_THAT(Caller.readMessage(), EndsWith("\r\n\r\nok"));
+    std::string Seen = Upstream->seen();
+    CHECK(std::count(Seen.begin(), Seen.end(), 'x') == 200'000);
+  }
+  SECTION("until the upstream answers early") {
+    ScriptedUpstream Upstream([&](RawSocket &S) {
+      S.readUntil("\r\n\r\n");
+      S.send("HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n");
+      S.readAll();
+    });
+    RawSocket Caller(Rig.start(Upstream.address()));
+    Caller.send("POST /tags HTTP/1.1\r\nHost: vm\r\nContent-Length: 900000"
+                "\r\n\r\n" +
+                std::string(LongBytes, 'x'));
+    CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 413 "));
+    CHECK(Caller.closed());
+  }
+}
+
+TEST_CASE("A late answer reaches nobody") {
+  std::atomic<int> Number{0};
+  ScriptedUpstream Upstream([&](RawSocket &S) {
+    while (!S.readMessage().empty()) {
+      if (Number++ == 0) {
+        pause(300);
+        S.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+      } else {
+        S.send(Ok);
+      }
+    }
+  });
+  fakes::CallerRig Rig;
+  RawSocket Caller(Rig.start(Upstream.address()));
+  Caller.send("GET /1 HTTP/1.1\r\nHost: vm\r\nX-Deadline-Ms: 100\r\n\r\n");
+  std::string First = Caller.readMessage();
+  CHECK_THAT(First, StartsWith("HTTP/1.1 504 "));
+  CHECK_THAT(First, Contains("\"deadline_passed\",\"ran\":\"unknown\""));
+  CHECK(onlyReport(Rig).End_ == TryEnd::TimedOut);
+  for (int Count = 0; Count < 5; ++Count) {
+    Caller.send(Get);
+    CHECK_THAT(Caller.readMessage(), EndsWith("\r\n\r\nok"));
+    pause(100);
+  }
+  CHECK(Upstream.connections() == 2);
+}
+
+TEST_CASE("An upstream connection out of step is not used again") {
+  fakes::CallerRig Rig;
+  SECTION("when more than the answer arrived") {
+    Answering Upstream(
+        {Ok + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", Ok});
+    RawSocket Caller(Rig.start(Upstream->address()));
+    for (int Count = 0; Count < 2; ++Count) {
+      Caller.send(Get);
+      CHECK_THAT(Caller.readMessage(), EndsWith("\r\n\r\nok"));
+      pause(20);
+    }
+    CHECK(Upstream->connections() == 2);
+  }
+  SECTION("when the upstream closed it meanwhile") {
+    std::atomic<int> Closed{0};
+    ScriptedUpstream Upstream([&](RawSocket &S) {
+      Upstream.receive(S);
+      S.send(Ok);
+      S.close();
+      ++Closed;
+    });
+    RawSocket Caller(Rig.start(Upstream.address()));
+    for (int Count = 1; Count <= 3; ++Count) {
+      Caller.send(Get);
+      CHECK_THAT(Caller.readMessage(), EndsWith("\r\n\r\nok"));
+      CHECK(eventually([&] { return Closed == Count; }));
+    }
+  }
+  SECTION("when it said that it closes") {
+    Answering Upstream({"HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                        "Content-Length: 2\r\n\r\nok",
+                        Ok});
+    RawSocket Caller(Rig.start(Upstream->address()));
+    Caller.send(Get + Get);
+    CHECK_THAT(Caller.readMessage(), EndsWith("\r\n\r\nok"));
+    CHECK_THAT(Caller.readMessage(), EndsWith("\r\n\r\nok"));
+    CHECK(Upstream->connections() == 2);
+  }
+}
+
+TEST_CASE("A try that failed") {
+  Answering Second({Ok, Ok});
+  fakes::CallerRig Rig;
+  auto targets = [&](const Address &First) {
+    Rig.Port_.Targets_ = {{UpstreamId("u1"), VmId(), First},
+                          {UpstreamId("u2"), VmId(), Second->address()}};
+  };
+  Address Nobody{"127.0.0.1", 1};
+
+  SECTION("before anything was sent is refused as not run") {
+    RawSocket Caller(Rig.start(Nobody));
+    Caller.send(Get);
+    std::string Answer = Caller.readMessage();
+    CHECK_THAT(Answer, StartsWith("HTTP/1.1 503 "));
+    CHECK_THAT(Answer, Contains("\"no_upstream\",\"ran\":\"no\""));
+    CHECK(onlyReport(Rig).End_ == TryEnd::NotConnected);
+  }
+  SECTION("before anything was sent is repeated if the port says so") {
+    Rig.Port_.Retry_ = true;
+    targets(Nobody);
+    RawSocket Caller(Rig.start());
+    Caller.send(Get);
+    CHECK_THAT(Caller.readMessage(), EndsWith("\r\n\r\nok"));
+  }
+  SECTION("by shedding is refused as not run") {
+    Answering First({Shed});
+    RawSocket Caller(Rig.start(First->address()));
+    Caller.send(Get);
+    std::string Answer = Caller.readMessage();
+    CHECK_THAT(Answer, Contains("\"no_capacity\",\"ran\":\"no\""));
+    CHECK(onlyReport(Rig).End_ == TryEnd::Shed);
+  }
+  SECTION("by shedding is repeated with its body") {
+    Answering First({Shed});
+    Rig.Port_.Retry_ = true;
+    Rig.Port_.Route_.Kind_ = GENERATE(RouteKind::Plain, RouteKind::Once);
+    targets(First->address());
+    RawSocket Caller(Rig.start());
+    Caller.send(
+        "POST / HTTP/1.1\r\nHost: vm\r\nContent-Length: 5\r\n\r\nhello");
+    CHECK_THAT(Caller.readMessage(), EndsWith("\r\n\r\nok"));
+    CHECK_THAT(Second->seen(), EndsWith("\r\n\r\nhello"));
+  }
+  SECTION("with a 503 that doesn't say so is an answer like any other") {
+    Answering First({"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"});
+    RawSocket Caller(Rig.start(First->address()));
+    Caller.send(Get);
+    CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 503 "));
+    CHECK(onlyReport(Rig).End_ == TryEnd::Answered);
+  }
+  SECTION("after bytes were sent") {
+    Answering First({""});
+    Rig.Port_.Retry_ = true;
+    targets(First->address());
+    std::uint64_t Before = invariantViolations();
+    SECTION("is repeated on a repeatable route") {
+      Rig.Port_.Route_.Kind_ = RouteKind::Repeatable;
+      RawSocket Caller(Rig.start());
+      Caller.send(Get);
+      CHECK_THAT(Caller.readMessage(), EndsWith("\r\n\r\nok"));
+    }
+    SECTION("is not repeated otherwise, even if the port says so") {
+      Rig.Port_.Route_.Kind_ = GENERATE(RouteKind::Plain, RouteKind::Once);
+      RawSocket Caller(Rig.start());
+      Caller.send(Get);
+      std::string Answer = Caller.readMessage();
+      CHECK_THAT(Answer, Contains("\"internal\",\"ran\":\"unknown\""));
+      CHECK(Second->connections() == 0);
+      CHECK(invariantViolations() == Before + 1);
+    }
+  }
+  SECTION("after an earlier one may have run is unknown") {
+    Answering First({""});
+    Rig.Port_.Retry_ = true;
+    Rig.Port_.Route_.Kind_ = RouteKind::Repeatable;
+    Rig.Port_.Targets_ = {{UpstreamId("u1"), VmId(), First->address()},
+                          {UpstreamId("u2"), VmId(), Nobody}};
+    RawSocket Caller(Rig.start());
+    Caller.send(Get);
+    CHECK_THAT(Caller.readMessage(), Contains("\"ran\":\"unknown\""));
+  }
+}
+
+TEST_CASE("A caller that leaves") {
+  std::atomic<bool> Cancelled{false};
+  std::atomic<bool> Finish{false};
+  ScriptedUpstream Upstream([&](RawSocket &S) {
+    Upstream.receive(S);
+    if (!Finish) {
+      Cancelled = S.closed();
+      return;
+    }
+    pause(100);
+    S.send(Ok);
+  });
+  fakes::CallerRig Rig;
+  auto leave = [&](unsigned short Port, const std::string &Request) {
+    RawSocket Caller(Port);
+    Caller.send(Request);
+    CHECK(eventually([&] { return Upstream.requests() == 1; }));
+    Caller.close();
+  };
+
+  SECTION("cancels its call at the upstream") {
+    leave(Rig.start(Upstream.address()), Get);
+    CHECK(eventually([&] { return Cancelled.load(); }));
+    CHECK(eventually([&] { return Rig.Port_.reports().size() == 1; }));
+    CHECK(onlyReport(Rig).End_ == TryEnd::CallerLeft);
+  }
+  SECTION("finds the answer of a once-request when it sends it again") {
+    Finish = true;
+    Rig.Port_.Route_.Kind_ = RouteKind::Once;
+    std::string Request = "POST /move HTTP/1.1\r\nHost: vm\r\n"
+                          "Idempotency-Key: a-1-9-x\r\n\r\n";
+    unsigned short Port = Rig.start(Upstream.address());
+    leave(Port, Request);
+    CHECK(eventually([&] { return Rig.Port_.reports().size() == 1; }));
+    RawSocket Again(Port);
+    Again.send(Request);
+    std::string Answer = Again.readMessage();
+    CHECK_THAT(Answer, EndsWith("\r\n\r\nok"));
+    CHECK_THAT(Answer, Contains("Idempotent-Replayed: true\r\n"));
+    CHECK(Upstream.requests() == 1);
+  }
+}
+
+TEST_CASE("A call is forwarded to the home VM of its key") {
+  Answering Upstream({Ok});
+  fakes::CallerRig Home;
+  fakes::CallerRig Entry;
+  Address HomeAddress{"127.0.0.1", Home.start(Upstream->address())};
+  Entry.Port_.Targets_ = {{UpstreamId(), VmId("e2"), HomeAddress}};
+  std::string Request = "POST /move HTTP/1.1\r\nHost: vm\r\n"
+                        "Authorization: Bearer k1.secret\r\n"
+                        "Idempotency-Key: a-1-9-x\r\n\r\n";
+
+  SECTION("with key, client and proof, none of which the upstream sees") {
+    RawSocket Caller(Entry.start());
+    Caller.send(Request);
+    CHECK_THAT(Caller.readMessage(), EndsWith("\r\n\r\nok"));
+    Call First = Entry.Port_.calls().at(0);
+    Call Second = Home.Port_.calls().at(0);
+    CHECK_FALSE(First.Forwarded_);
+    CHECK(Second.Forwarded_);
+    CHECK(Second.Key_ == "k1.secret");
+    CHECK(Second.IdempotencyKey_ == "a-1-9-x");
+    CHECK(Second.Request_ == First.Request_);
+    CHECK(Second.ClientAddress_ == First.ClientAddress_);
+    CHECK_THAT(Upstream->seen(), !Contains("secret"));
+    CHECK_THAT(Upstream->seen(), !Contains("Hop"));
+  }
+  SECTION("but not by a VM of another cluster") {
+    Entry.Settings_.ClusterSecret_ = "other";
+    RawSocket Caller(Entry.start());
+    Caller.send(Request);
+    CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 400 "));
+    CHECK(Upstream->requests() == 0);
+  }
+}
+
+TEST_CASE("A stop under load cuts no call and refuses none") {
+  std::atomic<int> Ran{0};
+  ScriptedUpstream Upstream([&](RawSocket &S) {
+    while (!S.readMessage().empty()) {
+      pause(5);
+      ++Ran;
+      S.send(Ok);
+    }
+  });
+  fakes::CallerRig Rig;
+  unsigned short Port = Rig.start(Upstream.address());
+  std::atomic<int> Whole{0};
+  std::atomic<int> Other{0};
+  std::vector<std::thread> Callers;
+  for (int Number = 0; Number < 6; ++Number)
+    Callers.emplace_back([&] {
+      RawSocket Caller(Port);
+      while (Caller.send(Get)) {
+        std::string Answer = Caller.readMessage();
+        if (Answer.empty())
+          break;
+        bool IsWhole = Answer.starts_with("HTTP/1.1 200") &&
+                       Answer.ends_with("\r\n\r\nok");
+        ++(IsWhole ? Whole : Other);
+        if (Answer.find("Connection: close") != std::string::npos)
+          break;
+      }
+    });
+  CHECK(eventually([&] { return Whole > 50; }));
+  Rig.Port_.Draining_ = true;
+  Rig.Server_->stop();
+  for (std::thread &T : Callers)
+    T.join();
+  CHECK(Other == 0);
+  CHECK(Ran == Whole);
+  for (const TryReport &Report : Rig.Port_.reports())
+    CHECK(Report.End_ == TryEnd::Answered);
+}
