--- a/test/OperatorServer.cpp
+++ b/test/OperatorServer.cpp
@@ -26,14 +26,14 @@
   Settings S = fakes::CallerRig::makeSettings();
   S.MaxBodyBytes_ = 1000;
   fakes::FakeOperatorPort Port;
-  auto start = [&] {
+  auto Start = [&] {
     auto Server = std::make_unique<OperatorServer>(Port, S, Clock);
     Server->start();
     return Server;
   };
 
   SECTION("are answered if they show the key") {
-    auto Server = start();
+    auto Server = Start();
     RawSocket Operator(Server->port());
     Operator.send(request("POST /v1/apply", Key, "{\"base\":3}") +
                   request("GET /v1/show", "X-Api-Key: operator key\r\n"));
@@ -47,7 +47,7 @@
     std::string Sent;
     std::string Status = "401";
     std::string Reason = "key_unknown";
-    auto expect = [&](const char *Code, const char *Name) {
+    auto Expect = [&](const char *Code, const char *Name) {
       Status = Code;
       Reason = Name;
     };
@@ -67,38 +67,38 @@
     }
     SECTION("with the key in the URL") {
       Sent = request("GET /v1/show?operator_key=operator+key", Key);
-      expect("400", "bad_request");
+      Expect("400", "bad_request");
     }
     SECTION("with parameters in the URL") {
       Sent = request("GET /v1/show?x=1", Key);
-      expect("400", "bad_request");
+      Expect("400", "bad_request");
     }
     SECTION("on a path of another listener") {
       Sent = request("GET /tags/7", Key);
-      expect("404", "no_such_route");
+      Expect("404", "no_such_route");
     }
     SECTION("with a body that is no JSON object") {
       Sent = request("POST /v1/apply", Key,
                      GENERATE(as<std::string>(), "{", "[1]", "7", "{\"a\":}",
                               "\"x\"", "nonsense"));
-      expect("400", "bad_request");
+      Expect("400", "bad_request");
     }
     SECTION("with JSON nested too deep") {
       Sent = request("POST /v1/apply", Key,
                      "{\"a\":" + std::string(400, '[') + std::string(400, ']') +
                          "}");
-      expect("400", "bad_request");
+      Expect("400", "bad_request");
     }
     SECTION("with a body over the limit") {
       Sent = request("POST /v1/apply", Key, std::string(1001, ' '));
-      expect("413", "too_large");
+      Expect("413", "too_large");
     }
     SECTION("when the port fails") {
       Port.Fails_ = true;
       Sent = request("GET /v1/show", Key);
-      expect("500", "internal");
+      Expect("500", "internal");
     }
-    auto Server = start();
+    auto Server = Start();
     RawSocket Operator(Server->port());
     Operator.send(Sent);
     std::string Answer = Operator.readMessage();
@@ -107,7 +107,7 @@
     CHECK_THAT(Answer, !Contains("operator key"));
   }
   SECTION("and anyone reads metrics and health") {
-    auto Server = start();
+    auto Server = Start();
     RawSocket Reader(Server->port());
     Reader.send(request("GET /metrics", "") + request("GET /healthz", ""));
     CHECK_THAT(Reader.readMessage(), Contains("\r\n\r\nlagoonpoint_x 1\n"));
--- a/test/ProxyFaults.cpp
+++ b/test/ProxyFaults.cpp
@@ -300,7 +300,7 @@
 TEST_CASE("A try that failed") {
   Answering Second({Ok, Ok});
   fakes::CallerRig Rig;
-  auto targets = [&](const Address &First) {
+  auto SetTargets = [&](const Address &First) {
     Rig.Port_.Targets_ = {{UpstreamId("u1"), VmId(), First},
                           {UpstreamId("u2"), VmId(), Second->address()}};
   };
@@ -316,7 +316,7 @@
   }
   SECTION("before anything was sent is repeated if the port says so") {
     Rig.Port_.Retry_ = true;
-    targets(Nobody);
+    SetTargets(Nobody);
     RawSocket Caller(Rig.start());
     Caller.send(Get);
     CHECK_THAT(Caller.readMessage(), EndsWith("\r\n\r\nok"));
@@ -333,7 +333,7 @@
     Answering First({Shed});
     Rig.Port_.Retry_ = true;
     Rig.Port_.Route_.Kind_ = GENERATE(RouteKind::Plain, RouteKind::Once);
-    targets(First->address());
+    SetTargets(First->address());
     RawSocket Caller(Rig.start());
     Caller.send(
         "POST / HTTP/1.1\r\nHost: vm\r\nContent-Length: 5\r\n\r\nhello");
@@ -350,7 +350,7 @@
   SECTION("after bytes were sent") {
     Answering First({""});
     Rig.Port_.Retry_ = true;
-    targets(First->address());
+    SetTargets(First->address());
     std::uint64_t Before = invariantViolations();
     SECTION("is repeated on a repeatable route") {
       Rig.Port_.Route_.Kind_ = RouteKind::Repeatable;
@@ -393,7 +393,7 @@
     S.send(Ok);
   });
   fakes::CallerRig Rig;
-  auto leave = [&](unsigned short Port, const std::string &Request) {
+  auto Leave = [&](unsigned short Port, const std::string &Request) {
     RawSocket Caller(Port);
     Caller.send(Request);
     CHECK(eventually([&] { return Upstream.requests() == 1; }));
@@ -401,7 +401,7 @@
   };
 
   SECTION("cancels its call at the upstream") {
-    leave(Rig.start(Upstream.address()), Get);
+    Leave(Rig.start(Upstream.address()), Get);
     CHECK(eventually([&] { return Cancelled.load(); }));
     CHECK(eventually([&] { return Rig.Port_.reports().size() == 1; }));
     CHECK(onlyReport(Rig).End_ == TryEnd::CallerLeft);
@@ -412,7 +412,7 @@
     std::string Request = "POST /move HTTP/1.1\r\nHost: vm\r\n"
                           "Idempotency-Key: a-1-9-x\r\n\r\n";
     unsigned short Port = Rig.start(Upstream.address());
-    leave(Port, Request);
+    Leave(Port, Request);
     CHECK(eventually([&] { return Rig.Port_.reports().size() == 1; }));
     RawSocket Again(Port);
     Again.send(Request);
