Let a removed voter campaign until its removal is committed

Change: a replica also campaigns if it votes in the configuration before the newest, while the newest isn't known to be committed; it doesn't count itself. A crash of a fake disk can strike while a failed write is being cut. Conclusion: as in Raft, a removed server may still be needed.

--- a/lagoonpoint/src/Disk/DiskStorage.cpp
+++ b/lagoonpoint/src/Disk/DiskStorage.cpp
@@ -277,7 +277,7 @@
 
 /// After a failed sync the system may show bytes as written that never reach
 /// the disk; a later load must not find them.
-void DiskStorage::cutUnsynced() noexcept {
+void DiskStorage::cutUnsynced() {
   try {
     Folder_.truncate(logName(), Durable_);
   } catch (const Error &) {
--- a/lagoonpoint/src/Disk/DiskStorage.h
+++ b/lagoonpoint/src/Disk/DiskStorage.h
@@ -47,7 +47,7 @@
   void removeStale(const Names &Present, std::uint64_t Snapshot);
   std::string logName() const;
   void guard(const std::function<void()> &Writes);
-  void cutUnsynced() noexcept;
+  void cutUnsynced();
 
   Files &Folder_;
   DiskId Disk_;
--- a/lagoonpoint/src/Replication/Step.cpp
+++ b/lagoonpoint/src/Replication/Step.cpp
@@ -45,7 +45,7 @@
     return;
   }
   internal::tickFirstStart(S, Now, Out);
-  if (Now >= S.ElectionDue_ && internal::isVoter(S))
+  if (Now >= S.ElectionDue_ && internal::mayCampaign(S))
     internal::startPreVote(S, Now, Out);
 }
 
--- a/lagoonpoint/src/Replication/util/Election.cpp
+++ b/lagoonpoint/src/Replication/util/Election.cpp
@@ -21,11 +21,17 @@
   return S.Granted_.size() >= S.Log_.config().quorum();
 }
 
+void countOwnVote(ReplicaState &S) {
+  S.Granted_.clear();
+  if (isVoter(S))
+    S.Granted_.insert(S.Options_.Self_);
+}
+
 void startElection(ReplicaState &S, Time Now, ReplicaOutput &Out) {
   S.Role_ = ReplicaRole::Candidate;
   S.Term_ = S.Term_.next();
   S.Vote_ = S.Options_.Self_;
-  S.Granted_ = {S.Options_.Self_};
+  countOwnVote(S);
   Out.SaveVote_ = true;
   resetElection(S, Now);
   if (hasQuorum(S))
@@ -85,6 +91,18 @@
   return Me && Me->Disk_ == S.Disk_;
 }
 
+bool mayCampaign(const ReplicaState &S) {
+  if (isVoter(S))
+    return true;
+  if (S.Log_.configIndex() <= S.Commit_)
+    return false;
+  // One change at a time: what precedes the newest configuration is committed.
+  LogIndex Before(S.Log_.configIndex().value() - 1);
+  VoterConfig Committed = S.Log_.configAt(Before);
+  const Voter *Me = Committed.findVoter(S.Options_.Self_);
+  return Me && Me->Disk_ == S.Disk_;
+}
+
 void resetElection(ReplicaState &S, Time Now) {
   const ReplicationTiming &Timing = S.Options_.Timing_;
   std::int64_t Span = (Timing.ElectionMax_ - Timing.ElectionMin_).count();
@@ -112,7 +130,7 @@
 void startPreVote(ReplicaState &S, Time Now, ReplicaOutput &Out) {
   S.Role_ = ReplicaRole::PreCandidate;
   S.Leader_ = VmId();
-  S.Granted_ = {S.Options_.Self_};
+  countOwnVote(S);
   resetElection(S, Now);
   if (hasQuorum(S))
     startElection(S, Now, Out);
--- a/lagoonpoint/src/Replication/util/Election.h
+++ b/lagoonpoint/src/Replication/util/Election.h
@@ -7,6 +7,10 @@
 /// \returns true if this VM votes, by the disk it has.
 bool isVoter(const ReplicaState &S);
 
+/// \returns true for a voter, and for one whose removal isn't known to be
+/// committed: no other VM may have a log that is complete enough to be elected.
+bool mayCampaign(const ReplicaState &S);
+
 /// Enters a term, forgetting the vote if the term is new.
 void becomeFollower(ReplicaState &S, Term T, const VmId &Leader, Time Now,
                     ReplicaOutput &Out);
