Test the replicated log with every fault at every event

Cause: the invariants were only argued. Change: a cluster of replicas and catalogs under a virtual clock, watched from outside; the fault matrix over ten operations; random runs with clock rates that differ by up to 10 %; bench_replication_soak for any seeds.

--- /dev/null
+++ b/bench/replication_soak.cpp
@@ -0,0 +1,57 @@
+// Random runs of the replicated log under faults, one a seed:
+//   bench_replication_soak FIRST_SEED COUNT [SECONDS_EACH]
+// Prints seed and trace of each failed run; exits with 1 if there was one.
+
+#include "fakes/RandomRun.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+using namespace lagoonpoint;
+using namespace lagoonpoint::fakes;
+
+namespace {
+
+struct Totals {
+  std::uint64_t Checks_ = 0;
+  std::uint64_t Faults_ = 0;
+  std::uint64_t Changes_ = 0;
+  std::uint64_t Failed_ = 0;
+};
+
+void runSeed(std::uint64_t Seed, Duration Length, Totals &Sum) {
+  RandomRun Run({.Seed_ = Seed, .Length_ = Length});
+  std::string Wrong = Run.run();
+  Sum.Checks_ += Run.checks();
+  Sum.Faults_ += Run.faults();
+  Sum.Changes_ += Run.changes();
+  if (Wrong.empty())
+    return;
+  ++Sum.Failed_;
+  std::printf("seed %llu: %s\n%s\n", static_cast<unsigned long long>(Seed),
+              Wrong.c_str(), Run.trace().c_str());
+}
+
+} // namespace
+
+int main(int Count, char **Words) {
+  constexpr long long DefaultSeconds = 60;
+  if (Count < 3) {
+    std::fprintf(stderr, "usage: %s FIRST_SEED COUNT [SECONDS_EACH]\n",
+                 Words[0]);
+    return 2;
+  }
+  std::uint64_t First = std::strtoull(Words[1], nullptr, 10);
+  std::uint64_t Seeds = std::strtoull(Words[2], nullptr, 10);
+  long long Seconds = Count > 3 ? std::atoll(Words[3]) : DefaultSeconds;
+  Totals Sum;
+  for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed)
+    runSeed(Seed, Duration::seconds(Seconds), Sum);
+  std::printf("seeds %llu faults %llu changes %llu checks %llu failed %llu\n",
+              static_cast<unsigned long long>(Seeds),
+              static_cast<unsigned long long>(Sum.Faults_),
+              static_cast<unsigned long long>(Sum.Changes_),
+              static_cast<unsigned long long>(Sum.Checks_),
+              static_cast<unsigned long long>(Sum.Failed_));
+  return Sum.Failed_ == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/test/fakes/RandomRun.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "fakes/Operations.h"
+
+#include <sstream>
+
+namespace lagoonpoint::fakes {
+
+/// What one random run is made of; all of it follows from the seed.
+struct RandomRunOptions {
+  std::uint64_t Seed_ = 1;
+  Duration Length_ = Duration::seconds(60);
+  Duration Quiet_ = Duration::seconds(120); ///< limit to recover afterwards
+};
+
+/// Five VMs, three of them voters at first, under random changes, faults,
+/// reconfigurations and clock rates that differ by up to 10 %.
+class RandomRun {
+public:
+  explicit RandomRun(RandomRunOptions Options)
+      : Options_(Options), Random_(Options.Seed_),
+        Cluster_(3, 5, Options.Seed_) {
+    Cluster_.Limits_.PieceBytes_ = 256 + Random_() % 2048;
+    Cluster_.Limits_.SnapshotEvery_ = 4 + Random_() % 40;
+    FaultEvery_ = 10 + Random_() % 300;
+    for (auto &Entry : Cluster_.nodes())
+      Entry.second.Rate_ = 0.952 + static_cast<double>(Random_() % 96) / 1000;
+  }
+
+  /// \returns what went wrong; empty if nothing.
+  std::string run() {
+    Cluster_.Plan_ = [this](const Event &E) { return draw(E); };
+    for (Time End = Cluster_.now() + Options_.Length_; Cluster_.now() < End;) {
+      act();
+      Cluster_.step();
+    }
+    Cluster_.Plan_ = {};
+    bool Recovered = Cluster_.runUntil(
+        [this] { return Cluster_.allAnswered() && Cluster_.converged(); },
+        Options_.Quiet_);
+    std::string Wrong = Cluster_.Checks_.report();
+    return Recovered ? Wrong : "did not recover; " + Wrong;
+  }
+
+  std::uint64_t checks() const { return Cluster_.Checks_.Observed_; }
+  std::uint64_t faults() const { return Faults_; }
+  std::uint64_t changes() const { return Cluster_.Changes_.size(); }
+
+  /// \returns the last faults and actions, one a line.
+  std::string trace() const {
+    std::string Text;
+    for (const std::string &Line : Trace_)
+      Text += Line + "\n";
+    return Text + Cluster_.describe();
+  }
+
+private:
+  static constexpr std::size_t TraceLines = 30;
+
+  bool chance(std::uint64_t OneIn) { return Random_() % OneIn == 0; }
+
+  void note(const std::string &What) {
+    std::ostringstream Line;
+    Line << Cluster_.now().count() << " ms: " << What;
+    Trace_.push_back(Line.str());
+    if (Trace_.size() > TraceLines)
+      Trace_.pop_front();
+  }
+
+  Fault draw(const Event &E) {
+    if (!chance(FaultEvery_))
+      return Fault::None;
+    const std::vector<Fault> &Faults = faultsAt(E.Kind_);
+    Fault F = Faults[Random_() % Faults.size()];
+    ++Faults_;
+    note(E.Vm_.str() + " " + E.What_ + " " + E.Other_.str() + ": " +
+         toString(F));
+    return F;
+  }
+
+  void act() {
+    constexpr std::uint64_t ChangeEvery = 40; // steps, on average
+    constexpr std::uint64_t ReconfigureEvery = 100;
+    constexpr std::uint64_t DisasterEvery = 2000;
+    if (chance(ChangeEvery))
+      submit();
+    if (chance(ReconfigureEvery))
+      reconfigure();
+    if (chance(DisasterEvery))
+      disaster();
+  }
+
+  void submit() {
+    std::string Name = std::to_string(Cluster_.Changes_.size());
+    bool Again = !Cluster_.Changes_.empty() && chance(5);
+    if (Again)
+      Cluster_.submit(
+          Cluster_.Changes_[Random_() % Cluster_.Changes_.size()].Change_);
+    else if (chance(3))
+      submitRace(Name);
+    else
+      Cluster_.submit(withdrawal(Name));
+  }
+
+  void submitRace(const std::string &Name) {
+    ClusterNode *Leader = Cluster_.leader();
+    Revision Base = Leader ? Leader->Catalog_.Revision_ : Revision();
+    Cluster_.submit(declaration("left" + Name, Base));
+    Cluster_.submit(declaration("right" + Name, Base));
+  }
+
+  void reconfigure() {
+    std::string Vm(1, static_cast<char>('a' + Random_() % 5));
+    bool Add = chance(2);
+    note((Add ? "add " : "remove ") + Vm);
+    if (Add)
+      addVoter(Cluster_, Vm.c_str());
+    else
+      removeVoter(Cluster_, Vm.c_str());
+  }
+
+  void disaster() {
+    note("all VMs lose power");
+    for (auto &Entry : Cluster_.nodes())
+      Cluster_.crash(Entry.second, true);
+  }
+
+  RandomRunOptions Options_;
+  Random Random_;
+  ReplicaCluster Cluster_;
+  std::uint64_t FaultEvery_ = 0;
+  std::uint64_t Faults_ = 0;
+  std::deque<std::string> Trace_;
+};
+
+} // namespace lagoonpoint::fakes
--- /dev/null
+++ b/test/fakes/ReplicaChecks.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include "fakes/ClusterNode.h"
+
+#include <algorithm>
+
+namespace lagoonpoint::fakes {
+
+/// Watches replicas from outside and notes every violated invariant.
+class ReplicaChecks {
+public:
+  std::vector<std::string> Violations_;
+  std::uint64_t Observed_ = 0; ///< how often something was checked
+
+  /// A process has read its disk: it must not have forgotten what it promised.
+  void observeStart(const ClusterNode &N) {
+    const ReplicaState &S = N.Replica_->state();
+    Promise &P = Promises_[N.Id_];
+    expect(S.Term_ >= P.Term_, N, "a term was forgotten");
+    expect(S.Term_ > P.Term_ || P.Vote_.empty() || S.Vote_ == P.Vote_, N,
+           "a vote was forgotten");
+    Applied_[N.Id_] = LogIndex();
+    Seen_.erase(N.Id_);
+  }
+
+  void observeFault(const ClusterNode &N) {
+    bool FromDisk = N.Replica_->fault().rfind("disk.", 0) == 0;
+    expect(FromDisk, N, N.Replica_->fault());
+  }
+
+  /// Called after each step of a replica, before its messages leave.
+  void observe(const ClusterNode &N) {
+    const ReplicaState &S = N.Replica_->state();
+    Promises_[N.Id_] = {S.Term_, S.Vote_};
+    observeLeader(N, S);
+    observeLog(N, S);
+    observeCommit(N, S);
+  }
+
+  void observeSnapshot(const ClusterNode &N, const CommittedItem &Item) {
+    expect(Item.Index_ > Applied_[N.Id_], N, "the applied index went back");
+    Applied_[N.Id_] = Item.Index_;
+  }
+
+  void observeApplied(const ClusterNode &N, const CommittedItem &Item,
+                      const Change &C, Revision Before,
+                      const ChangeReply &Reply) {
+    expect(Item.Index_ > Applied_[N.Id_], N, "the applied index went back");
+    Applied_[N.Id_] = Item.Index_;
+    expect(N.Catalog_.Revision_ >= Before, N, "the revision went back");
+    auto [First, New] = Committed_.emplace(Item.Index_, Item);
+    if (!New) {
+      bool Same = First->second.Term_ == Item.Term_ &&
+                  First->second.Bytes_ == Item.Bytes_;
+      expect(Same, N, "a committed entry was replaced");
+      return;
+    }
+    observeVerdict(N, C, N.Catalog_.Revision_ > Before, Reply);
+  }
+
+  void observeReply(const Change &C, const ChangeReply &Reply) {
+    auto Found = Verdicts_.find(C.Id_);
+    if (Found == Verdicts_.end() || Found->second != Reply)
+      Violations_.push_back(C.Id_.str() + ": a reply differs from the verdict");
+    if (Reply.Revision_ > Answered_)
+      Answered_ = Reply.Revision_;
+  }
+
+  template <class IsValid>
+  void observeLeases(const std::map<VmId, ClusterNode> &Nodes,
+                     const IsValid &Valid) {
+    int Holders = 0;
+    for (const auto &[Id, N] : Nodes) {
+      if (!N.isUp() || !Valid(N))
+        continue;
+      ++Holders;
+      expect(N.Catalog_.Revision_ >= Answered_, N,
+             "a lease holder lacks an answered change");
+    }
+    ++Observed_;
+    if (Holders > 1)
+      Violations_.push_back("two valid leader leases at once");
+  }
+
+  /// \returns the first violations, one a line.
+  std::string report() const {
+    std::string Text;
+    for (std::size_t N = 0; N < std::min<std::size_t>(3, Violations_.size());
+         ++N)
+      Text += Violations_[N] + "\n";
+    return Text;
+  }
+
+private:
+  struct Promise {
+    Term Term_;
+    VmId Vote_;
+  };
+  struct LogSeen {
+    LogIndex Last_;
+    Term LastTerm_;
+    LogIndex Base_;
+    friend bool operator==(const LogSeen &, const LogSeen &) = default;
+  };
+
+  void expect(bool Holds, const ClusterNode &N, const std::string &What) {
+    ++Observed_;
+    if (!Holds)
+      Violations_.push_back(N.Id_.str() + ": " + What);
+  }
+
+  void observeLeader(const ClusterNode &N, const ReplicaState &S) {
+    if (S.Role_ != ReplicaRole::Leader)
+      return;
+    auto [First, New] = Leaders_.emplace(S.Term_, N.Id_);
+    expect(First->second == N.Id_, N, "two leaders in one term");
+    if (!New)
+      return;
+    for (const auto &[Index, Item] : Committed_)
+      if (Index > S.Log_.baseIndex())
+        expect(S.Log_.termAt(Index) == Item.Term_, N,
+               "a new leader lacks a committed entry");
+  }
+
+  /// Entries of equal index and term are equal, and so is what precedes them.
+  void observeLog(const ClusterNode &N, const ReplicaState &S) {
+    LogSeen Present{S.Log_.lastIndex(), S.Log_.lastTerm(), S.Log_.baseIndex()};
+    if (Seen_[N.Id_] == Present)
+      return;
+    Seen_[N.Id_] = Present;
+    for (const LogEntry &E : S.Log_.tailAfter(S.Log_.baseIndex())) {
+      Term Previous = *S.Log_.termAt(LogIndex(E.Index_.value() - 1));
+      auto [First, New] = Entries_.emplace(std::pair(E.Index_, E.Term_),
+                                           std::pair(Previous, E.Bytes_));
+      expect(New || First->second == std::pair(Previous, E.Bytes_), N,
+             "logs don't match");
+    }
+  }
+
+  /// What a leader commits is on the disks of a quorum of its voters.
+  void observeCommit(const ClusterNode &N, const ReplicaState &S) {
+    Durable_[N.Id_] = S.Durable_;
+    if (S.Role_ != ReplicaRole::Leader || S.Commit_ <= Highest_)
+      return;
+    Highest_ = S.Commit_;
+    const VoterConfig &Config = S.Log_.config();
+    auto Holding = std::count_if(
+        Config.Voters_.begin(), Config.Voters_.end(),
+        [&](const Voter &V) { return Durable_[V.Vm_] >= S.Commit_; });
+    expect(static_cast<std::size_t>(Holding) >= Config.quorum(), N,
+           "committed before a quorum held it");
+  }
+
+  void observeVerdict(const ClusterNode &N, const Change &C, bool Grew,
+                      const ChangeReply &Reply) {
+    auto [First, New] = Verdicts_.emplace(C.Id_, Reply);
+    expect(First->second == Reply, N, "a resend got another verdict");
+    expect(New || !Grew, N, "a change was applied twice");
+    if (!Grew || C.Kind_ != ChangeKind::Declare)
+      return;
+    expect(Winners_.emplace(C.Base_, C.Id_).second, N,
+           "two changes won on one base revision");
+  }
+
+  std::map<Term, VmId> Leaders_;
+  std::map<VmId, Promise> Promises_;
+  std::map<VmId, LogSeen> Seen_;
+  std::map<std::pair<LogIndex, Term>, std::pair<Term, std::string>> Entries_;
+  std::map<LogIndex, CommittedItem> Committed_;
+  std::map<VmId, LogIndex> Applied_;
+  std::map<VmId, LogIndex> Durable_;
+  std::map<ChangeId, ChangeReply> Verdicts_;
+  std::map<Revision, ChangeId> Winners_;
+  LogIndex Highest_;
+  Revision Answered_;
+};
+
+} // namespace lagoonpoint::fakes
--- /dev/null
+++ b/test/fakes/ReplicaCluster.h
@@ -0,0 +1,394 @@
+#pragma once
+
+#include "fakes/ClusterNode.h"
+#include "fakes/FakeNetwork.h"
+#include "fakes/Faults.h"
+#include "fakes/ReplicaChecks.h"
+
+#include <optional>
+#include <sstream>
+
+namespace lagoonpoint::fakes {
+
+/// A change that an operator sends, and sends again until it is answered.
+struct PendingChange {
+  Change Change_;
+  std::optional<ChangeReply> Reply_;
+  Time NextTry_;
+};
+
+/// Replicas under one virtual clock, joined by a fake network.
+class ReplicaCluster {
+public:
+  static constexpr Duration Step = Duration::millis(10);
+  static constexpr Duration HealAfter = Duration::millis(3000);
+  static constexpr Duration RestartAfter = Duration::millis(1500);
+
+  /// \param Voters of \p Size nodes named a, b, c, ...; the others are spare
+  ReplicaCluster(std::size_t Voters, std::size_t Size, std::uint64_t Seed)
+      : Random_(Seed) {
+    for (std::size_t Place = 0; Place < Size; ++Place) {
+      VmId Id(std::string(1, static_cast<char>('a' + Place)));
+      Nodes_[Id].Id_ = Id;
+      if (Place < Voters)
+        First_.push_back(Id);
+    }
+    for (auto &Entry : Nodes_)
+      attach(Entry.second);
+    Net_.setDelay(Duration::millis(30));
+    Net_.setHook(
+        [this](std::uint64_t, const Envelope &E) { return fateOf(E); });
+    for (auto &Entry : Nodes_)
+      start(Entry.second);
+  }
+
+  ReplicationLimits Limits_{.SnapshotEvery_ = 16};
+  FaultPlan Plan_;
+  FakeNetwork Net_;
+  ReplicaChecks Checks_;
+  std::vector<PendingChange> Changes_;
+
+  Time now() const { return Now_; }
+  std::map<VmId, ClusterNode> &nodes() { return Nodes_; }
+  ClusterNode &node(const char *Id) { return Nodes_.at(VmId(Id)); }
+  Time localTime(const ClusterNode &N) const {
+    double Local = static_cast<double>(Now_.count()) * N.Rate_;
+    return Time(static_cast<std::int64_t>(Local));
+  }
+
+  /// \returns the leader of the highest term; null if there is none.
+  ClusterNode *leader() {
+    ClusterNode *Best = nullptr;
+    for (auto &[Id, N] : Nodes_)
+      if (N.isLeader() &&
+          (!Best || N.Replica_->state().Term_ > Best->Replica_->state().Term_))
+        Best = &N;
+    return Best;
+  }
+
+  void submit(Change C) {
+    Changes_.push_back({std::move(C), std::nullopt, Now_});
+  }
+
+  /// Lets one step of time pass.
+  void step() {
+    Now_ = Now_ + Step;
+    heal();
+    for (Envelope &E : Net_.due(Now_))
+      if (Nodes_.count(E.To_) && Nodes_.at(E.To_).isUp())
+        Nodes_.at(E.To_).Queue_.push_back(std::move(E));
+    for (auto &Entry : Nodes_)
+      advance(Entry.second);
+    sendChanges();
+    Checks_.observeLeases(Nodes_, [this](const ClusterNode &N) {
+      return N.Replica_->leaseValid(localTime(N));
+    });
+  }
+
+  void run(Duration For) {
+    for (Time End = Now_ + For; Now_ < End;)
+      step();
+  }
+
+  /// \returns false if it isn't so within the limit.
+  bool runUntil(const std::function<bool()> &Done, Duration Limit) {
+    for (Time End = Now_ + Limit; Now_ < End && !Done();)
+      step();
+    return Done();
+  }
+
+  bool allAnswered() const {
+    for (const PendingChange &P : Changes_)
+      if (!P.Reply_)
+        return false;
+    return true;
+  }
+
+  /// \returns true if all members hold the same state and nothing is left to
+  /// commit.
+  bool converged() {
+    ClusterNode *Leader = leader();
+    if (!Leader || !allUp())
+      return false;
+    const ReplicaState &Lead = Leader->Replica_->state();
+    if (Lead.Commit_ != Lead.Log_.lastIndex())
+      return false;
+    for (const VmId &Vm : Lead.Log_.config().peersOf(Leader->Id_))
+      if (!Nodes_.at(Vm).Gone_ &&
+          Nodes_.at(Vm).Replica_->state().Commit_ != Lead.Commit_)
+        return false;
+    return Leader->Replica_->leaseValid(localTime(*Leader));
+  }
+
+  void crash(ClusterNode &N, bool LosePower, Duration Until = RestartAfter) {
+    N.Replica_.reset();
+    N.Storage_.reset();
+    N.Queue_.clear();
+    N.Waiting_.clear();
+    Net_.dropTo(N.Id_);
+    N.RestartAt_ = Now_ + Until;
+    if (LosePower)
+      N.Disk_.losePower(Random_() % 40);
+  }
+
+  /// \returns a line on each node, for a failed run.
+  std::string describe() const {
+    std::ostringstream Out;
+    for (const auto &[Id, N] : Nodes_) {
+      Out << Id << ": ";
+      if (!N.isUp()) {
+        Out << "down\n";
+        continue;
+      }
+      ReplicaStatus S = N.Replica_->status(localTime(N));
+      Out << toString(S.Role_) << " term " << S.Term_ << " commit " << S.Commit_
+          << " last " << S.LastIndex_ << " snapshot " << S.SnapshotIndex_
+          << " voters";
+      for (const Voter &V : S.Config_.Voters_)
+        Out << " " << V.Vm_;
+      Out << " learners";
+      for (const VmId &Vm : S.Config_.Learners_)
+        Out << " " << Vm;
+      Out << " " << S.Fault_ << "\n";
+    }
+    return Out.str();
+  }
+
+  /// Lets a replica do something and sends what follows from it.
+  template <class Action> void act(ClusterNode &N, const Action &Do) {
+    guarded(N, [&] {
+      Do();
+      pump(N);
+    });
+  }
+
+  void isolate(const VmId &Vm, Duration For = HealAfter) {
+    for (auto &[Other, N] : Nodes_)
+      if (Other != Vm)
+        cutBoth(Vm, Other);
+    HealAt_ = Now_ + For;
+  }
+
+private:
+  void attach(ClusterNode &N) {
+    N.Disk_.setHook([this, &N](const std::string &Operation) {
+      return diskFateOf(N, Operation);
+    });
+  }
+
+  Fault faultAt(const Event &E) { return Plan_ ? Plan_(E) : Fault::None; }
+
+  void start(ClusterNode &N) {
+    N.Catalog_ = Catalog();
+    N.Storage_ = std::make_unique<DiskStorage>(N.Disk_, DiskId(Random_() | 1));
+    ReplicaOptions Options;
+    Options.Self_ = N.Id_;
+    Options.FirstVoters_ = First_;
+    Options.Limits_ = Limits_;
+    Options.Seed_ = Random_();
+    ++N.Starts_;
+    guarded(N, [&] {
+      N.Replica_ =
+          std::make_unique<Replica>(Options, *N.Storage_, localTime(N));
+      Checks_.observeStart(N);
+    });
+  }
+
+  /// Runs what may die in the midst of a write.
+  template <class Action> void guarded(ClusterNode &N, const Action &Do) {
+    LosePower_ = false;
+    try {
+      Do();
+    } catch (const Crash &) {
+      crash(N, LosePower_);
+    } catch (const DiskError &) {
+      crash(N, false);
+    }
+    Time Free = N.BusyUntil_ > Now_ ? N.BusyUntil_ : Now_;
+    N.BusyUntil_ = Free + N.Disk_.takeDelay();
+  }
+
+  void advance(ClusterNode &N) {
+    if (!N.isUp()) {
+      if (Now_ >= N.RestartAt_)
+        start(N);
+      return;
+    }
+    if (Now_ < N.BusyUntil_)
+      return;
+    if (!N.Replica_->fault().empty()) {
+      Checks_.observeFault(N);
+      crash(N, false);
+      return;
+    }
+    guarded(N, [&] {
+      while (!N.Queue_.empty() && Now_ >= N.BusyUntil_) {
+        Envelope E = std::move(N.Queue_.front());
+        N.Queue_.pop_front();
+        N.Replica_->receive(E, localTime(N));
+      }
+      N.Replica_->tick(localTime(N));
+      pump(N);
+    });
+  }
+
+  void pump(ClusterNode &N) {
+    if (!N.Replica_->fault().empty())
+      return; // stopped before anything of this step was sent
+    Checks_.observe(N);
+    for (const CommittedItem &Item : N.Replica_->takeCommitted())
+      apply(N, Item);
+    if (N.Replica_->wantsSnapshot())
+      N.Replica_->snapshot(encode(N.Catalog_), localTime(N));
+    for (Envelope &E : N.Replica_->takeOutbox()) {
+      Net_.send(Now_, std::move(E));
+      if (std::exchange(Dies_, false))
+        throw Crash();
+    }
+  }
+
+  void apply(ClusterNode &N, const CommittedItem &Item) {
+    if (Item.IsSnapshot_) {
+      N.Catalog_ = decode<Catalog>(Item.Bytes_, "test.snapshot", "");
+      Checks_.observeSnapshot(N, Item);
+      return;
+    }
+    Change C = decode<Change>(Item.Bytes_, "test.apply", "");
+    Revision Before = N.Catalog_.Revision_;
+    ChangeReply Reply = applyChange(N.Catalog_, C);
+    Checks_.observeApplied(N, Item, C, Before, Reply);
+    auto Found = N.Waiting_.find(Item.Index_);
+    if (Found == N.Waiting_.end())
+      return;
+    auto [T, Place] = Found->second;
+    N.Waiting_.erase(Found);
+    if (T == Item.Term_)
+      answer(N, Changes_[Place], Reply);
+  }
+
+  void answer(ClusterNode &N, PendingChange &P, const ChangeReply &Reply) {
+    Fault F = faultAt({Event::Kind::Reply, N.Id_, VmId(), "reply"});
+    if (F == Fault::SenderCrashes || F == Fault::SenderLosesPower) {
+      LosePower_ = F == Fault::SenderLosesPower;
+      throw Crash();
+    }
+    if (F == Fault::LeaderIsolated)
+      isolate(N.Id_);
+    if (F == Fault::Lost)
+      return;
+    Checks_.observeReply(P.Change_, Reply);
+    P.Reply_ = Reply;
+  }
+
+  void sendChanges() {
+    constexpr Duration Retry = Duration::millis(1200);
+    for (std::size_t Place = 0; Place < Changes_.size(); ++Place) {
+      PendingChange &P = Changes_[Place];
+      if (P.Reply_ || Now_ < P.NextTry_)
+        continue;
+      for (auto &[Id, N] : Nodes_)
+        if (N.isLeader() && Now_ >= N.BusyUntil_ && N.Replica_->fault().empty())
+          propose(N, Place);
+      P.NextTry_ = Now_ + Retry;
+    }
+  }
+
+  void propose(ClusterNode &N, std::size_t Place) {
+    guarded(N, [&] {
+      ProposeResult Result =
+          N.Replica_->propose(encode(Changes_[Place].Change_), localTime(N));
+      if (Result.accepted())
+        N.Waiting_[Result.Index_] = {Result.Term_, Place};
+      pump(N);
+    });
+  }
+
+  bool allUp() const {
+    for (const auto &[Id, N] : Nodes_)
+      if (!N.isUp() && !N.Gone_)
+        return false;
+    return true;
+  }
+
+  void cutBoth(const VmId &A, const VmId &B) {
+    Net_.cut(A, B);
+    Net_.cut(B, A);
+  }
+
+  void heal() {
+    if (HealAt_ && Now_ >= *HealAt_) {
+      Net_.healAll();
+      HealAt_.reset();
+    }
+  }
+
+  Fate fateOf(const Envelope &E) {
+    Fate F;
+    F.Delay_ = Duration::millis(30) + Nodes_.at(E.From_).Disk_.delay();
+    std::string What = std::to_string(static_cast<int>(E.Body_.front()));
+    switch (faultAt({Event::Kind::Message, E.From_, E.To_, What})) {
+    case Fault::Lost:
+      F.Lost_ = true;
+      break;
+    case Fault::Delayed:
+      F.Delay_ = Duration::millis(700);
+      break;
+    case Fault::Reordered:
+      F.Delay_ = Duration::millis(130);
+      break;
+    case Fault::Doubled:
+      F.Copies_ = 2;
+      break;
+    case Fault::CutOneWay:
+      Net_.cut(E.From_, E.To_);
+      HealAt_ = Now_ + HealAfter;
+      break;
+    case Fault::CutBothWays:
+      cutBoth(E.From_, E.To_);
+      HealAt_ = Now_ + HealAfter;
+      break;
+    case Fault::SenderCrashes:
+      Dies_ = true;
+      break;
+    case Fault::SenderLosesPower:
+      Dies_ = true;
+      LosePower_ = true;
+      break;
+    case Fault::ReceiverCrashes:
+      crash(Nodes_.at(E.To_), false);
+      break;
+    case Fault::ReceiverLosesPower:
+      crash(Nodes_.at(E.To_), true);
+      break;
+    case Fault::LeaderIsolated:
+      if (ClusterNode *Leader = leader())
+        isolate(Leader->Id_);
+      break;
+    default:
+      break;
+    }
+    return F;
+  }
+
+  DiskFate diskFateOf(ClusterNode &N, const std::string &Operation) {
+    Fault F = faultAt({Event::Kind::Disk, N.Id_, VmId(), Operation});
+    LosePower_ = F == Fault::PowerLostBefore || F == Fault::PowerLostAfter;
+    DiskFate Fate;
+    Fate.CrashBefore_ = F == Fault::CrashBefore || F == Fault::PowerLostBefore;
+    Fate.CrashAfter_ = F == Fault::CrashAfter || F == Fault::PowerLostAfter;
+    Fate.Fails_ = F == Fault::DiskFails;
+    if (F == Fault::DiskSlow)
+      Fate.Takes_ = Duration::millis(1500);
+    return Fate;
+  }
+
+  Random Random_;
+  Time Now_;
+  std::vector<VmId> First_;
+  std::map<VmId, ClusterNode> Nodes_;
+  std::optional<Time> HealAt_;
+  bool Dies_ = false;
+  bool LosePower_ = false;
+};
+
+} // namespace lagoonpoint::fakes
