--- a/lagoonpoint/src/Limits/LeaseAuthority.cpp
+++ b/lagoonpoint/src/Limits/LeaseAuthority.cpp
@@ -54,7 +54,7 @@
   if (!inWait(A, A.Updated_)) {
     // Leases and set-aside floors only end between two inputs.
     Amount Surely = poolPart(A, A.Updated_, Now);
-    A.Tokens_ += Surely.Rate_ * (Now - A.Updated_).inSeconds();
+    A.Tokens_ += Surely.Rate_ * surelyPassed(Now - A.Updated_);
     A.Tokens_ = std::min(A.Tokens_, Surely.Burst_);
   }
   A.Updated_ = Now;
--- a/lagoonpoint/src/Limits/LeaseHolder.cpp
+++ b/lagoonpoint/src/Limits/LeaseHolder.cpp
@@ -48,7 +48,7 @@
   double Limit = Surely.Burst_;
   if (H.Pending_)
     Limit = std::min(Limit, H.Pending_->Ceiling_);
-  double Filled = H.Tokens_ + Surely.Rate_ * (Now - H.Updated_).inSeconds();
+  double Filled = H.Tokens_ + Surely.Rate_ * surelyPassed(Now - H.Updated_);
   H.Tokens_ = std::min(Filled, Limit);
   H.Updated_ = Now;
   H.Aside_.prune(Now);
--- a/lagoonpoint/src/Limits/LeaseTiming.h
+++ b/lagoonpoint/src/Limits/LeaseTiming.h
@@ -21,10 +21,18 @@
 /// A call waits for a lease no longer than this, whatever its deadline.
 inline constexpr Duration MaxWait = Duration::millis(500);
 
-/// \returns what two clocks may differ over a span, plus rounding: each may
-/// run up to 1 % fast or slow.
+/// Clocks run at most this much fast or slow; 500 ppm is the most that a
+/// disciplined clock is slewed.
+inline constexpr double MaxClockDrift = 0.0005;
+
+/// \returns what two clocks may differ over a span, plus rounding.
 constexpr Duration clockMargin(Duration Span) {
-  return Span / 50 + Duration::millis(2);
+  return Span / 500 + Duration::millis(2);
+}
+
+/// \returns the seconds of a span that have passed on every clock.
+constexpr double surelyPassed(Duration Span) {
+  return Span.inSeconds() * (1 - MaxClockDrift);
 }
 
 } // namespace lagoonpoint
