Keep small bursts in the pool and lend what demand needs

Change: the authority names each VM's target; stores take at most 30 % of the burst, a store of less than one request isn't kept, the leased rate stays below the demand, a lease for waiting calls alone lasts 300 ms.

--- /dev/null
+++ b/bench/limits.cpp
@@ -0,0 +1,446 @@
+// Compares ways to keep a team's rate over all VMs: leases, a fixed split,
+// central counting and gossiped counters, on the same calls under a virtual
+// clock. Usage: bench_limits [FIRM [SCENARIO [SEED]]]
+#include "fakes/LeaseFleet.h"
+
+#include <cstdio>
+#include <cstring>
+#include <functional>
+#include <numeric>
+
+using namespace lagoonpoint;
+using namespace lagoonpoint::fakes;
+
+namespace {
+
+constexpr int Vms = 11;
+constexpr int Zones = 6;
+constexpr std::int64_t WarmUpMillis = 10'000;
+constexpr std::int64_t RunMillis = 60'000;
+/// From the loss of an authority to the next one.
+constexpr std::int64_t ElectionMillis = 1500;
+constexpr std::int64_t FaultAt = 20'000;
+
+struct Firm {
+  const char *Name_;
+  int ZoneMillis_;   ///< between VMs of a region, one way
+  int RegionMillis_; ///< between regions, one way
+  std::vector<TeamDecl> Teams_;
+};
+
+TeamDecl team(const char *Name, double PerSecond, double Burst) {
+  TeamDecl T;
+  T.Id_ = TeamId(Name);
+  T.Rate_ = Rate(PerSecond);
+  T.Burst_ = Burst;
+  return T;
+}
+
+std::vector<Firm> firms() {
+  return {{"tussock",
+           1,
+           35,
+           {team("agents", 400, 400), team("council", 300, 300),
+            team("farmers", 200, 300), team("a", 40, 40), team("b", 30, 40),
+            team("c", 20, 30), team("d", 10, 20), team("e", 5, 20)}},
+          {"kaasik",
+           2,
+           20,
+           {team("anchor", 300, 600), team("chain", 150, 200),
+            team("drivers", 100, 100), team("a", 30, 40), team("b", 20, 40),
+            team("c", 20, 30), team("d", 10, 20), team("e", 5, 20)}}};
+}
+
+struct Arrival {
+  std::int64_t At_;
+  int Vm_;
+  int Team_;
+};
+
+/// Something that happens to the VMs in a scenario.
+enum class Event { None, CutZone, CutLeader, RestartVm, LoseLeaderTwice };
+
+struct Scenario {
+  const char *Name_;
+  Event Event_;
+  /// Calls a second of a team at a VM at a time.
+  std::function<double(const TeamDecl &, int Team, int Vm, std::int64_t At)>
+      Load_;
+};
+
+std::vector<Scenario> scenarios() {
+  auto Even = [](const TeamDecl &T, int, int, std::int64_t) {
+    return 0.8 * T.Rate_.perSecond() / Vms;
+  };
+  // The first team's callers come at once: its burst within a second at one
+  // region's VMs, then nearly its rate.
+  auto Dawn = [Even](const TeamDecl &T, int Team, int Vm, std::int64_t At) {
+    if (Team != 0)
+      return Even(T, Team, Vm, At);
+    if (Vm % Zones > 1 || At < 15'000)
+      return 0.0;
+    bool Burst = At < 16'000;
+    return (Burst ? 0.9 * T.Burst_ : 0.9 * T.Rate_.perSecond()) / 4;
+  };
+  auto Five = [Even](const TeamDecl &T, int Team, int Vm, std::int64_t At) {
+    return Team == 0 ? 5 * T.Rate_.perSecond() / Vms : Even(T, Team, Vm, At);
+  };
+  auto OneVm = [](const TeamDecl &T, int Team, int Vm, std::int64_t) {
+    return Vm == (Team * 3 + 1) % Vms ? 0.9 * T.Rate_.perSecond() : 0.0;
+  };
+  auto Moving = [](const TeamDecl &T, int Team, int Vm, std::int64_t At) {
+    auto Home = (Team * 3 + At / 5000 * 7) % Vms;
+    return Vm == Home ? 0.9 * T.Rate_.perSecond() : 0.0;
+  };
+  return {{"even", Event::None, Even},
+          {"dawn", Event::None, Dawn},
+          {"five-times", Event::None, Five},
+          {"one-vm", Event::None, OneVm},
+          {"moving", Event::None, Moving},
+          {"zone-cut", Event::CutZone, Even},
+          {"leader-cut", Event::CutLeader, Even},
+          {"vm-restart", Event::RestartVm, Even},
+          {"leader-lost-twice", Event::LoseLeaderTwice, Even}};
+}
+
+/// Which VMs are down at a time; callers use the others.
+bool isDown(Event E, int Vm, std::int64_t At) {
+  bool Struck = At >= FaultAt;
+  if (E == Event::RestartVm)
+    return Vm == 3 && Struck && At < FaultAt + 10'000;
+  if (E == Event::LoseLeaderTwice)
+    return (Vm == 0 && Struck) || (Vm == 2 && At >= FaultAt + 2500);
+  return false;
+}
+
+std::vector<Arrival> draw(const Firm &F, const Scenario &S,
+                          std::uint64_t Seed) {
+  Random R(Seed);
+  std::vector<Arrival> Out;
+  for (std::int64_t At = 0; At < RunMillis; ++At)
+    for (std::size_t T = 0; T < F.Teams_.size(); ++T)
+      for (int Vm = 0; Vm < Vms; ++Vm) {
+        double Mean = S.Load_(F.Teams_[T], static_cast<int>(T), Vm, At) / 1000;
+        int Count = Mean > 0 ? std::poisson_distribution<int>(Mean)(R) : 0;
+        int Used = Vm;
+        while (isDown(S.Event_, Used, At))
+          Used = (Used + 1) % Vms;
+        for (int I = 0; I < Count; ++I)
+          Out.push_back({At, Used, static_cast<int>(T)});
+      }
+  return Out;
+}
+
+/// A bucket that is never wrong.
+struct Bucket {
+  double Rate_ = 0;
+  double Burst_ = 0;
+  double Tokens_ = 0;
+  std::int64_t At_ = 0;
+
+  bool take(std::int64_t Now) {
+    Tokens_ = std::min(Burst_, Tokens_ + Rate_ * (Now - At_) / 1000.0);
+    At_ = Now;
+    if (Tokens_ < 1)
+      return false;
+    Tokens_ -= 1;
+    return true;
+  }
+};
+
+Bucket bucketOf(const TeamDecl &T, double Share = 1) {
+  return {T.Rate_.perSecond() * Share, T.Burst_ * Share, T.Burst_ * Share, 0};
+}
+
+/// Counts ends of calls and compares them with an exact bucket.
+class Score {
+public:
+  explicit Score(const Firm &F) : Firm_(F), Teams_(F.Teams_.size()) {
+    for (std::size_t T = 0; T < Teams_.size(); ++T)
+      Teams_[T].Exact_ = bucketOf(F.Teams_[T]);
+  }
+
+  void offered(int Team, std::int64_t At) {
+    PerTeam &T = Teams_[Team];
+    if (T.Exact_.take(At))
+      ++T.Windows_[At / WindowMillis].Due_;
+  }
+
+  void ended(int Team, std::int64_t CalledAt, std::int64_t At, bool Taken) {
+    PerTeam &T = Teams_[Team];
+    if (!Taken)
+      return;
+    ++T.Windows_[CalledAt / WindowMillis].Taken_;
+    const TeamDecl &D = Firm_.Teams_[Team];
+    T.Check_.take(At / 1000.0, 1, D.Rate_.perSecond(), D.Burst_);
+    Waits_.push_back(At - CalledAt);
+  }
+
+  void print(const char *Way, double BytesPerSecond) {
+    double Due = 0, Wrongful = 0, Worst = 1, Over = 0;
+    std::string Who = "-";
+    for (PerTeam &T : Teams_) {
+      double TeamDue = 0, TeamTaken = 0;
+      for (const auto &[Number, W] : T.Windows_) {
+        TeamDue += W.Due_;
+        TeamTaken += std::min(W.Taken_, W.Due_);
+      }
+      Due += TeamDue;
+      Wrongful += TeamDue - TeamTaken;
+      if (TeamDue > 0 && TeamTaken / TeamDue < Worst) {
+        Worst = TeamTaken / TeamDue;
+        Who = Firm_.Teams_[&T - Teams_.data()].Id_.str();
+      }
+      Over = std::max(Over, T.Check_.worst());
+    }
+    std::sort(Waits_.begin(), Waits_.end());
+    std::printf("  %-8s wrongful %8.4f %%  worst %7.3f %% %-7s over %7.1f  "
+                "wait p50 %3lld p99 %3lld max %3lld ms  %7.0f B/s/VM\n",
+                Way, Due > 0 ? 100 * Wrongful / Due : 0, 100 * Worst,
+                Who.c_str(), Over, wait(0.5), wait(0.99), wait(1),
+                BytesPerSecond);
+  }
+
+private:
+  /// Long enough that it doesn't matter which of the calls beyond a rate are
+  /// refused.
+  static constexpr std::int64_t WindowMillis = 5000;
+  struct Window {
+    int Due_ = 0;
+    int Taken_ = 0;
+  };
+  struct PerTeam {
+    Bucket Exact_;
+    WindowCheck Check_;
+    std::map<std::int64_t, Window> Windows_;
+  };
+
+  long long wait(double Quantile) const {
+    if (Waits_.empty())
+      return 0;
+    auto Last = static_cast<double>(Waits_.size() - 1);
+    return Waits_[static_cast<std::size_t>(Quantile * Last)];
+  }
+
+  const Firm &Firm_;
+  std::vector<PerTeam> Teams_;
+  std::vector<std::int64_t> Waits_;
+};
+
+VmId vmId(int Vm) { return VmId("vm" + std::to_string(Vm)); }
+int zoneOf(int Vm) { return Vm % Zones; }
+
+int delay(const Firm &F, int From, int To) {
+  bool SameRegion = zoneOf(From) / 2 == zoneOf(To) / 2;
+  return SameRegion ? F.ZoneMillis_ : F.RegionMillis_;
+}
+
+int numberOf(const VmId &Id) { return std::stoi(Id.str().substr(2)); }
+
+Declarations declarationsOf(const Firm &F) {
+  Declarations D = LeaseFleet::sixZones(Vms);
+  D.Regions_.clear();
+  D.Teams_.clear();
+  for (const TeamDecl &T : F.Teams_)
+    D.Teams_[T.Id_] = T;
+  return D;
+}
+
+void runLeases(const Firm &F, const Scenario &S,
+               const std::vector<Arrival> &Calls) {
+  LeaseFleet Fleet(declarationsOf(F));
+  std::map<QuantityId, int> Numbers;
+  for (std::size_t T = 0; T < F.Teams_.size(); ++T)
+    Numbers[teamRate(F.Teams_[T].Id_)] = static_cast<int>(T);
+  Fleet.network().setHook([&](std::uint64_t, const Envelope &E) {
+    int Millis = delay(F, numberOf(E.From_), numberOf(E.To_));
+    return Fate{.Delay_ = Duration::millis(Millis)};
+  });
+  Fleet.elect(vmId(0));
+  Fleet.run(Duration::millis(WarmUpMillis));
+  Score Result(F);
+  Time Start = Fleet.now();
+  Fleet.setEndHook(
+      [&](const VmId &, const QuantityId &Q, Time At, TakeEnd End) {
+        Result.ended(Numbers.at(Q), (At - Start).count(),
+                     (Fleet.now() - Start).count(), End == TakeEnd::Taken);
+      });
+  std::uint64_t BytesBefore = Fleet.network().bytes();
+  auto NextLeader = [&](int Vm) {
+    Fleet.electSilently(vmId(Vm));
+    for (const VmId &Id : Fleet.ids())
+      Fleet.learnLeader(Id);
+  };
+  auto Next = Calls.begin();
+  for (std::int64_t At = 0; At < RunMillis; ++At) {
+    bool Cut = S.Event_ == Event::CutZone || S.Event_ == Event::CutLeader;
+    if (Cut && At == FaultAt)
+      Fleet.cutOff(S.Event_ == Event::CutLeader ? "z0" : "z4");
+    if (Cut && At == FaultAt + 20'000)
+      Fleet.heal();
+    if (S.Event_ == Event::CutLeader && At == FaultAt + ElectionMillis - 510)
+      Fleet.loseLeader();
+    if (S.Event_ == Event::CutLeader && At == FaultAt + ElectionMillis)
+      NextLeader(2);
+    if (S.Event_ == Event::RestartVm && At == FaultAt)
+      Fleet.crash(vmId(3));
+    if (S.Event_ == Event::RestartVm && At == FaultAt + 10'000)
+      Fleet.restart(vmId(3));
+    if (S.Event_ == Event::LoseLeaderTwice) {
+      if (At == FaultAt)
+        Fleet.crash(vmId(0));
+      if (At == FaultAt + ElectionMillis)
+        NextLeader(2);
+      if (At == FaultAt + 2500)
+        Fleet.crash(vmId(2));
+      if (At == FaultAt + 2500 + ElectionMillis)
+        NextLeader(4);
+    }
+    for (; Next != Calls.end() && Next->At_ == At; ++Next) {
+      Result.offered(Next->Team_, At);
+      Fleet.call(vmId(Next->Vm_), teamRate(F.Teams_[Next->Team_].Id_));
+    }
+    Fleet.run(Duration::millis(1));
+  }
+  Fleet.run(Duration::seconds(1));
+  double Bytes = static_cast<double>(Fleet.network().bytes() - BytesBefore);
+  Result.print("leases", Bytes / Vms / (RunMillis / 1000.0));
+}
+
+void runFixedSplit(const Firm &F, const std::vector<Arrival> &Calls) {
+  Score Result(F);
+  std::vector<std::vector<Bucket>> Parts(Vms);
+  for (auto &Part : Parts)
+    for (const TeamDecl &T : F.Teams_)
+      Part.push_back(bucketOf(T, 1.0 / Vms));
+  for (const Arrival &A : Calls) {
+    Result.offered(A.Team_, A.At_);
+    bool Taken = Parts[A.Vm_][A.Team_].take(A.At_);
+    Result.ended(A.Team_, A.At_, A.At_, Taken);
+  }
+  Result.print("split", 0);
+}
+
+/// The VM that counts for all, -1 while there is none.
+int counter(Event E, std::int64_t At) {
+  if (E == Event::LoseLeaderTwice) {
+    if (At < FaultAt)
+      return 0;
+    if (At < FaultAt + ElectionMillis)
+      return -1;
+    if (At < FaultAt + 2500)
+      return 2;
+    return At < FaultAt + 2500 + ElectionMillis ? -1 : 4;
+  }
+  if (E == Event::CutLeader && At >= FaultAt && At < FaultAt + 20'000)
+    return At < FaultAt + ElectionMillis ? -1 : 2;
+  return 0;
+}
+
+bool isCut(Event E, int A, int B, std::int64_t At) {
+  if (At < FaultAt || At >= FaultAt + 20'000)
+    return false;
+  if (E != Event::CutZone && E != Event::CutLeader)
+    return false;
+  int Zone = E == Event::CutLeader ? 0 : 4;
+  return (zoneOf(A) == Zone) != (zoneOf(B) == Zone);
+}
+
+void runCentral(const Firm &F, const Scenario &S,
+                const std::vector<Arrival> &Calls) {
+  constexpr double BytesPerCall = 80;
+  Score Result(F);
+  std::vector<Bucket> Counts;
+  for (const TeamDecl &T : F.Teams_)
+    Counts.push_back(bucketOf(T));
+  int Before = 0;
+  // Counted in the order of arrival at the counter.
+  std::multimap<std::int64_t, Arrival> Due;
+  for (const Arrival &A : Calls) {
+    Result.offered(A.Team_, A.At_);
+    int At = counter(S.Event_, A.At_);
+    if (At >= 0 && !isCut(S.Event_, A.Vm_, At, A.At_))
+      Due.emplace(A.At_ + (At == A.Vm_ ? 0 : delay(F, A.Vm_, At)), A);
+  }
+  for (const auto &[Millis, A] : Due) {
+    int At = std::max(0, counter(S.Event_, A.At_));
+    if (At != Before)
+      for (Bucket &B : Counts)
+        B.Tokens_ = 0;
+    Before = At;
+    bool Taken = Counts[A.Team_].take(Millis);
+    Result.ended(A.Team_, A.At_, 2 * Millis - A.At_, Taken);
+  }
+  double Seconds = RunMillis / 1000.0;
+  Result.print("central", static_cast<double>(Calls.size()) * 2 * BytesPerCall /
+                              Vms / Seconds);
+}
+
+void runGossip(const Firm &F, const Scenario &S,
+               const std::vector<Arrival> &Calls) {
+  constexpr std::int64_t Every = 100;
+  constexpr double BytesPerCount = 12;
+  Score Result(F);
+  std::size_t Teams = F.Teams_.size();
+  // Each VM's bucket is charged with its own takes at once and with the
+  // others' when their counts arrive.
+  std::vector<std::vector<Bucket>> Views(Vms);
+  for (auto &View : Views)
+    for (const TeamDecl &T : F.Teams_)
+      View.push_back(bucketOf(T));
+  std::vector<std::vector<int>> Fresh(Vms, std::vector<int>(Teams));
+  struct Count {
+    int To_, Team_, Units_;
+  };
+  std::multimap<std::int64_t, Count> InFlight;
+  auto Next = Calls.begin();
+  for (std::int64_t At = 0; At < RunMillis; ++At) {
+    while (!InFlight.empty() && InFlight.begin()->first <= At) {
+      Count C = InFlight.begin()->second;
+      Views[C.To_][C.Team_].Tokens_ -= C.Units_;
+      InFlight.erase(InFlight.begin());
+    }
+    for (; Next != Calls.end() && Next->At_ == At; ++Next) {
+      Result.offered(Next->Team_, At);
+      bool Taken = Views[Next->Vm_][Next->Team_].take(At);
+      Fresh[Next->Vm_][Next->Team_] += Taken;
+      Result.ended(Next->Team_, At, At, Taken);
+    }
+    if (At % Every != 0)
+      continue;
+    for (int From = 0; From < Vms; ++From)
+      for (std::size_t T = 0; T < Teams; ++T) {
+        for (int To = 0; To < Vms; ++To)
+          if (To != From && Fresh[From][T] && !isCut(S.Event_, From, To, At))
+            InFlight.emplace(At + delay(F, From, To),
+                             Count{To, static_cast<int>(T), Fresh[From][T]});
+        Fresh[From][T] = 0;
+      }
+  }
+  Result.print("gossip", static_cast<double>(Teams) * BytesPerCount *
+                             (Vms - 1) * 1000 / Every);
+}
+
+bool chosen(int Count, char **Arguments, int Place, const char *Name) {
+  return Count <= Place || !std::strcmp(Arguments[Place], Name) ||
+         !std::strcmp(Arguments[Place], "all");
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  std::uint64_t Seed = Count > 3 ? std::stoull(Arguments[3]) : 1;
+  for (const Firm &F : firms())
+    for (const Scenario &S : scenarios()) {
+      if (!chosen(Count, Arguments, 1, F.Name_) ||
+          !chosen(Count, Arguments, 2, S.Name_))
+        continue;
+      std::vector<Arrival> Calls = draw(F, S, Seed);
+      std::printf("%s %s: %zu calls\n", F.Name_, S.Name_, Calls.size());
+      runLeases(F, S, Calls);
+      runFixedSplit(F, Calls);
+      runCentral(F, S, Calls);
+      runGossip(F, S, Calls);
+    }
+  return invariantViolations() == 0 ? 0 : 1;
+}
--- a/lagoonpoint/src/Limits/LeaseAuthority.cpp
+++ b/lagoonpoint/src/Limits/LeaseAuthority.cpp
@@ -11,8 +11,9 @@
 
 /// Rounding allowed in sums of doubles, relative to the whole.
 constexpr double Rounding = 1e-9;
-/// Part of the demand that a grant's tokens cover beyond those waited for.
-constexpr double FillSeconds = 0.1;
+/// Part of the burst that VMs store in all; the rest stays in the pool, where
+/// every VM can get it.
+constexpr double StoreShare = 0.3;
 constexpr Duration MinRetry = Duration::millis(20);
 constexpr Duration MaxRetry = Duration::millis(250);
 
@@ -109,26 +110,42 @@
     B.Aside_.add(Ask.Aside_, End);
 }
 
-Amount wantOf(const Borrower &B) {
-  return notNegative(internal::neededFor(B.Demand_, B.Need_) - B.Own_);
+bool active(const LeaseAuthority &A, const Borrower &B, Time Now) {
+  return Now - B.SeenAt_ < A.Timing_.Length_;
 }
 
-/// Shares in proportion to what is wanted where not all can be met.
-Amount fairShare(const LeaseAuthority &A, const Borrower &B, Amount Lendable,
-                 Time Now) {
-  Amount Wanted;
+/// By what part stores have to shrink for all to fit into their share.
+double storeScale(const LeaseAuthority &A, Time Now) {
+  double Wanted = 0;
+  for (const auto &[Vm, B] : A.Borrowers_)
+    if (active(A, B, Now))
+      Wanted += internal::storeFor(B.Demand_);
+  double Share = A.Allotments_.back().Whole_.Burst_ * StoreShare;
+  return Wanted > Share ? Share / Wanted : 1;
+}
+
+/// What a VM should use without asking.
+Amount wantOf(const Borrower &B, double Scale) {
+  double Store = internal::storeFor(B.Demand_) * Scale;
+  if (Store < 1) // less than one whole unit serves nobody
+    return {};
+  return {internal::rateFor(B.Demand_, Store), Store};
+}
+
+/// The same, in proportion to what is wanted where not all can be met.
+Amount chooseTarget(const LeaseAuthority &A, const Borrower &B,
+                    const Amount &Lendable, Time Now) {
+  double Scale = storeScale(A, Now);
+  double Wanted = 0;
   for (const auto &[Vm, Other] : A.Borrowers_)
-    if (Now - Other.SeenAt_ < A.Timing_.Length_)
-      Wanted = Wanted + wantOf(Other);
-  Amount Want = wantOf(B);
-  Amount Share = Want;
-  if (Wanted.Rate_ > Lendable.Rate_)
-    Share.Rate_ *= Lendable.Rate_ / Wanted.Rate_;
-  if (Wanted.Burst_ > Lendable.Burst_)
-    Share.Burst_ *= Lendable.Burst_ / Wanted.Burst_;
-  // Less than one whole unit serves nobody.
-  Share.Burst_ = std::max(Share.Burst_, std::min(Want.Burst_, B.Need_ + 1));
-  return Share;
+    if (active(A, Other, Now))
+      Wanted += notNegative(wantOf(Other, Scale) - Other.Own_).Rate_;
+  Amount Target = wantOf(B, Scale);
+  if (Wanted <= Lendable.Rate_)
+    return Target;
+  double Excess = std::max(0.0, Target.Rate_ - B.Own_.Rate_);
+  Target.Rate_ -= Excess * (1 - Lendable.Rate_ / Wanted);
+  return Target;
 }
 
 Lent lendable(const LeaseAuthority &A, Time Until) {
@@ -155,26 +172,23 @@
   return Out;
 }
 
-Lent chooseLoan(const LeaseAuthority &A, const VmId &To, const Borrower &B,
-                const LeaseAsk &Ask, Time Now, Time End) {
+Lent chooseLoan(const LeaseAuthority &A, const VmId &To, const LeaseAsk &Ask,
+                const Amount &Target, Time Now, Time End) {
   Lent Spare = spare(A, To, Now, End);
   if (inWait(A, Now)) {
     // Firm parts of all predecessors' loans add up to at most the base.
     Lent Shown{least(Ask.Keep_.Firm_, Spare.Firm_), {}};
     return Shown;
   }
-  Lent Whole = lendable(A, End);
-  return split(fairShare(A, B, Whole.total(), Now), Spare);
-}
-
-double wantedTokens(const LeaseAsk &Ask) {
-  return Ask.Need_ + 1 + Ask.Demand_ * FillSeconds;
+  Amount Use = Target + Amount{0, Ask.Need_};
+  return split(notNegative(Use - Ask.Own_), Spare);
 }
 
 double chooseTokens(const LeaseAuthority &A, const LeaseAsk &Ask,
-                    const Lent &Loan) {
-  double Room = Ask.Room_ + Loan.total().Burst_;
-  return std::max(0.0, std::min({A.Tokens_, Room, wantedTokens(Ask)}));
+                    const LeaseGrant &G) {
+  double Room = Ask.Room_ + G.Lent_.total().Burst_;
+  double Want = Ask.Need_ + G.Target_.Burst_;
+  return std::max(0.0, std::min({A.Tokens_, Room, Want}));
 }
 
 Duration retryIn(const LeaseAuthority &A, const LeaseGrant &G,
@@ -274,15 +288,13 @@
                                  const LeaseAsk &Ask, Time Now) {
   if (!leading(A, Now) || Ask.Term_ > A.Term_ || A.Allotments_.empty())
     return std::nullopt;
-  LeaseGrant G{Ask.Quantity_,
-               Ask.Incarnation_,
-               Ask.Sequence_,
-               A.Term_,
-               {},
-               A.Timing_.Length_,
-               0,
-               {},
-               Now.count()};
+  LeaseGrant G;
+  G.Quantity_ = Ask.Quantity_;
+  G.Incarnation_ = Ask.Incarnation_;
+  G.Sequence_ = Ask.Sequence_;
+  G.Term_ = A.Term_;
+  G.For_ = A.Timing_.Length_;
+  G.Stamp_ = Now.count();
   if (Ask.Term_ < A.Term_)
     return G;
   accrue(A, Now);
@@ -295,12 +307,19 @@
     A.Tokens_ += Ask.Returned_;
   clipPool(A, Now);
 
-  Time End = Now + A.Timing_.Length_;
+  Amount Lendable = lendable(A, Now + A.Timing_.Length_).total();
+  if (!inWait(A, Now))
+    G.Target_ = chooseTarget(A, *B, Lendable, Now);
+  else
+    G.Target_ = Ask.Own_ + Ask.Keep_.Firm_;
+  if (G.Target_ == Amount())
+    G.For_ = ShortLease;
+  Time End = Now + G.For_;
   Lent Before = outstanding(A, Now);
-  G.Lent_ = chooseLoan(A, From, *B, Ask, Now, End);
+  G.Lent_ = chooseLoan(A, From, Ask, G.Target_, Now, End);
   B->Offered_ = {G.Lent_, End, Ask.Sequence_};
   checkConservation(A, Before, Now, End);
-  G.Tokens_ = chooseTokens(A, Ask, G.Lent_);
+  G.Tokens_ = chooseTokens(A, Ask, G);
   A.Tokens_ -= G.Tokens_;
   clipPool(A, Now);
   G.RetryIn_ = retryIn(A, G, Ask, Now);
--- a/lagoonpoint/src/Limits/LeaseHolder.cpp
+++ b/lagoonpoint/src/Limits/LeaseHolder.cpp
@@ -10,12 +10,11 @@
 
 constexpr std::size_t MaxWaiting = 1024;
 /// An ask for which no call waits is sent at most this often.
-constexpr Duration AskGap = Duration::millis(50);
+constexpr Duration AskGap = Duration::millis(100);
 constexpr Duration MinRetryAfter = Duration::millis(20);
-/// An early ask is sent while this many units, and this much of the demand,
-/// are still in the bucket.
+/// An early ask is sent when less than this part of the target is stored, or
+/// less than this part of the demand is left.
 constexpr double LowWater = 0.5;
-constexpr double LowWaterSeconds = 0.1;
 /// Calls don't wait for an authority that left so many asks unanswered.
 constexpr unsigned MaxUnanswered = 2;
 /// What a bucket may fill up to between an ask and its answer.
@@ -70,9 +69,17 @@
     return false;
   if (!H.Waiting_.empty())
     return true;
-  bool Low = H.Demand_ > internal::IdleDemand &&
-             H.Tokens_ < LowWater + H.Demand_ * LowWaterSeconds;
-  return Low && Now - H.NextRenew_ + H.Timing_.renewEvery() >= AskGap;
+  bool Low = H.Tokens_ < H.Target_.Burst_ * LowWater;
+  bool Unused =
+      H.Demand_ < H.Reported_ * LowWater && liveLease(H, Now).Rate_ > 0;
+  return (Low || Unused) &&
+         Now - H.NextRenew_ + H.Timing_.renewEvery() >= AskGap;
+}
+
+/// The target, less where demand has fallen, and what calls wait for.
+Amount neededNow(const LeaseHolder &H, double Waiting) {
+  double Store = std::min(H.Target_.Burst_, internal::storeFor(H.Demand_));
+  return {std::min(H.Target_.Rate_, H.Demand_), Store + Waiting};
 }
 
 /// Gives up what the demand doesn't need, soft part first.
@@ -187,7 +194,7 @@
 
   Amount Floor = declaredFloor(H);
   double Need = waitingUnits(H);
-  Amount Needed = internal::neededFor(H.Demand_, Need);
+  Amount Needed = neededNow(H, Need);
   LeaseAsk Ask;
   Ask.Quantity_ = H.Id_;
   Ask.Incarnation_ = H.Incarnation_;
@@ -195,6 +202,7 @@
   Ask.Term_ = H.Term_;
   Ask.Accepted_ = H.Accepted_;
   Ask.Demand_ = H.Demand_;
+  H.Reported_ = H.Demand_;
   Ask.Need_ = Need;
   Ask.Stamp_ = H.Stamp_;
   Ask.AsideFor_ = H.Timing_.asideFor();
@@ -235,6 +243,7 @@
   H.Pending_.reset();
   H.Stamp_ = G.Stamp_;
   H.Lent_ = G.Lent_;
+  H.Target_ = G.Target_;
   H.LentUntil_ = End;
   H.Accepted_ = G.Sequence_;
   if (Now < End)
--- a/lagoonpoint/src/Limits/LeaseHolder.h
+++ b/lagoonpoint/src/Limits/LeaseHolder.h
@@ -59,6 +59,7 @@
   Lent Lent_;
   Time LentUntil_;
   std::uint64_t Accepted_ = 0; ///< ask that Lent_ answers
+  Amount Target_;              ///< what the authority would have it use
   std::uint64_t Sequence_ = 0;
   std::optional<PendingAsk> Pending_;
   unsigned Unanswered_ = 0; ///< asks in a row without an answer
@@ -67,8 +68,9 @@
 
   double Tokens_ = 0;
   Time Updated_;
-  double Offered_ = 0; ///< units wanted since DemandAt_
-  double Demand_ = 0;  ///< units a second, smoothed
+  double Offered_ = 0;  ///< units wanted since DemandAt_
+  double Demand_ = 0;   ///< units a second, smoothed
+  double Reported_ = 0; ///< demand in the last ask
   Time DemandAt_;
   std::deque<Waiter> Waiting_;
 };
--- a/lagoonpoint/src/Limits/LeaseMessages.h
+++ b/lagoonpoint/src/Limits/LeaseMessages.h
@@ -44,13 +44,14 @@
   Incarnation Incarnation_; ///< of the holder asked by
   std::uint64_t Sequence_ = 0;
   Term Term_;
-  Lent Lent_;              ///< replaces the lease held so far
-  Duration For_;           ///< from the sending of the ask
-  double Tokens_ = 0;      ///< that move to the holder
-  Duration RetryIn_;       ///< when a dry holder may ask again
+  Lent Lent_;         ///< replaces the lease held so far
+  Duration For_;      ///< from the sending of the ask
+  double Tokens_ = 0; ///< that move to the holder
+  Amount Target_;     ///< what the VM should use, of its floor and by lease
+  Duration RetryIn_;  ///< when a dry holder may ask again
   std::int64_t Stamp_ = 0; ///< the authority's time; echoed, never compared
   MSGPACK_DEFINE(Quantity_, Incarnation_, Sequence_, Term_, Lent_, For_,
-                 Tokens_, RetryIn_, Stamp_)
+                 Tokens_, Target_, RetryIn_, Stamp_)
 };
 
 /// Holder to authority: ends a lease early and moves its tokens back.
--- a/lagoonpoint/src/Limits/LeaseTiming.h
+++ b/lagoonpoint/src/Limits/LeaseTiming.h
@@ -13,11 +13,13 @@
   /// \returns how long before its end a lease is renewed at the latest.
   Duration renewEvery() const { return Length_ / 3; }
   /// \returns how long a holder sets part of its floor aside for others.
-  Duration asideFor() const { return Length_ * 2; }
+  Duration asideFor() const { return Length_ * 3 / 2; }
 };
 
 /// A holder gives up an unanswered ask after this.
 inline constexpr Duration AskTimeout = Duration::millis(250);
+/// Length of a lease that only serves calls that wait already.
+inline constexpr Duration ShortLease = Duration::millis(300);
 /// A call waits for a lease no longer than this, whatever its deadline.
 inline constexpr Duration MaxWait = Duration::millis(500);
 
--- a/lagoonpoint/src/Limits/util/Demand.h
+++ b/lagoonpoint/src/Limits/util/Demand.h
@@ -2,19 +2,18 @@
 
 #include "lagoonpoint/src/Limits/Quantity.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace lagoonpoint::internal {
 
-/// Rate held beyond the observed demand, so that small growth needs no ask.
-inline constexpr double RateHeadroom = 1.25;
-/// Demand whose tokens a holder stores.
+/// Demand whose tokens a VM stores.
 inline constexpr double StoredSeconds = 0.25;
 /// Below this demand, in units a second, a VM counts as idle.
 inline constexpr double IdleDemand = 0.01;
 /// Time constant of the smoothed demand, in seconds.
-inline constexpr double DemandSeconds = 1.0;
-inline constexpr Duration DemandStep = Duration::millis(100);
+inline constexpr double DemandSeconds = 0.5;
+inline constexpr Duration DemandStep = Duration::millis(50);
 
 /// Smooths what was offered since \p At into \p Demand.
 inline void updateDemand(double &Demand, double &Offered, Time &At, Time Now) {
@@ -27,11 +26,17 @@
   At = Now;
 }
 
-/// \returns what a VM needs to serve a demand and those that wait.
-inline Amount neededFor(double Demand, double Waiting) {
-  if (Demand < IdleDemand && Waiting <= 0)
-    return {};
-  return {Demand * RateHeadroom, Waiting + 1 + Demand * StoredSeconds};
+/// \returns the tokens a VM would store to serve a demand without asking.
+inline double storeFor(double Demand) {
+  return Demand < IdleDemand ? 0 : 1 + Demand * StoredSeconds;
+}
+
+/// \returns the rate a VM needs beside a store.
+///
+/// Arrivals vary, so a bucket that fills at the whole demand overflows now and
+/// then by about 1 / (2 * store) of it. The rest comes from the pool by asks.
+inline double rateFor(double Demand, double Store) {
+  return Store < 1 ? 0 : Demand * std::max(0.0, 1 - 1.5 / Store);
 }
 
 } // namespace lagoonpoint::internal
--- a/test/fakes/LeaseFleet.h
+++ b/test/fakes/LeaseFleet.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -49,6 +50,9 @@
     int Refused_ = 0;
     int Offered_ = 0;
   };
+  /// Told of each call's end: where, of which quantity, after how long.
+  using EndHook = std::function<void(const VmId &, const QuantityId &,
+                                     Time CalledAt, TakeEnd)>;
   struct Load {
     VmId Vm_;
     QuantityId Quantity_;
@@ -90,6 +94,7 @@
       start(Id, false);
   }
 
+  void setEndHook(EndHook H) { OnEnd_ = std::move(H); }
   FakeNetwork &network() { return Net_; }
   Time now() const { return Now_; }
   Time localNow(const VmId &Id) const {
@@ -232,9 +237,9 @@
     unsigned S = LeaseShard::shardOf(Q);
     TakeResult R = V.Shards_[S]->take(Q, 1, Local + Deadline, Local);
     if (R.End_ == TakeEnd::Waiting)
-      Waiting_[{Id, {S, R.Ticket_}}] = Q;
+      Waiting_[{Id, {S, R.Ticket_}}] = {Q, Now_};
     else
-      ended(Q, R.End_);
+      ended(Id, Q, Now_, R.End_);
     flush(Id, V);
   }
 
@@ -297,7 +302,7 @@
         auto Found = Waiting_.find({Id, {S, R.Ticket_}});
         if (Found == Waiting_.end())
           continue;
-        ended(Found->second, R.End_);
+        ended(Id, Found->second.first, Found->second.second, R.End_);
         Waiting_.erase(Found);
       }
       for (Envelope &E : Shard->takeOutbox())
@@ -305,7 +310,9 @@
     }
   }
 
-  void ended(const QuantityId &Q, TakeEnd End) {
+  void ended(const VmId &Id, const QuantityId &Q, Time CalledAt, TakeEnd End) {
+    if (OnEnd_)
+      OnEnd_(Id, Q, CalledAt, End);
     Tally &T = Tallies_[Q];
     ++(End == TakeEnd::Taken ? T.Taken_ : T.Refused_);
     if (End != TakeEnd::Taken)
@@ -327,8 +334,10 @@
   std::vector<Load> Loads_;
   std::map<QuantityId, Tally> Tallies_;
   std::map<QuantityId, WindowCheck> Checks_;
-  std::map<std::pair<VmId, std::pair<unsigned, std::uint64_t>>, QuantityId>
+  std::map<std::pair<VmId, std::pair<unsigned, std::uint64_t>>,
+           std::pair<QuantityId, Time>>
       Waiting_;
+  EndHook OnEnd_;
 };
 
 } // namespace lagoonpoint::fakes
