Learn which VMs and upstreams there are from the VMs themselves

Cause: nothing told a VM who is alive, whether its zone is cut off, or which upstreams there are. Change: module Membership: pings and suspicion among a few neighbours of a zone, refutation, reports between two VMs of each zone, upstream leases whose leaving marks let no late record revive an upstream. Conclusion: a leaving upstream is gone from nine VMs within 3 s of virtual time, and random faults heal.

--- /dev/null
+++ b/lagoonpoint/src/Membership/MembersReceiving.cpp
@@ -0,0 +1,179 @@
+#include "lagoonpoint/src/Membership/Members.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoonpoint {
+
+namespace {
+
+/// Pings or reports in a row that must differ before records are asked for:
+/// one may have crossed news.
+constexpr int MismatchesToAsk = 2;
+
+} // namespace
+
+void Members::receive(const Envelope &Message, Time Now) {
+  auto In = decode<MembershipMessage>(Message.Body_, "membership.receive",
+                                      Message.From_.str());
+  if (In.Sender_.Vm_ != Message.From_)
+    throw CodecError("membership.receive", Message.From_.str(),
+                     "record of another sender");
+  mergeMember(In.Sender_, Now);
+  for (const MemberRecord &Record : In.Members_)
+    mergeMember(Record, Now);
+  for (const UpstreamRecord &Record : In.Upstreams_)
+    mergeUpstreamNews(Record, Now);
+  for (const ZoneReport &Report : In.Reports_)
+    takeReport(Report, Message.From_, Now);
+  if (In.Kind_ == MessageKind::Ack)
+    noteAnswer(In, Now);
+  if (In.Kind_ == MessageKind::Ping)
+    compareDigest(In, Now);
+  bool Asked = !In.Wanted_.empty();
+  if (In.Kind_ != MessageKind::Ping && !Asked)
+    return;
+  MembershipMessage Out = message(
+      In.Kind_ == MessageKind::Ping ? MessageKind::Ack : MessageKind::News,
+      Now);
+  Out.Pinger_ = In.Pinger_;
+  Out.PingedAt_ = In.PingedAt_;
+  auto Known = Records_.find(Message.From_);
+  if (Known != Records_.end() && Known->second.State_ >= VmState::Suspect)
+    Out.Members_.push_back(Known->second);
+  for (const ZoneId &Zone : In.Wanted_)
+    addZone(Out, Zone, Now);
+  post(Message.From_, Out);
+}
+
+void Members::addZone(MembershipMessage &Out, const ZoneId &Zone,
+                      Time Now) const {
+  for (const auto &[Vm, Record] : Records_)
+    if (zoneOf(Vm) == Zone)
+      Out.Members_.push_back(Record);
+  for (const auto &[Key, Entry] : Upstreams_.Entries_)
+    if (Entry.Record_.Zone_ == Zone)
+      Out.Upstreams_.push_back(recordAt(Entry, Now));
+}
+
+void Members::mergeMember(const MemberRecord &In, Time Now) {
+  if (In.Vm_ == Options_.Self_)
+    return answerClaim(In);
+  if (!declared(In.Vm_))
+    return;
+  MemberRecord &Mine = Records_[In.Vm_];
+  bool New = Mine.Vm_.empty();
+  if (!New && !supersedes(In, Mine))
+    return;
+  bool OnlyRevision = !New && digestOf(In) == digestOf(Mine);
+  Revision Highest = std::max(Mine.Revision_, In.Revision_);
+  bool SameProcess = Mine.Incarnation_ == In.Incarnation_;
+  LAGOONPOINT_ASSERT(In.Incarnation_ >= Mine.Incarnation_, "membership.merge");
+  Mine = In;
+  if (SameProcess)
+    Mine.Revision_ = Highest;
+  if (OnlyRevision)
+    return;
+  setState(Mine, In.State_, Now);
+  auto Probed = Neighbours_.find(In.Vm_);
+  if (Probed != Neighbours_.end() && In.State_ < VmState::Suspect)
+    Probed->second.Since_ = Now;
+}
+
+void Members::answerClaim(const MemberRecord &In) {
+  MemberRecord &Mine = Records_[Options_.Self_];
+  if (In.Incarnation_ > Mine.Incarnation_) {
+    ++IdConflicts_;
+    Options_.Incarnation_ = In.Incarnation_.next();
+    Mine.Incarnation_ = Options_.Incarnation_;
+  } else if (!supersedes(In, Mine) || digestOf(In) == digestOf(Mine)) {
+    return;
+  } else {
+    Mine.Version_ = In.Version_ + 1;
+  }
+  ++MemberChanges_;
+  MemberNews_.insert(Options_.Self_);
+}
+
+void Members::mergeUpstreamNews(const UpstreamRecord &In, Time Now) {
+  switch (mergeUpstream(Upstreams_, In, Now)) {
+  case Merge::Changed:
+    ChangedNews_.insert(In.Key_);
+    break;
+  case Merge::Refreshed:
+    RefreshedNews_.insert(In.Key_);
+    break;
+  case Merge::Nothing:
+    if (In.Zone_ != Options_.Zone_)
+      extendLease(Upstreams_, In, Options_.UpstreamLease_ / 2, Now);
+    break;
+  }
+}
+
+void Members::takeReport(const ZoneReport &Report, const VmId &Sender,
+                         Time Now) {
+  const VmId &Maker = Report.Version_.Issuer_;
+  if (Report.Zone_ == Options_.Zone_ || zoneOf(Maker) != Report.Zone_)
+    return;
+  ZoneState &State = Zones_[Report.Zone_];
+  std::uint64_t &Counter = State.Counters_[Maker];
+  if (Report.Version_.Counter_ <= Counter)
+    return;
+  Counter = Report.Version_.Counter_;
+  State.Heard_ = true;
+  State.HeardAt_ = Now;
+  ReportNews_[Report.Zone_] = Report;
+  if (digestOfZone(Report.Zone_, Now) == Report.Digest_) {
+    State.Mismatches_.clear();
+    renewZone(Upstreams_, Report.Zone_, Options_.UpstreamLease_, Now);
+    return;
+  }
+  if (++State.Mismatches_[Sender] < MismatchesToAsk)
+    return;
+  State.Mismatches_.erase(Sender);
+  MembershipMessage Out = message(MessageKind::News, Now);
+  Out.Wanted_.push_back(Report.Zone_);
+  // Ours too: a VM that is taken for dead here must learn it to refute.
+  addZone(Out, Report.Zone_, Now);
+  post(Sender, Out);
+}
+
+void Members::noteAnswer(const MembershipMessage &In, Time Now) {
+  Time PingedAt = Time() + In.PingedAt_;
+  bool Ours = In.Pinger_ == Records_[Options_.Self_].Incarnation_ &&
+              PingedAt >= Started_ && PingedAt <= Now;
+  const VmId &From = In.Sender_.Vm_;
+  auto Probed = Neighbours_.find(From);
+  if (Ours && Probed != Neighbours_.end()) {
+    Probe &P = Probed->second;
+    P.Answered_ = P.EverAnswered_ ? std::max(P.Answered_, PingedAt) : PingedAt;
+    P.EverAnswered_ = true;
+  }
+  auto Known = Records_.find(From);
+  if (Known == Records_.end() || Known->second.State_ < VmState::Suspect)
+    return;
+  MembershipMessage Out = message(MessageKind::News, Now);
+  Out.Members_.push_back(Known->second);
+  post(From, Out);
+}
+
+void Members::compareDigest(const MembershipMessage &In, Time Now) {
+  auto Probed = Neighbours_.find(In.Sender_.Vm_);
+  bool SameZone = zoneOf(In.Sender_.Vm_) == Options_.Zone_;
+  if (!SameZone || Probed == Neighbours_.end())
+    return;
+  int &Mismatches = Probed->second.Mismatches_;
+  if (In.Digest_ == digestOfZone(Options_.Zone_, Now)) {
+    Mismatches = 0;
+    return;
+  }
+  if (++Mismatches < MismatchesToAsk)
+    return;
+  Mismatches = 0;
+  MembershipMessage Out = message(MessageKind::News, Now);
+  Out.Wanted_.push_back(Options_.Zone_);
+  addZone(Out, Options_.Zone_, Now);
+  post(In.Sender_.Vm_, Out);
+}
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Membership/MembersSending.cpp
@@ -0,0 +1,230 @@
+#include "lagoonpoint/src/Membership/Members.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoonpoint {
+
+void Members::tick(Time Now) {
+  refreshNeighbours(Now);
+  suspectSilent(Now);
+  buryLongSuspect(Now);
+  if (Now >= NextRefresh_)
+    refreshUpstreams(Now);
+  if (Now >= NextPing_)
+    pingNeighbours(Now);
+  if (Now >= NextReport_)
+    reportToZones(Now);
+  flushNews(Now);
+}
+
+bool Members::inRing(const VmId &Vm, Time Now) const {
+  auto It = Records_.find(Vm);
+  if (It != Records_.end())
+    return It->second.State_ != VmState::Dead;
+  auto Since = DeclaredSince_.find(Vm);
+  return Since != DeclaredSince_.end() &&
+         Now - Since->second <= Options_.SuspectAfter_ + Options_.DeadAfter_;
+}
+
+std::vector<VmId> Members::ring(Time Now) const {
+  std::vector<VmId> Ring;
+  for (const auto &[Vm, Zone] : Declared_)
+    if (Zone == Options_.Zone_ && inRing(Vm, Now))
+      Ring.push_back(Vm);
+  return Ring;
+}
+
+std::vector<VmId> Members::livingOf(const ZoneId &Zone) const {
+  std::vector<VmId> Living;
+  for (const auto &[Vm, In] : Declared_) {
+    auto It = Records_.find(Vm);
+    if (In == Zone && It != Records_.end() &&
+        It->second.State_ != VmState::Dead)
+      Living.push_back(Vm);
+  }
+  return Living;
+}
+
+std::vector<VmId> Members::bridgesOf(const ZoneId &Zone) const {
+  std::vector<VmId> Bridges = livingOf(Zone);
+  Bridges.resize(std::min(Bridges.size(), BridgesPerZone));
+  return Bridges;
+}
+
+void Members::refreshNeighbours(Time Now) {
+  std::map<VmId, Probe> Kept;
+  for (const VmId &Vm : neighbours(ring(Now), Options_.Self_)) {
+    auto It = Neighbours_.find(Vm);
+    Probe Fresh;
+    Fresh.Since_ = Now;
+    Kept.emplace(Vm, It == Neighbours_.end() ? Fresh : It->second);
+  }
+  Neighbours_ = std::move(Kept);
+}
+
+void Members::pingNeighbours(Time Now) {
+  NextPing_ = Now + Options_.PingEvery_;
+  for (const auto &[Vm, P] : Neighbours_)
+    ping(Vm, Now);
+  pingAbsent(Now);
+}
+
+void Members::pingAbsent(Time Now) {
+  std::vector<VmId> Absent;
+  for (const auto &[Vm, Zone] : Declared_)
+    if (Zone == Options_.Zone_ && !inRing(Vm, Now))
+      Absent.push_back(Vm);
+  if (!Absent.empty())
+    ping(Absent[AbsentCursor_++ % Absent.size()], Now);
+}
+
+void Members::ping(const VmId &To, Time Now) {
+  MembershipMessage Out = message(MessageKind::Ping, Now);
+  Out.Digest_ = digestOfZone(Options_.Zone_, Now);
+  Out.Pinger_ = Out.Sender_.Incarnation_;
+  Out.PingedAt_ = Now - Time();
+  post(To, Out);
+}
+
+void Members::suspectSilent(Time Now) {
+  for (const auto &[Vm, P] : Neighbours_) {
+    auto It = Records_.find(Vm);
+    if (It == Records_.end() || It->second.State_ >= VmState::Suspect)
+      continue;
+    Time Since = P.EverAnswered_ ? std::max(P.Since_, P.Answered_) : P.Since_;
+    if (Now - Since > Options_.SuspectAfter_)
+      setState(It->second, VmState::Suspect, Now);
+  }
+}
+
+void Members::buryLongSuspect(Time Now) {
+  std::vector<VmId> Expired;
+  for (const auto &[Vm, Since] : SuspectSince_)
+    if (Now - Since > Options_.DeadAfter_)
+      Expired.push_back(Vm);
+  for (const VmId &Vm : Expired)
+    setState(Records_.at(Vm), VmState::Dead, Now);
+}
+
+void Members::setState(MemberRecord &Record, VmState State, Time Now) {
+  Record.State_ = State;
+  ++MemberChanges_;
+  MemberNews_.insert(Record.Vm_);
+  if (State == VmState::Suspect)
+    SuspectSince_.emplace(Record.Vm_, Now);
+  else
+    SuspectSince_.erase(Record.Vm_);
+}
+
+std::size_t Members::bridgeRank() const {
+  std::vector<VmId> Bridges = bridgesOf(Options_.Zone_);
+  auto It = std::find(Bridges.begin(), Bridges.end(), Options_.Self_);
+  return static_cast<std::size_t>(It - Bridges.begin()) +
+         (It == Bridges.end() ? BridgesPerZone : 0);
+}
+
+std::vector<ZoneId> Members::otherZones() const {
+  std::set<ZoneId> Others;
+  for (const auto &[Vm, Zone] : Declared_)
+    if (Zone != Options_.Zone_)
+      Others.insert(Zone);
+  return {Others.begin(), Others.end()};
+}
+
+VmId Members::bridgeTarget(const ZoneId &Zone, std::size_t Rank, Time Now) {
+  auto It = Zones_.find(Zone);
+  bool Heard = It != Zones_.end() && It->second.Heard_ &&
+               Now - It->second.HeardAt_ <= Options_.ReportEvery_ * 3;
+  std::vector<VmId> Bridges = bridgesOf(Zone);
+  if (Heard && !Bridges.empty())
+    return Bridges[std::min(Rank, Bridges.size() - 1)];
+  std::vector<VmId> All;
+  for (const auto &[Vm, In] : Declared_)
+    if (In == Zone)
+      All.push_back(Vm);
+  return All[(Rank + ZoneCursor_[Zone]++) % All.size()];
+}
+
+void Members::reportToZones(Time Now) {
+  NextReport_ = Now + Options_.ReportEvery_;
+  std::size_t Rank = bridgeRank();
+  if (Rank >= BridgesPerZone)
+    return;
+  ReportCounter_ = std::max(ReportCounter_ + 1, Options_.Incarnation_.value());
+  MembershipMessage Out = message(MessageKind::News, Now);
+  Out.Reports_.push_back({Options_.Zone_,
+                          {ReportCounter_, Options_.Self_},
+                          digestOfZone(Options_.Zone_, Now)});
+  for (const ZoneId &Zone : otherZones())
+    post(bridgeTarget(Zone, Rank, Now), Out);
+}
+
+void Members::refreshUpstreams(Time Now) {
+  NextRefresh_ = Now + Options_.RefreshEvery_;
+  RefreshedNews_.merge(RefreshDue_);
+  RefreshDue_.clear();
+  forgetUpstreams(Upstreams_, Options_.UpstreamMemory_, Now);
+}
+
+void Members::flushNews(Time Now) {
+  bool Any = !MemberNews_.empty() || !ChangedNews_.empty() ||
+             !RefreshedNews_.empty() || !ReportNews_.empty();
+  if (!Any)
+    return;
+  flushToZone(Now);
+  flushToOtherZones(Now);
+  MemberNews_.clear();
+  ChangedNews_.clear();
+  RefreshedNews_.clear();
+  ReportNews_.clear();
+}
+
+void Members::flushToZone(Time Now) {
+  MembershipMessage Out = message(MessageKind::News, Now);
+  for (const VmId &Vm : MemberNews_)
+    Out.Members_.push_back(Records_.at(Vm));
+  std::set<UpstreamKey> Keys = ChangedNews_;
+  Keys.insert(RefreshedNews_.begin(), RefreshedNews_.end());
+  for (const UpstreamKey &Key : Keys)
+    if (auto It = Upstreams_.Entries_.find(Key);
+        It != Upstreams_.Entries_.end())
+      Out.Upstreams_.push_back(recordAt(It->second, Now));
+  for (const auto &[Zone, Report] : ReportNews_)
+    Out.Reports_.push_back(Report);
+  for (const auto &[Vm, P] : Neighbours_)
+    post(Vm, Out);
+}
+
+void Members::flushToOtherZones(Time Now) {
+  std::size_t Rank = bridgeRank();
+  if (Rank >= BridgesPerZone)
+    return;
+  MembershipMessage Out = message(MessageKind::News, Now);
+  for (const VmId &Vm : MemberNews_)
+    if (zoneOf(Vm) == Options_.Zone_)
+      Out.Members_.push_back(Records_.at(Vm));
+  for (const UpstreamKey &Key : ChangedNews_) {
+    auto It = Upstreams_.Entries_.find(Key);
+    if (It != Upstreams_.Entries_.end() &&
+        It->second.Record_.Zone_ == Options_.Zone_)
+      Out.Upstreams_.push_back(recordAt(It->second, Now));
+  }
+  if (Out.Members_.empty() && Out.Upstreams_.empty())
+    return;
+  for (const ZoneId &Zone : otherZones())
+    post(bridgeTarget(Zone, Rank, Now), Out);
+}
+
+MembershipMessage Members::message(MessageKind Kind, Time) const {
+  MembershipMessage Out;
+  Out.Kind_ = Kind;
+  Out.Sender_ = self();
+  return Out;
+}
+
+void Members::post(const VmId &To, const MembershipMessage &Out) {
+  Outbox_.push_back({Options_.Self_, To, Channel::Membership, encode(Out)});
+}
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/test/Membership.cpp
@@ -0,0 +1,265 @@
+#include "lagoonpoint/Membership"
+#include "fakes/MemberFleet.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace lagoonpoint;
+using fakes::Fate;
+using fakes::MemberFleet;
+
+namespace {
+
+const ServiceId Service("tellimus");
+const Duration Second = Duration::seconds(1);
+
+UpstreamOffer offer(const std::string &Name, bool Leaving = false) {
+  UpstreamOffer O;
+  O.Key_ = {Service, UpstreamId(Name)};
+  O.Host_ = "10.0.0.1";
+  O.Port_ = 80;
+  O.Slots_ = 3;
+  O.Leaving_ = Leaving;
+  return O;
+}
+
+std::function<bool(Members &)> sees(MemberFleet &Fleet, std::size_t Count) {
+  return [&Fleet, Count](Members &M) {
+    return M.upstreams(Service, Fleet.Now_).size() == Count;
+  };
+}
+
+std::function<bool(Members &)> says(MemberFleet &Fleet, const std::string &Vm,
+                                    VmState State) {
+  return [&Fleet, Vm, State](Members &M) {
+    return M.stateOf(VmId(Vm), Fleet.Now_) == State;
+  };
+}
+
+bool allAlive(MemberFleet &Fleet) {
+  return Fleet
+      .until(
+          [&](Members &M) {
+            auto Views = M.vms(Fleet.Now_);
+            return std::all_of(Views.begin(), Views.end(), [](const auto &V) {
+              return V.State_ == VmState::Alive;
+            });
+          },
+          Second * 15)
+      .has_value();
+}
+
+} // namespace
+
+TEST_CASE("A fleet of three zones") {
+  MemberFleet Fleet(3, 3);
+  REQUIRE(allAlive(Fleet));
+  for (auto &[Vm, M] : Fleet.Vms_)
+    CHECK(M.contact(Fleet.Now_) == Contact::Connected);
+
+  SECTION("finds a dead VM and takes it back under a new incarnation") {
+    std::string Victim = GENERATE("z1a", "z1b", "z2c");
+    Incarnation Before = Fleet.at("z3a").vms(Fleet.Now_)[0].Incarnation_;
+    Fleet.crash(VmId(Victim));
+    CHECK(Fleet.until(says(Fleet, Victim, VmState::Dead), Second * 6));
+    Fleet.start(VmId(Victim));
+    CHECK(Fleet.until(says(Fleet, Victim, VmState::Alive), Second * 5));
+    if (Victim == "z1a")
+      CHECK(Fleet.at("z3a").vms(Fleet.Now_)[0].Incarnation_ > Before);
+    CHECK(Fleet.at(Victim).idConflicts() == 0);
+  }
+  SECTION("does not call a VM dead for a one-way cut to one peer") {
+    Fleet.Net_.cut(VmId("z1a"), VmId("z1b"));
+    bool Died = false;
+    Fleet.EachStep_ = [&] {
+      Died |= Fleet.at("z2a").stateOf(VmId("z1b"), Fleet.Now_) == VmState::Dead;
+    };
+    Fleet.run(Second * 20);
+    CHECK_FALSE(Died);
+    CHECK(Fleet.at("z1b").contact(Fleet.Now_) == Contact::Connected);
+  }
+  SECTION("tells a VM that is alone from a zone that is cut off") {
+    for (const auto &[Vm, Zone] : Fleet.Declared_) {
+      Fleet.Net_.cut(VmId("z1a"), Vm);
+      Fleet.Net_.cut(Vm, VmId("z1a"));
+    }
+    Fleet.cutZone("z2");
+    Fleet.run(Second * 6);
+    CHECK(Fleet.at("z1a").contact(Fleet.Now_) == Contact::Alone);
+    CHECK(Fleet.at("z1b").contact(Fleet.Now_) == Contact::Connected);
+    CHECK(Fleet.at("z2a").contact(Fleet.Now_) == Contact::ZoneCutOff);
+    Fleet.run(Second * 4);
+    CHECK(says(Fleet, "z2a", VmState::Dead)(Fleet.at("z3a")));
+    Fleet.Net_.healAll();
+    CHECK(allAlive(Fleet));
+    CHECK(Fleet.at("z1a").contact(Fleet.Now_) == Contact::Connected);
+  }
+  SECTION("knows that a VM drains") {
+    Fleet.at("z1a").setDraining(true);
+    CHECK(Fleet.until(says(Fleet, "z1a", VmState::Draining), Second * 2));
+  }
+  SECTION("keeps the newer of two processes that claim one id") {
+    MemberRecord Later{VmId("z1a"), Incarnation(1'900'000'000'000), 1,
+                       VmState::Alive, Revision()};
+    MembershipMessage Claim;
+    Claim.Sender_ = Later;
+    Claim.Sender_.Vm_ = VmId("z1b");
+    Claim.Sender_.Incarnation_ = Incarnation(1);
+    Claim.Members_ = {Later};
+    Fleet.at("z1a").receive(
+        {VmId("z1b"), VmId("z1a"), Channel::Membership, encode(Claim)},
+        Fleet.Now_);
+    CHECK(Fleet.at("z1a").idConflicts() == 1);
+    CHECK(Fleet.at("z1a").vms(Fleet.Now_)[0].Incarnation_ > Later.Incarnation_);
+  }
+}
+
+TEST_CASE("A message that is malformed or speaks for another VM") {
+  MemberFleet Fleet(1, 2);
+  MembershipMessage Claim;
+  Claim.Sender_.Vm_ = VmId("z1a");
+  std::string Body = GENERATE_REF(std::string("garbage"), encode(Claim));
+  CHECK_THROWS_AS(
+      Fleet.at("z1a").receive(
+          {VmId("z1b"), VmId("z1a"), Channel::Membership, Body}, Fleet.Now_),
+      CodecError);
+}
+
+TEST_CASE("An upstream announces itself") {
+  MemberFleet Fleet(3, 3);
+  REQUIRE(allAlive(Fleet));
+  Fleet.announce("z1a", offer("u1"));
+  REQUIRE(Fleet.until(sees(Fleet, 1), Second * 2));
+
+  SECTION("and stays as long as it renews, wherever it does") {
+    for (int Round = 0; Round < 30; ++Round) {
+      Fleet.run(Second);
+      Fleet.announce(Round % 2 ? "z1b" : "z1c", offer("u1"));
+    }
+    for (auto &[Vm, M] : Fleet.Vms_)
+      CHECK(sees(Fleet, 1)(M));
+  }
+  SECTION("and is gone when it doesn't") {
+    CHECK(Fleet.until(sees(Fleet, 0), Second * 25));
+  }
+  SECTION("and is gone everywhere within 3 s when it leaves") {
+    Fleet.announce("z1b", offer("u1", true));
+    CHECK(Fleet.until(sees(Fleet, 0), Second * 3));
+    Fleet.run(Second * 5);
+    CHECK(Fleet.until(sees(Fleet, 0), Duration()));
+    SECTION("and may come back") {
+      Fleet.announce("z1c", offer("u1"));
+      CHECK(Fleet.until(sees(Fleet, 1), Second * 3));
+    }
+  }
+  SECTION("and leaves while every first message is lost") {
+    std::map<std::string, int> Seen;
+    Fleet.Net_.setHook([&](std::uint64_t, const Envelope &E) {
+      return Fate{.Lost_ = ++Seen[E.From_.str() + E.To_.str()] <= 1};
+    });
+    Fleet.announce("z1a", offer("u1", true));
+    CHECK(Fleet.until(sees(Fleet, 0), Second * 5));
+  }
+  SECTION("and leaves through a VM that missed its latest renewals") {
+    for (const auto &[Vm, Zone] : Fleet.Declared_) {
+      Fleet.Net_.cut(Vm, VmId("z1c"));
+      Fleet.Net_.cut(VmId("z1c"), Vm);
+    }
+    for (int Round = 0; Round < 5; ++Round) {
+      Fleet.run(Second);
+      Fleet.announce("z1a", offer("u1"));
+    }
+    Fleet.announce("z1c", offer("u1", true));
+    Fleet.Net_.healAll();
+    CHECK(Fleet.until(sees(Fleet, 0), Second * 5));
+  }
+}
+
+TEST_CASE("Records of one upstream in any order, doubled or late") {
+  UpstreamTable Issuer;
+  Time Now(1000);
+  std::vector<UpstreamRecord> Records;
+  auto Issue = [&](const char *Vm, bool Leaving) {
+    UpstreamRecord R;
+    R.Key_ = {Service, UpstreamId("u1")};
+    R.Lease_ = Second * 10;
+    R = issueUpstream(Issuer, R, Leaving, VmId(Vm), Incarnation(5));
+    mergeUpstream(Issuer, R, Now);
+    Records.push_back(R);
+  };
+  Issue("a", false);
+  Issue("b", false);
+  Issue("a", true);
+
+  Random Dice(3);
+  for (int Round = 0; Round < 200; ++Round) {
+    std::vector<UpstreamRecord> Late = Records;
+    Late.insert(Late.end(), Records.begin(), Records.end());
+    std::shuffle(Late.begin(), Late.end(), Dice);
+    UpstreamTable Table;
+    bool Left = false;
+    for (const UpstreamRecord &R : Late) {
+      mergeUpstream(Table, R, Now);
+      Left |= leaving(R);
+      bool Usable = usable(Table.Entries_.begin()->second, Now);
+      CHECK(Usable != Left);
+    }
+  }
+  Issue("b", false);
+  CHECK(usable(Issuer.Entries_.begin()->second, Now));
+}
+
+TEST_CASE("Long runs of random faults") {
+  auto Seed = GENERATE(range(1, 41));
+  Random Dice(Seed);
+  MemberFleet Fleet(3, 3);
+  bool Faulty = true;
+  Fleet.Net_.setHook([&](std::uint64_t, const Envelope &) {
+    Fate F;
+    F.Lost_ = Faulty && Dice() % 5 == 0;
+    F.Copies_ = 1 + (Faulty && Dice() % 10 == 0);
+    F.Delay_ = Duration::millis(Faulty ? Dice() % 400 : 1);
+    return F;
+  });
+  std::vector<VmId> Ids;
+  for (const auto &[Vm, Zone] : Fleet.Declared_)
+    Ids.push_back(Vm);
+  for (int Round = 0; Round < 60; ++Round) {
+    VmId Vm = Ids[Dice() % Ids.size()];
+    VmId Other = Ids[Dice() % Ids.size()];
+    switch (Dice() % 5) {
+    case 0:
+      Fleet.crash(Vm);
+      break;
+    case 1:
+      if (!Fleet.Vms_.count(Vm))
+        Fleet.start(Vm);
+      break;
+    case 2:
+      Fleet.Net_.cut(Vm, Other);
+      break;
+    case 3:
+      Fleet.Net_.healAll();
+      break;
+    default:
+      if (Fleet.Vms_.count(Vm))
+        Fleet.announce(
+            Vm.str(), offer("u-" + Fleet.Declared_[Vm].str(), Dice() % 3 == 0));
+    }
+    Fleet.run(Duration::millis(Dice() % 1500));
+  }
+  Faulty = false;
+  Fleet.Net_.healAll();
+  for (const VmId &Vm : Ids)
+    if (!Fleet.Vms_.count(Vm))
+      Fleet.start(Vm);
+  CHECK(allAlive(Fleet));
+  for (int Round = 0; Round < 30; ++Round) {
+    for (const char *Vm : {"z1a", "z2a", "z3a"})
+      Fleet.announce(Vm, offer(std::string("last-") + Vm));
+    Fleet.run(Second);
+  }
+  for (auto &[Vm, M] : Fleet.Vms_)
+    CHECK(M.upstreams(Service, Fleet.Now_).size() == 3);
+  CHECK(invariantViolations() == 0);
+}
