Leave a flow to the VMs that carry it

Cause: a VM that carries none of a flow moved its idle row by its own view. After a long partition, callers who then came over were all sent elsewhere at once. Change: such a row follows the plans of the VMs that carry the flow, and stays as it is while they may be out of contact. Figures: in the new story a VM that was cut off for 300 s serves the callers who come over from where they left: 30 % of them moved after 30 s; before, all. Conclusion: callers that change their VM are paced too.

--- a/lagoonpoint/src/Steering/RegionPlan.cpp
+++ b/lagoonpoint/src/Steering/RegionPlan.cpp
@@ -8,6 +8,8 @@
 
 /// A shift that nothing presses is made in this many steps per interval.
 constexpr int GentleSteps = 10;
+/// A row follows another VM for this many of its messages.
+constexpr int HeardFor = 3;
 /// Distances below this are noise of demand and credit.
 constexpr double LeastShift = 0.01;
 
@@ -49,6 +51,16 @@
   return std::min(Allowed, Rules.Cap_ / GentleSteps);
 }
 
+/// \returns whether a row stays as it is, for the VMs that carry its flow to
+/// move it.
+bool isLedByOthers(const RegionPlan::Row &Row, const Flow &F,
+                   const SteeringView &View, Time Now) {
+  if (carries(View, F))
+    return false;
+  bool Heard = Row.HeardAt_ && *Row.HeardAt_ > Now - PlanEvery * HeardFor;
+  return Heard || View.Hidden_.count(F);
+}
+
 void advanceRow(RegionPlan::Row &Row, const Flow &F, const RegionShares &Target,
                 const Declarations &D, const SteeringView &View, Time Now) {
   ShiftRules Rules = rulesOf(D, F.Service_);
@@ -79,14 +91,18 @@
     RegionPlan::Row &Row = Plan.Rows_.at(F);
     if (Row.Shares_.empty())
       Row.Shares_ = Target;
-    advanceRow(Row, F, Target, D, View, Now);
+    if (!isLedByOthers(Row, F, View, Now))
+      advanceRow(Row, F, Target, D, View, Now);
   }
 }
 
-PlanCopy copyOf(const RegionPlan &Plan, Time Now) {
+PlanCopy copyOf(const RegionPlan &Plan, const SteeringView &View, Time Now) {
   PlanCopy Out;
   for (const auto &[F, Row] : Plan.Rows_) {
-    PlanCopy::Row Copy{F.Service_, F.Origin_, {}, copyOf(Row.Ledger_, Now)};
+    PlanCopy::Row Copy{F.Service_, F.Origin_, {}, copyOf(Row.Ledger_, Now), 0};
+    auto Demand = View.Demand_.find(F);
+    if (Demand != View.Demand_.end())
+      Copy.Rate_ = Demand->second;
     for (const auto &[Region, Share] : Row.Shares_)
       Copy.Parts_.push_back({Region, Share});
     Out.Rows_.push_back(std::move(Copy));
@@ -97,7 +113,7 @@
 RegionPlan planOf(const PlanCopy &Copy, Time Now) {
   RegionPlan Out;
   for (const PlanCopy::Row &Row : Copy.Rows_) {
-    RegionPlan::Row Into{{}, ledgerOf(Row.Ledger_, Now)};
+    RegionPlan::Row Into{{}, ledgerOf(Row.Ledger_, Now), {}};
     for (const PlanCopy::Part &Part : Row.Parts_)
       Into.Shares_[Part.Region_] = Part.Share_;
     checkShares(Into.Shares_);
@@ -106,4 +122,17 @@
   return Out;
 }
 
+void hear(RegionPlan &Plan, const PlanCopy &Copy, const SteeringView &View,
+          Time Now) {
+  RegionPlan Theirs = planOf(Copy, Now);
+  for (const PlanCopy::Row &Row : Copy.Rows_) {
+    Flow F{Row.Service_, Row.Origin_};
+    auto Mine = Plan.Rows_.find(F);
+    if (Row.Rate_ < CarriedRate || carries(View, F) || Mine == Plan.Rows_.end())
+      continue;
+    Mine->second = Theirs.Rows_.at(F);
+    Mine->second.HeardAt_ = Now;
+  }
+}
+
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Steering/RegionPlan.h
+++ b/lagoonpoint/src/Steering/RegionPlan.h
@@ -6,6 +6,7 @@
 #include "lagoonpoint/src/Steering/ShiftLedger.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace lagoonpoint {
@@ -15,15 +16,19 @@
 /// \brief Where a VM sends each flow, in shares by region.
 ///
 /// The origin of a call is the region of its caller's block, whichever VM the
-/// call enters by, so callers that change their VM move no traffic between
-/// serving regions. Each VM moves at most the profile's cap of each flow per
+/// call enters by. Each VM moves at most the profile's cap of each flow per
 /// interval. The fleet then moves at most the cap of each service's traffic,
 /// since that is a mean of such parts, weighted by traffic; no VM needs to
 /// know of the others for it.
+///
+/// A flow that this VM doesn't carry follows the VMs that do, see hear(), and
+/// stays as it is while they may be out of contact: callers who then come over
+/// find it where they left.
 struct RegionPlan {
   struct Row {
     RegionShares Shares_;
     ShiftLedger Ledger_;
+    std::optional<Time> HeardAt_; ///< when it last followed another VM
   };
   std::map<Flow, Row> Rows_;
 };
@@ -35,7 +40,8 @@
 void advance(RegionPlan &Plan, const Declarations &D, const SteeringView &View,
              Time Now);
 
-/// A plan as one VM hands it to another that has just started.
+/// A plan as a VM sends it to the others every PlanEvery, and on request to
+/// one that has just started.
 struct PlanCopy {
   struct Part {
     RegionId Region_;
@@ -47,13 +53,17 @@
     RegionId Origin_;
     std::vector<Part> Parts_;
     LedgerCopy Ledger_;
-    MSGPACK_DEFINE(Service_, Origin_, Parts_, Ledger_)
+    double Rate_ = 0; ///< requests a second that the sender carries
+    MSGPACK_DEFINE(Service_, Origin_, Parts_, Ledger_, Rate_)
   };
   std::vector<Row> Rows_;
   MSGPACK_DEFINE(Rows_)
 };
 
-PlanCopy copyOf(const RegionPlan &Plan, Time Now);
+/// How often VMs tell each other their plans.
+inline constexpr Duration PlanEvery = Duration::seconds(5);
+
+PlanCopy copyOf(const RegionPlan &Plan, const SteeringView &View, Time Now);
 
 /// Takes over another VM's plan before the first advance(), so that the calls
 /// which return to a restarted VM go where they went by the others.
@@ -61,4 +71,10 @@
 /// \throws Error if the shares of a row don't sum to 1 or are negative
 RegionPlan planOf(const PlanCopy &Copy, Time Now);
 
+/// Takes over the rows that the sender carries and this VM does not.
+/// \ingroup Steering
+/// \throws Error as planOf(); nothing is changed then
+void hear(RegionPlan &Plan, const PlanCopy &Copy, const SteeringView &View,
+          Time Now);
+
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Steering/RegionTargets.cpp
+++ b/lagoonpoint/src/Steering/RegionTargets.cpp
@@ -123,6 +123,22 @@
   return Out;
 }
 
+bool carries(const SteeringView &View, const Flow &F) {
+  auto Demand = View.Demand_.find(F);
+  return Demand != View.Demand_.end() && Demand->second >= CarriedRate;
+}
+
+std::set<Flow> hiddenFlows(const Declarations &D, const std::set<VmId> &Ready) {
+  std::set<Flow> Out;
+  for (const auto &[Id, Vm] : D.Vms_) {
+    if (!Vm.Entry_ || Vm.Drained_ || Ready.count(Id))
+      continue;
+    for (const auto &[Service, Decl] : D.Services_)
+      Out.insert({Service, D.Zones_.at(Vm.Zone_).Region_});
+  }
+  return Out;
+}
+
 RegionShares declaredTarget(const Declarations &D, const Flow &F) {
   const ProfileDecl &Profile = profileOf(D, F.Service_);
   return firstChoice(D, Profile, preference(D, Profile, F.Origin_));
--- a/lagoonpoint/src/Steering/RegionTargets.h
+++ b/lagoonpoint/src/Steering/RegionTargets.h
@@ -37,8 +37,23 @@
   std::map<RegionId, double> Credit_;
   /// Requests a second that callers bring to this VM, smoothed.
   std::map<Flow, double> Demand_;
+  /// Flows that VMs out of contact may be carrying, see hiddenFlows().
+  std::set<Flow> Hidden_;
 };
 
+/// A VM carries a flow from this demand on, in requests a second.
+inline constexpr double CarriedRate = 0.1;
+
+/// \returns whether callers bring a flow to this VM.
+/// \ingroup Steering
+bool carries(const SteeringView &View, const Flow &F);
+
+/// \returns the flows of regions some of whose entry VMs are out of contact:
+/// they may have failed, or serve their callers beyond a partition.
+/// \ingroup Steering
+/// \param Ready VMs in contact
+std::set<Flow> hiddenFlows(const Declarations &D, const std::set<VmId> &Ready);
+
 /// Works out where each flow should go: the objective's choice first, and what
 /// exceeds a region's credit to the next region of the preference.
 ///
--- a/test/Shift.cpp
+++ b/test/Shift.cpp
@@ -171,7 +171,7 @@
   S.run(Duration::seconds(5));
   S.D_.Regions_.at(Parnu).Drained_ = true;
   S.run(Duration::seconds(33));
-  std::string Bytes = encode(copyOf(S.Plan_, S.Now_));
+  std::string Bytes = encode(copyOf(S.Plan_, S.View_, S.Now_));
   double Before = S.share(Parnu, Parnu);
   Time Later = Time(50) + Duration::seconds(7); // of the other VM's clock
 
@@ -189,13 +189,56 @@
   }
   SECTION("but never with shares that are none") {
     for (double Share : {-0.1, 0.5, 2.0, std::nan("")}) {
-      PlanCopy Bad = copyOf(S.Plan_, S.Now_);
+      PlanCopy Bad = copyOf(S.Plan_, S.View_, S.Now_);
       Bad.Rows_.at(0).Parts_ = {{Parnu, Share}};
       CHECK_THROWS_AS(planOf(Bad, S.Now_), Error);
     }
   }
 }
 
+TEST_CASE("A VM that carries none of a flow leaves it to those that do") {
+  Story Here;
+  Story There;
+  There.View_.Demand_[{Tellimus, Parnu}] = 50;
+  Here.run(Duration::seconds(1));
+  There.run(Duration::seconds(1));
+  Flow FromParnu{Tellimus, Parnu};
+
+  SECTION("following their shift, so that callers who come over move nothing") {
+    There.D_.Regions_.at(Parnu).Drained_ = true;
+    for (int I = 0; I < 14; ++I) {
+      There.run(PlanEvery);
+      Here.run(PlanEvery);
+      hear(Here.Plan_, copyOf(There.Plan_, There.View_, There.Now_), Here.View_,
+           Here.Now_);
+      CHECK(Here.share(Parnu, Parnu) == There.share(Parnu, Parnu));
+    }
+    CHECK(Here.share(Parnu, Parnu) < 0.4);
+  }
+  SECTION("not following one that carries none either") {
+    There.View_.Demand_.clear();
+    There.Plan_.Rows_.at(FromParnu).Shares_ = {{Tartu, 1}};
+    hear(Here.Plan_, copyOf(There.Plan_, There.View_, There.Now_), Here.View_,
+         Here.Now_);
+    CHECK(Here.share(Parnu, Parnu) == 1);
+  }
+  SECTION("waiting for callers who are cut off or on their way") {
+    std::set<VmId> Ready;
+    for (const auto &[Id, Vm] : Here.D_.Vms_)
+      if (Id != VmId("pa2"))
+        Ready.insert(Id);
+    Here.View_.Hidden_ = hiddenFlows(Here.D_, Ready);
+    CHECK(Here.View_.Hidden_.size() == 2);
+    failRegion(Here.View_, Parnu);
+    Here.run(Duration::seconds(300));
+    CHECK(Here.share(Parnu, Parnu) == 1);
+    Here.View_.Demand_[FromParnu] = 50;
+    Here.run(Duration::seconds(30));
+    CHECK(Here.share(Parnu, Parnu) == Approx(0.7));
+    CHECK(Here.worst() <= WithinCap);
+  }
+}
+
 TEST_CASE("Look-ups name the closest VMs and move callers paced") {
   Declarations D = fakes::declarationsOf("kaasik");
   std::set<VmId> Ready;
@@ -314,7 +357,7 @@
       Views_[Vm].Credit_[anyRegion(R)] = double(R() % 200);
       break;
     default:
-      Plans_[Vm] = planOf(copyOf(Plans_[R() % Vms], Now_), Now_);
+      Plans_[Vm] = planOf(copyOf(Plans_[R() % Vms], {}, Now_), Now_);
       History_.clear(); // the copy's source was watched, not this VM
     }
     for (auto &[F, Rate] : Entering_[Vm])
