Leave headroom when traffic moves, and measure steering

Cause: plans filled the preferred region to its last call before they spilled, so a drain at half load overloaded the region that took the traffic. Conclusion: paced steps alone don't keep a region from overload; room must be known before it is filled.

--- /dev/null
+++ b/bench/steering.cpp
@@ -0,0 +1,411 @@
+// Steering under faults at the sizes of both firms, on a virtual clock, beside
+// a baseline that sends each call to the best usable region at once.
+
+#include "lagoonpoint/Steering"
+#include "test/fakes/Firms.h"
+
+#include <cstdio>
+#include <deque>
+#include <functional>
+
+using namespace lagoonpoint;
+
+namespace {
+
+constexpr int TicksPerSecond = 10;
+constexpr double ColdCost = 3;        ///< work of a call beside a warm one
+constexpr double WarmingSeconds = 30; ///< until caches know a flow
+constexpr double GiveUpSeconds = 1;   ///< wait at which a caller gives up
+constexpr double OverloadSeconds = 0.2;
+/// Operators declare this part of what upstreams take at most.
+constexpr double DeclaredPart = 0.9;
+constexpr int ReportSeconds = 5;
+constexpr std::size_t HistorySeconds = 20;
+
+struct Firm {
+  std::string Folder_;
+  RegionId Victim_;
+  double AnswerBytes_;
+};
+
+enum class Policy { Paced, Instant };
+
+/// A region's upstreams as one queue, with caches that know some flows.
+struct RegionQueue {
+  double Capacity_ = 0; ///< warm calls a second
+  double Backlog_ = 0;  ///< work waiting
+  bool Dead_ = false;
+  std::map<Flow, double> WarmRate_;
+  std::map<Flow, double> Second_; ///< calls of this second
+};
+
+struct Figures {
+  double Calls_ = 0, Refused_ = 0, Lost_ = 0;
+  double OverloadedSeconds_ = 0, WorstShift_ = 0, WorstLink_ = 0;
+  double WorstLoad_ = 0;
+  double DrainSeconds_ = -1;
+};
+
+/// One run of one policy through one scenario.
+struct Run {
+  Declarations D_;
+  Policy Policy_;
+  double AnswerBytes_;
+  std::map<Flow, double> Demand_;
+  std::map<RegionId, RegionQueue> Queues_;
+  std::vector<VmId> Vms_;
+  std::map<VmId, RegionPlan> Plans_;
+  std::map<VmId, SteeringView> Views_;
+  std::map<VmId, std::map<RegionId, double>> Sending_; ///< smoothed
+  RegionLoads Loads_;
+  std::map<VmId, std::map<Flow, double>> Entered_;    ///< of this second
+  std::map<VmId, std::map<RegionId, double>> SentBy_; ///< of this second
+  std::map<RegionId, double> Granted_;   ///< calls left of this tick
+  std::map<RegionId, double> BytesLeft_; ///< from that region, of this tick
+  std::map<RegionId, double> LinkBytes_; ///< of this second
+  std::deque<std::map<std::pair<Flow, RegionId>, double>> History_;
+  std::map<std::pair<Flow, RegionId>, double> Sent_; ///< of this second
+  /// As Sent_, with what was refused for its region.
+  std::map<std::pair<Flow, RegionId>, double> Chosen_;
+  Random Source_{17};
+  Figures Out_;
+  Time Now_{1000};
+
+  Run(const Firm &F, Policy P, double Load)
+      : D_(fakes::declarationsOf(F.Folder_)), Policy_(P),
+        AnswerBytes_(F.AnswerBytes_) {
+    for (const auto &[Id, Region] : D_.Regions_) {
+      Queues_[Id].Capacity_ = Region.Capacity_.perSecond() / DeclaredPart;
+      for (const auto &[Service, S] : D_.Services_)
+        Demand_[{Service, Id}] = Load * Region.Capacity_.perSecond() /
+                                 static_cast<double>(D_.Services_.size());
+    }
+    for (const auto &[F2, Rate] : Demand_)
+      Queues_[F2.Origin_].WarmRate_[F2] = Rate;
+    for (const auto &[Id, Vm] : D_.Vms_)
+      Vms_.push_back(Id);
+  }
+  RegionId regionOf(const VmId &Vm) const {
+    return D_.Zones_.at(D_.Vms_.at(Vm).Zone_).Region_;
+  }
+  /// Callers enter by a live VM of their region, else by any live VM.
+  const VmId &entry(const RegionId &Origin) {
+    bool Local = !Queues_[Origin].Dead_;
+    for (;;) {
+      const VmId &Vm = Vms_[Source_() % Vms_.size()];
+      if (Local ? regionOf(Vm) == Origin : !Queues_[regionOf(Vm)].Dead_)
+        return Vm;
+    }
+  }
+};
+
+bool isUsable(Run &R, const RegionId &Region) {
+  return !R.Queues_[Region].Dead_;
+}
+
+double totalDemand(const Run &R) {
+  double Sum = 0;
+  for (const auto &[F, Rate] : R.Demand_)
+    Sum += Rate;
+  return Sum;
+}
+
+RegionDecision decidePaced(Run &R, const VmId &Vm, const Flow &F) {
+  std::map<RegionId, RegionCredit> Credits;
+  RegionId Self = R.regionOf(Vm);
+  for (const auto &[Id, Region] : R.D_.Regions_)
+    Credits[Id] = {R.Granted_[Id], RegionCredit::Unlimited, R.BytesLeft_[Id]};
+  auto Row = R.Plans_[Vm].Rows_.find(F);
+  if (Row == R.Plans_[Vm].Rows_.end())
+    return {{}, RefusalReason::NotReady};
+  CallBytes Bytes{500, R.AnswerBytes_};
+  return chooseRegion(F, Row->second.Shares_, R.Views_[Vm], Credits, Bytes,
+                      Self, R.Source_);
+}
+
+RegionDecision decideInstant(Run &R, const Flow &F) {
+  const ProfileDecl &P =
+      R.D_.Profiles_.at(R.D_.Services_.at(F.Service_).Profile_);
+  for (const RegionId &Region : preference(R.D_, P, F.Origin_))
+    if (isUsable(R, Region))
+      return {Region, {}};
+  return {{}, RefusalReason::NoUpstream};
+}
+
+void serve(Run &R, const Flow &F, const RegionId &From, const RegionId &To) {
+  RegionQueue &Q = R.Queues_[To];
+  R.Sent_[{F, To}] += 1;
+  if (From != To) {
+    R.LinkBytes_[To] += R.AnswerBytes_;
+    R.BytesLeft_[To] -= R.AnswerBytes_;
+  }
+  R.Granted_[To] -= 1;
+  Q.Second_[F] += 1;
+  bool IsCold = Q.Second_[F] > Q.WarmRate_[F] * 1.2 + 1;
+  if (Q.Backlog_ > Q.Capacity_ * GiveUpSeconds) {
+    R.Out_.Lost_ += 1;
+    return;
+  }
+  Q.Backlog_ += IsCold ? ColdCost : 1;
+}
+
+void call(Run &R, const Flow &F) {
+  const VmId &Vm = R.entry(F.Origin_);
+  R.Out_.Calls_ += 1;
+  R.Entered_[Vm][F] += 1;
+  RegionDecision Decision =
+      R.Policy_ == Policy::Paced ? decidePaced(R, Vm, F) : decideInstant(R, F);
+  R.Chosen_[{F, Decision.Region_}] += 1;
+  if (Decision.Refused_)
+    R.Out_.Refused_ += 1;
+  else {
+    R.SentBy_[Vm][Decision.Region_] += 1;
+    serve(R, F, R.regionOf(Vm), Decision.Region_);
+  }
+}
+
+/// Hands out one tick's credit of each region and its links, as leases would.
+void grantTick(Run &R) {
+  constexpr double SavedTicks = 3;
+  for (auto &[Id, Q] : R.Queues_) {
+    double Part = Q.Capacity_ * DeclaredPart / TicksPerSecond;
+    R.Granted_[Id] = std::min(R.Granted_[Id] + Part, SavedTicks * Part);
+    double Cap = 1e18;
+    for (const LinkDecl &L : R.D_.Links_)
+      if (L.From_ == Id)
+        Cap = std::min(Cap, L.Cap_.bytesPerSecond() / TicksPerSecond);
+    R.BytesLeft_[Id] = Cap;
+  }
+}
+
+void workTick(Run &R) {
+  for (auto &[Id, Q] : R.Queues_)
+    Q.Backlog_ = std::max(0.0, Q.Backlog_ - Q.Capacity_ / TicksPerSecond);
+}
+
+/// Every VM tells the others what it sends, each at a second of its own.
+void reportSecond(Run &R) {
+  constexpr double Newest = 0.3;
+  int Turn = static_cast<int>(R.Now_.count() / 1000) % ReportSeconds;
+  for (std::size_t I = 0; I < R.Vms_.size(); ++I) {
+    const VmId &Vm = R.Vms_[I];
+    for (const auto &[Id, Q] : R.Queues_) {
+      double Now = R.SentBy_[Vm][Id];
+      R.Sending_[Vm][Id] += Newest * (Now - R.Sending_[Vm][Id]);
+    }
+    if (static_cast<int>(I) % ReportSeconds != Turn)
+      continue;
+    R.Loads_.Reports_[Vm] = {R.Now_, R.Sending_[Vm]};
+    if (R.Queues_[R.regionOf(Vm)].Dead_)
+      continue;
+    PlanCopy Copy = copyOf(R.Plans_[Vm], R.Views_[Vm], R.Now_);
+    for (const VmId &Other : R.Vms_)
+      if (Other != Vm)
+        hear(R.Plans_[Other], Copy, R.Views_[Other], R.Now_);
+  }
+  R.SentBy_.clear();
+}
+
+/// What each VM knows after a second: the usable regions, its callers' demand
+/// and what the reports leave of the regions' capacity.
+void viewSecond(Run &R) {
+  constexpr double Newest = 0.3;
+  std::set<VmId> Ready;
+  for (const VmId &Vm : R.Vms_)
+    if (!R.Queues_[R.regionOf(Vm)].Dead_)
+      Ready.insert(Vm);
+  for (const VmId &Vm : Ready) {
+    SteeringView &V = R.Views_[Vm];
+    V.Usable_.clear();
+    for (const auto &[Service, S] : R.D_.Services_)
+      for (const auto &[Id, Q] : R.Queues_)
+        if (!Q.Dead_)
+          V.Usable_.insert({Service, Id});
+    for (const auto &[F, Rate] : R.Demand_)
+      V.Demand_[F] += Newest * (R.Entered_[Vm][F] - V.Demand_[F]);
+    RegionLoads Loads = R.Loads_;
+    Loads.Reports_[Vm] = {R.Now_, R.Sending_[Vm]};
+    V.Credit_ = planCredits(Loads, R.D_, FillTo, Vm, Ready, R.Now_);
+    V.Limit_ = planCredits(Loads, R.D_, 1.0, Vm, Ready, R.Now_);
+    advance(R.Plans_[Vm], R.D_, V, R.Now_);
+  }
+}
+
+/// \returns calls by flow and region, a mean over the last seconds.
+std::map<std::pair<Flow, RegionId>, double> recentlyChosen(const Run &R,
+                                                           std::size_t Ago) {
+  constexpr std::size_t Averaged = 10;
+  std::map<std::pair<Flow, RegionId>, double> Out;
+  for (std::size_t I = Ago; I < Ago + Averaged; ++I)
+    for (const auto &[Key, Calls] : R.History_[R.History_.size() - 1 - I])
+      Out[Key] += Calls / Averaged;
+  return Out;
+}
+
+/// \returns the part of all calls that go where they didn't an interval ago.
+double movedInInterval(const Run &R) {
+  auto Interval = static_cast<std::size_t>(
+      R.D_.Profiles_.begin()->second.ShiftEvery_.inSeconds());
+  auto Then = recentlyChosen(R, Interval);
+  double Gained = 0;
+  for (const auto &[Key, Calls] : recentlyChosen(R, 0))
+    Gained += std::max(0.0, Calls - Then[Key]);
+  return Gained / totalDemand(R);
+}
+
+void watchSecond(Run &R, bool IsWarmedUp) {
+  R.History_.push_back(R.Chosen_);
+  if (R.History_.size() > HistorySeconds)
+    R.History_.pop_front();
+  if (IsWarmedUp)
+    R.Out_.WorstShift_ = std::max(R.Out_.WorstShift_, movedInInterval(R));
+  for (auto &[Id, Q] : R.Queues_) {
+    if (Q.Backlog_ > Q.Capacity_ * OverloadSeconds && !Q.Dead_)
+      R.Out_.OverloadedSeconds_ += 1;
+    double Calls = 0;
+    for (auto &[F, Rate] : R.Demand_) {
+      Calls += Q.Second_[F];
+      Q.WarmRate_[F] += (Q.Second_[F] - Q.WarmRate_[F]) / WarmingSeconds;
+    }
+    R.Out_.WorstLoad_ =
+        std::max(R.Out_.WorstLoad_, Calls / (Q.Capacity_ * DeclaredPart));
+    Q.Second_.clear();
+    for (const LinkDecl &L : R.D_.Links_)
+      if (L.From_ == Id)
+        R.Out_.WorstLink_ = std::max(
+            R.Out_.WorstLink_, R.LinkBytes_[Id] / L.Cap_.bytesPerSecond());
+  }
+}
+
+double sentTo(Run &R, const RegionId &Region) {
+  double Sum = 0;
+  for (const auto &[Key, Calls] : R.Sent_)
+    if (Key.second == Region)
+      Sum += Calls;
+  return Sum;
+}
+
+void second(Run &R, bool IsWarmedUp) {
+  R.Sent_.clear();
+  R.Chosen_.clear();
+  R.Entered_.clear();
+  R.LinkBytes_.clear();
+  for (int Tick = 0; Tick < TicksPerSecond; ++Tick) {
+    grantTick(R);
+    for (const auto &[F, Rate] : R.Demand_) {
+      std::poisson_distribution<int> Arrivals(Rate / TicksPerSecond);
+      for (int I = Arrivals(R.Source_); I > 0; --I)
+        call(R, F);
+    }
+    workTick(R);
+  }
+  watchSecond(R, IsWarmedUp);
+  reportSecond(R);
+  viewSecond(R);
+  R.Now_ = R.Now_ + Duration::seconds(1);
+}
+
+/// Something that happens at a second of the run.
+struct Event {
+  int At_;
+  std::function<void(Run &)> Do_;
+};
+
+struct Scenario {
+  std::string Name_;
+  double Load_; ///< part of all regions' capacity that callers ask for
+  int Seconds_;
+  std::function<void(Run &)> Before_;
+  std::vector<Event> Events_;
+};
+
+constexpr int WarmUp = 30;
+
+Figures play(const Firm &F, const Scenario &S, Policy P) {
+  Run R(F, P, S.Load_);
+  S.Before_(R);
+  viewSecond(R);
+  for (int Second = 0; Second < WarmUp; ++Second)
+    second(R, false);
+  R.Out_ = Figures();
+  double Before = sentTo(R, F.Victim_);
+  for (int Second = 0; Second < S.Seconds_; ++Second) {
+    for (const Event &E : S.Events_)
+      if (E.At_ == Second)
+        E.Do_(R);
+    second(R, true);
+    if (R.Out_.DrainSeconds_ < 0 && sentTo(R, F.Victim_) < 0.01 * Before)
+      R.Out_.DrainSeconds_ = Second + 1;
+  }
+  return R.Out_;
+}
+
+/// The VMs of a region start again with the plan of one that went on.
+void restart(Run &R, const RegionId &Region) {
+  VmId Peer;
+  for (const VmId &Vm : R.Vms_)
+    if (R.regionOf(Vm) != Region)
+      Peer = Vm;
+  PlanCopy Copy = copyOf(R.Plans_[Peer], R.Views_[Peer], R.Now_);
+  for (const VmId &Vm : R.Vms_)
+    if (R.regionOf(Vm) == Region)
+      R.Plans_[Vm] = planOf(Copy, R.Now_);
+}
+
+std::vector<Scenario> scenarios(const Firm &F) {
+  RegionId Victim = F.Victim_;
+  auto Nothing = [](Run &) {};
+  auto Drain = [=](Run &R) { R.D_.Regions_.at(Victim).Drained_ = true; };
+  auto Kill = [=](Run &R) { R.Queues_[Victim].Dead_ = true; };
+  auto Revive = [=](Run &R) {
+    R.Queues_[Victim].Dead_ = false;
+    R.Queues_[Victim].Backlog_ = 0;
+    R.Queues_[Victim].WarmRate_.clear();
+    restart(R, Victim);
+  };
+  auto AvoidHome = [=](Run &R) {
+    for (auto &[Id, P] : R.D_.Profiles_) {
+      P.Objective_ = Objective::Cheapest;
+      P.Avoid_ = {Victim};
+    }
+  };
+  auto NewPrices = [](Run &R) {
+    for (LinkDecl &L : R.D_.Links_)
+      L.Price_ = Price(20 - L.Price_.centsPerGigabyte());
+  };
+  auto BigAnswers = [=](Run &R) {
+    double Cap = R.D_.Links_.front().Cap_.bytesPerSecond();
+    double Rate = R.D_.Regions_.at(Victim).Capacity_.perSecond() * 0.5;
+    R.AnswerBytes_ = 1.5 * Cap / Rate;
+  };
+  return {{"nothing happens", 0.5, 180, Nothing, {}},
+          {"drain of a region", 0.5, 180, Nothing, {{10, Drain}}},
+          {"region fails at peak, returns",
+           0.8,
+           420,
+           Nothing,
+           {{10, Kill}, {200, Revive}}},
+          {"price change at noon", 0.5, 180, AvoidHome, {{10, NewPrices}}},
+          {"drain over a full link", 0.5, 180, BigAnswers, {{10, Drain}}}};
+}
+
+void print(const char *Name, const Figures &F) {
+  std::printf("  %-8s worst shift/interval %5.1f %%  overload %3.0f s  lost "
+              "%5.2f %%  refused %5.2f %%  worst load %3.0f %%  worst link "
+              "%3.0f %%  drained after %4.0f s\n",
+              Name, 100 * F.WorstShift_, F.OverloadedSeconds_,
+              100 * F.Lost_ / F.Calls_, 100 * F.Refused_ / F.Calls_,
+              100 * F.WorstLoad_, 100 * F.WorstLink_, F.DrainSeconds_);
+}
+
+} // namespace
+
+int main() {
+  for (const Firm &F : {Firm{"tussock-ridge", RegionId("waikato"), 4000},
+                        Firm{"kaasik", RegionId("tallinn"), 4000}})
+    for (const Scenario &S : scenarios(F)) {
+      std::printf("%s: %s\n", F.Folder_.c_str(), S.Name_.c_str());
+      print("paced", play(F, S, Policy::Paced));
+      print("instant", play(F, S, Policy::Instant));
+    }
+}
--- a/lagoonpoint/src/Steering/RegionTargets.cpp
+++ b/lagoonpoint/src/Steering/RegionTargets.cpp
@@ -23,16 +23,21 @@
   std::map<RegionId, double> Placed_;
 };
 
+RegionShares byCapacity(const Declarations &D,
+                        const std::vector<RegionId> &Regions) {
+  std::map<RegionId, double> Capacities;
+  for (const RegionId &R : Regions)
+    Capacities[R] = D.Regions_.at(R).Capacity_.perSecond();
+  return proportional(Capacities);
+}
+
 RegionShares firstChoice(const Declarations &D, const ProfileDecl &P,
                          const std::vector<RegionId> &Order) {
   if (Order.empty())
     return {};
   if (P.Objective_ != Objective::Spread)
     return {{Order.front(), 1.0}};
-  std::map<RegionId, double> Capacities;
-  for (const RegionId &R : Order)
-    Capacities[R] = D.Regions_.at(R).Capacity_.perSecond();
-  return proportional(Capacities);
+  return byCapacity(D, Order);
 }
 
 const ProfileDecl &profileOf(const Declarations &D, const ServiceId &Service) {
@@ -90,9 +95,23 @@
     }
 }
 
-/// What no region has credit for stays where the objective wants it.
-RegionShares finish(Filling F) {
-  for (const auto &[Region, Share] : F.First_)
+/// \returns what is left of the limits beside what has been placed.
+std::map<RegionId, double> limitsLeft(const std::vector<Filling> &Flows,
+                                      const SteeringView &View) {
+  std::map<RegionId, double> Out = View.Limit_;
+  for (const Filling &F : Flows)
+    for (const auto &[Region, Rate] : F.Placed_)
+      if (Out.count(Region))
+        Out[Region] = std::max(0.0, Out[Region] - Rate);
+  return Out;
+}
+
+/// Places what exceeds all limits, where it will be refused.
+RegionShares finish(Filling F, const Declarations &D) {
+  RegionShares Where = F.First_;
+  if (F.Order_.front() != F.Flow_.Origin_)
+    Where = byCapacity(D, F.Order_);
+  for (const auto &[Region, Share] : Where)
     F.Placed_[Region] += std::max(0.0, F.Remaining_) * Share;
   return proportional(F.Placed_);
 }
@@ -111,10 +130,15 @@
   std::map<RegionId, double> Credit = View.Credit_;
   for (std::size_t Round = 0; Round <= D.Regions_.size(); ++Round)
     fillRound(Flows, Credit, Round);
+  if (!View.Limit_.empty()) {
+    std::map<RegionId, double> Left = limitsLeft(Flows, View);
+    for (std::size_t Round = 1; Round <= D.Regions_.size(); ++Round)
+      fillRound(Flows, Left, Round);
+  }
   std::map<Flow, RegionShares> Out;
   for (Filling &F : Flows) {
     Flow Name = F.Flow_;
-    RegionShares Target = finish(std::move(F));
+    RegionShares Target = finish(std::move(F), D);
     for (const auto &[Region, Share] : Target)
       LAGOONPOINT_ASSERT(mayServe(D, profileOf(D, Name.Service_), Region),
                          "steering.target");
--- a/lagoonpoint/src/Steering/RegionTargets.h
+++ b/lagoonpoint/src/Steering/RegionTargets.h
@@ -32,9 +32,11 @@
   /// Places with at least one upstream that takes work, as far as this VM can
   /// reach and tell.
   std::set<ServicePlace> Usable_;
-  /// Requests a second that this VM may send to a region, all services
-  /// together. Absent where its authority still grants what is asked.
+  /// Requests a second that this VM may plan to send to a region, all services
+  /// together, see planCredits(): so that headroom is left, and so that the
+  /// region is just full. Absent where nothing limits it.
   std::map<RegionId, double> Credit_;
+  std::map<RegionId, double> Limit_;
   /// Requests a second that callers bring to this VM, smoothed.
   std::map<Flow, double> Demand_;
   /// Flows that VMs out of contact may be carrying, see hiddenFlows().
@@ -55,10 +57,12 @@
 std::set<Flow> hiddenFlows(const Declarations &D, const std::set<VmId> &Ready);
 
 /// Works out where each flow should go: the objective's choice first, and what
-/// exceeds a region's credit to the next region of the preference.
+/// exceeds a region's credit to the next region of the preference. Where no
+/// credit is left, regions are filled to their limits in the same manner.
 ///
-/// What no region has credit for stays with the first choice and is refused
-/// there. A flow without any usable region has no target.
+/// What exceeds all limits is refused: a flow's own region refuses it, and the
+/// others share the refusals of a flow whose own region can't serve. A flow
+/// without any usable region has no target.
 /// \ingroup Steering
 std::map<Flow, RegionShares> targets(const Declarations &D,
                                      const SteeringView &View);
--- a/test/Shift.cpp
+++ b/test/Shift.cpp
@@ -151,6 +151,14 @@
     CHECK(S.share(Tallinn, Tallinn) == Approx(0.75).margin(0.01));
     CHECK(S.share(Tallinn, Parnu) == Approx(0.25).margin(0.01));
 
+    SECTION("and where no headroom is left, up to the limits") {
+      S.View_.Credit_ = {{Tallinn, 200}, {Tartu, 0}, {Parnu, 50}};
+      S.View_.Limit_ = {{Tallinn, 260}, {Tartu, 0}, {Parnu, 110}};
+      S.View_.Demand_[{Tellimus, Tallinn}] = 300;
+      S.run(Duration::seconds(60));
+      CHECK(S.share(Tallinn, Tallinn) == Approx(250.0 / 300).margin(0.02));
+      CHECK(S.share(Tallinn, Parnu) == Approx(50.0 / 300).margin(0.02));
+    }
     SECTION("and without credit anywhere it stays, to be refused") {
       S.View_.Credit_[Parnu] = 0;
       S.View_.Credit_[Tartu] = 0;
@@ -166,6 +174,44 @@
   CHECK(S.worst() <= WithinCap);
 }
 
+TEST_CASE("Survivors share the refusals of a region that failed") {
+  Declarations D = fakes::declarationsOf("kaasik");
+  SteeringView View = allUsable(D);
+  failRegion(View, Parnu);
+  View.Demand_[{Tellimus, Parnu}] = 100;
+  View.Credit_ = View.Limit_ = {{Tallinn, 0}, {Tartu, 0}, {Parnu, 0}};
+  RegionShares Target = targets(D, View).at({Tellimus, Parnu});
+  CHECK(shareOf(Target, Tallinn) == Approx(0.5));
+  CHECK(shareOf(Target, Tartu) == Approx(0.5));
+}
+
+TEST_CASE("Plans leave headroom by what the VMs report") {
+  Declarations D = fakes::declarationsOf("kaasik"); // 500/s a region, 9 VMs
+  std::set<VmId> Ready;
+  for (const auto &[Id, Vm] : D.Vms_)
+    Ready.insert(Id);
+  RegionLoads Loads;
+  Time Now(100000);
+  Loads.Reports_[VmId("ta1")] = {Now, {{Tallinn, 100}}};
+  Loads.Reports_[VmId("ta2")] = {Now, {{Tallinn, 235}}};
+  auto Credit = [&](const char *Vm) {
+    return planCredits(Loads, D, FillTo, VmId(Vm), Ready, Now).at(Tallinn);
+  };
+  CHECK(Credit("ta1") == Approx(110)); // 425 planned, 335 sent, 9 VMs
+  CHECK(Credit("pa1") == Approx(10));
+
+  SECTION("a silent VM is reckoned with for a while") {
+    Now = Now + ReportKept;
+    CHECK(Credit("pa1") == Approx(425.0 / 9));
+  }
+  SECTION("beyond the headroom each gives up the same part") {
+    Loads.Reports_[VmId("pa1")] = {Now, {{Tallinn, 515}}};
+    CHECK(Credit("ta1") == Approx(50));
+    CHECK(Credit("pa1") == Approx(257.5));
+    CHECK(Credit("tr1") == 0);
+  }
+}
+
 TEST_CASE("A restarted VM goes on where the others are") {
   Story S;
   S.run(Duration::seconds(5));
