Gather what one VM keeps to steer, with its news to the others

Cause: the plans, loads and meters stood apart; whoever runs them had to know how they feed each other, and how a VM that starts gets the others' plans. Conclusion: the entry VM runs one struct, and calls for afar are forwarded to VMs there.

--- a/lagoonpoint/src/Steering/RegionChoice.cpp
+++ b/lagoonpoint/src/Steering/RegionChoice.cpp
@@ -1,6 +1,6 @@
 #include "lagoonpoint/src/Steering/RegionChoice.h"
 
-#include "lagoonpoint/src/Steering/util/Hash.h"
+#include "lagoonpoint/src/Core/util/StableHash.h"
 
 #include <iterator>
 
--- a/lagoonpoint/src/Steering/UpstreamChoice.cpp
+++ b/lagoonpoint/src/Steering/UpstreamChoice.cpp
@@ -1,6 +1,6 @@
 #include "lagoonpoint/src/Steering/UpstreamChoice.h"
 
-#include "lagoonpoint/src/Steering/util/Hash.h"
+#include "lagoonpoint/src/Core/util/StableHash.h"
 #include "lagoonpoint/src/Steering/util/UpstreamHealth.h"
 
 #include <algorithm>
@@ -20,6 +20,15 @@
 /// How much a share of failures adds to the expected wait.
 constexpr double FailureWeight = 10;
 
+/// Orders a VM for an upstream; the bits are mixed, for stableHash() of texts
+/// that differ in their last letter alone differs in few.
+std::uint64_t rankHash(const UpstreamId &Id, const VmId &Vm) {
+  std::uint64_t Hash = stableHash(Id.str() + "/" + Vm.str());
+  Hash = (Hash ^ Hash >> 30) * 0xbf58476d1ce4e5b9;
+  Hash = (Hash ^ Hash >> 27) * 0x94d049bb133111eb;
+  return Hash ^ Hash >> 31;
+}
+
 Upstream *find(UpstreamGroup &G, const UpstreamId &Id) {
   auto Found = std::find_if(G.Upstreams_.begin(), G.Upstreams_.end(),
                             [&](const Upstream &U) { return U.Id_ == Id; });
@@ -158,9 +167,9 @@
     return 0;
   auto Count = static_cast<unsigned>(Vms.size());
   unsigned Rank = 0;
-  std::uint64_t Mine = stableHash(Id.str() + "/" + Self.str());
+  std::uint64_t Mine = rankHash(Id, Self);
   for (const VmId &Vm : Vms) {
-    std::uint64_t Theirs = stableHash(Id.str() + "/" + Vm.str());
+    std::uint64_t Theirs = rankHash(Id, Vm);
     Rank += std::pair(Theirs, Vm) < std::pair(Mine, Self);
   }
   return Slots / Count + (Rank < Slots % Count);
--- /dev/null
+++ b/lagoonpoint/src/Steering/VmSteering.cpp
@@ -0,0 +1,153 @@
+#include "lagoonpoint/src/Steering/VmSteering.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoonpoint {
+
+namespace {
+
+/// A peer's word on its upstreams lasts for this many of its news.
+constexpr int NewsKept = 3;
+
+const RegionId &regionOf(const Declarations &D, const VmId &Vm) {
+  return D.Zones_.at(D.Vms_.at(Vm).Zone_).Region_;
+}
+
+bool isFresh(const VmSteering::Peer &Peer, Time Now) {
+  return Peer.HeardAt_ + PlanEvery * NewsKept > Now;
+}
+
+std::set<ServicePlace> usable(const VmSteering &S, const Declarations &D,
+                              const std::set<VmId> &Ready,
+                              const std::set<ServiceId> &Serving, Time Now) {
+  std::set<ServicePlace> Out;
+  if (D.Vms_.count(S.Self_))
+    for (const ServiceId &Service : Serving)
+      Out.insert({Service, regionOf(D, S.Self_)});
+  for (const auto &[Vm, Peer] : S.Peers_) {
+    if (!Ready.count(Vm) || !D.Vms_.count(Vm) || !isFresh(Peer, Now))
+      continue;
+    for (const ServiceId &Service : Peer.Serving_)
+      Out.insert({Service, regionOf(D, Vm)});
+  }
+  return Out;
+}
+
+void refreshView(VmSteering &S, const Declarations &D,
+                 const std::set<VmId> &Ready,
+                 const std::set<ServiceId> &Serving, Time Now) {
+  roll(S.Meter_, Now);
+  S.Loads_.Reports_[S.Self_] = {Now, S.Meter_.Sending_};
+  S.View_.Usable_ = usable(S, D, Ready, Serving, Now);
+  S.View_.Demand_ = S.Meter_.Demand_;
+  S.View_.Hidden_ = hiddenFlows(D, Ready);
+  S.View_.Credit_ = planCredits(S.Loads_, D, FillTo, S.Self_, Ready, Now);
+  S.View_.Limit_ = planCredits(S.Loads_, D, 1.0, S.Self_, Ready, Now);
+}
+
+/// \returns whether nobody can hand over plans: all in contact are starting
+/// too, and they are all there are, or none has answered for long enough.
+bool mayStartAlone(const VmSteering &S, const Declarations &D,
+                   const std::set<VmId> &Ready, Time Now) {
+  if (Now >= S.StartedAt_ + StartWait)
+    return true;
+  return std::all_of(D.Vms_.begin(), D.Vms_.end(), [&](const auto &E) {
+    auto Peer = S.Peers_.find(E.first);
+    bool IsStarting = Peer != S.Peers_.end() && !Peer->second.IsStarted_;
+    return E.first == S.Self_ || (Ready.count(E.first) && IsStarting);
+  });
+}
+
+SteeringNews newsOf(const VmSteering &S, const std::set<ServiceId> &Serving,
+                    Time Now) {
+  SteeringNews Out{copyOf(S.Regions_, S.View_, Now),
+                   copyOf(S.Lookups_, Now),
+                   {},
+                   {Serving.begin(), Serving.end()},
+                   S.IsStarted_};
+  for (const auto &[Region, Rate] : S.Meter_.Sending_)
+    Out.Sending_.push_back({Region, Rate});
+  return Out;
+}
+
+} // namespace
+
+VmSteering startSteering(const VmId &Self, Time Now) {
+  VmSteering Out;
+  Out.Self_ = Self;
+  Out.StartedAt_ = Now;
+  Out.Meter_.Since_ = Now;
+  return Out;
+}
+
+std::optional<SteeringNews> tick(VmSteering &S, const Declarations &D,
+                                 const std::set<VmId> &Ready,
+                                 const std::set<ServiceId> &Serving, Time Now) {
+  if (!S.IsStarted_ && !mayStartAlone(S, D, Ready, Now))
+    return newsOf(S, Serving, Now);
+  S.IsStarted_ = true;
+  refreshView(S, D, Ready, Serving, Now);
+  advance(S.Regions_, D, S.View_, Now);
+  advance(S.Lookups_, D, Ready, Now);
+  if (Now < S.NextNews_)
+    return {};
+  S.NextNews_ = Now + PlanEvery;
+  return newsOf(S, Serving, Now);
+}
+
+void hear(VmSteering &S, const VmId &From, const SteeringNews &News, Time Now) {
+  RegionPlan Regions = planOf(News.Regions_, Now);
+  LookupPlan Lookups = planOf(News.Lookups_, Now);
+  RegionLoads::Report Report{Now, {}};
+  for (const PlanCopy::Part &Part : News.Sending_) {
+    if (!(Part.Share_ >= 0))
+      throw Error("steering.news", From.str(), "negative rate");
+    Report.Sending_[Part.Region_] = Part.Share_;
+  }
+  if (!News.IsStarted_) {
+    S.NextNews_ = Now;
+  } else if (S.IsStarted_) {
+    hear(S.Regions_, News.Regions_, S.View_, Now);
+  } else {
+    S.Regions_ = std::move(Regions);
+    S.Lookups_ = std::move(Lookups);
+    S.IsStarted_ = true;
+  }
+  S.Loads_.Reports_[From] = std::move(Report);
+  S.Peers_[From] = {
+      Now, {News.Serving_.begin(), News.Serving_.end()}, News.IsStarted_};
+}
+
+RegionDecision chooseRegion(VmSteering &S, const Declarations &D,
+                            const ServiceId &Service, const ZoneId &Home,
+                            const std::map<RegionId, RegionCredit> &Credits,
+                            const CallBytes &Bytes, Random &Source) {
+  if (!S.IsStarted_)
+    return {{}, RefusalReason::NotReady};
+  Flow F{Service, D.Zones_.at(Home).Region_};
+  countCall(S.Meter_, F);
+  auto Row = S.Regions_.Rows_.find(F);
+  if (Row == S.Regions_.Rows_.end())
+    return {{}, RefusalReason::NoUpstream};
+  RegionDecision Out = chooseRegion(F, Row->second.Shares_, S.View_, Credits,
+                                    Bytes, regionOf(D, S.Self_), Source);
+  if (!Out.Refused_)
+    countSent(S.Meter_, Out.Region_);
+  return Out;
+}
+
+std::vector<VmId> forwarders(const VmSteering &S, const Declarations &D,
+                             const ServiceId &Service, const RegionId &Region,
+                             const std::set<VmId> &Ready, Time Now,
+                             Random &Source) {
+  std::vector<VmId> Out;
+  for (const auto &[Vm, Peer] : S.Peers_)
+    if (Ready.count(Vm) && D.Vms_.count(Vm) && isFresh(Peer, Now) &&
+        Peer.Serving_.count(Service) && regionOf(D, Vm) == Region)
+      Out.push_back(Vm);
+  std::shuffle(Out.begin(), Out.end(), Source);
+  return Out;
+}
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Steering/VmSteering.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "lagoonpoint/src/Steering/FlowMeter.h"
+#include "lagoonpoint/src/Steering/LookupPlan.h"
+#include "lagoonpoint/src/Steering/RegionChoice.h"
+#include "lagoonpoint/src/Steering/RegionLoads.h"
+#include "lagoonpoint/src/Steering/RegionPlan.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace lagoonpoint {
+
+/// What a VM tells the others about its steering.
+struct SteeringNews {
+  PlanCopy Regions_;
+  LookupPlanCopy Lookups_;
+  std::vector<PlanCopy::Part> Sending_; ///< requests a second by region
+  std::vector<ServiceId> Serving_;      ///< it has upstreams for these
+  bool IsStarted_ = false;              ///< false: it asks for plans
+  MSGPACK_DEFINE(Regions_, Lookups_, Sending_, Serving_, IsStarted_)
+};
+
+/// \class VmSteering
+/// \ingroup Steering
+/// \brief All that one VM keeps in order to steer, except its upstreams.
+///
+/// A VM that starts asks for the plans of the others and goes on with them. It
+/// starts from the declarations if all VMs in contact are starting too, or if
+/// none has answered for StartWait.
+struct VmSteering {
+  struct Peer {
+    Time HeardAt_;
+    std::set<ServiceId> Serving_;
+    bool IsStarted_ = false;
+  };
+
+  VmId Self_;
+  Time StartedAt_;
+  bool IsStarted_ = false;
+  RegionPlan Regions_;
+  LookupPlan Lookups_;
+  RegionLoads Loads_;
+  FlowMeter Meter_;
+  std::map<VmId, Peer> Peers_;
+  SteeringView View_;
+  Time NextNews_;
+};
+
+/// How long a VM that starts waits for a peer's plans.
+inline constexpr Duration StartWait = Duration::seconds(3);
+
+/// \ingroup Steering
+VmSteering startSteering(const VmId &Self, Time Now);
+
+/// Moves the plans. Call it about twice a second.
+/// \ingroup Steering
+/// \param Ready VMs in contact, this one included
+/// \param Serving services for which this VM has a usable upstream
+/// \returns news to send to all other VMs, when they are due
+std::optional<SteeringNews> tick(VmSteering &S, const Declarations &D,
+                                 const std::set<VmId> &Ready,
+                                 const std::set<ServiceId> &Serving, Time Now);
+
+/// Takes in another VM's news.
+/// \ingroup Steering
+/// \throws Error if they are malformed; nothing is changed then
+void hear(VmSteering &S, const VmId &From, const SteeringNews &News, Time Now);
+
+/// Chooses the region of a call and counts it. Until the VM has started, calls
+/// are refused with NotReady.
+/// \ingroup Steering
+/// \param Home zone of the caller, see homeZoneOf()
+RegionDecision chooseRegion(VmSteering &S, const Declarations &D,
+                            const ServiceId &Service, const ZoneId &Home,
+                            const std::map<RegionId, RegionCredit> &Credits,
+                            const CallBytes &Bytes, Random &Source);
+
+/// Lists the VMs of a region to which a call may be forwarded, in the order to
+/// try them: those that say they have upstreams of the service, drawn at
+/// random. A forwarded call is never forwarded again.
+/// \ingroup Steering
+std::vector<VmId> forwarders(const VmSteering &S, const Declarations &D,
+                             const ServiceId &Service, const RegionId &Region,
+                             const std::set<VmId> &Ready, Time Now,
+                             Random &Source);
+
+} // namespace lagoonpoint
--- a/test/Shift.cpp
+++ b/test/Shift.cpp
@@ -261,6 +261,15 @@
     }
     CHECK(Here.share(Parnu, Parnu) < 0.4);
   }
+  SECTION("whatever its own view of the regions is") {
+    failRegion(Here.View_, Parnu);
+    hear(Here.Plan_, copyOf(There.Plan_, There.View_, There.Now_), Here.View_,
+         Here.Now_);
+    Here.run(PlanEvery * 2);
+    CHECK(Here.share(Parnu, Parnu) == 1);
+    Here.run(PlanEvery * 2); // nobody is heard to carry it any more
+    CHECK(Here.share(Parnu, Parnu) < 1);
+  }
   SECTION("not following one that carries none either") {
     There.View_.Demand_.clear();
     There.Plan_.Rows_.at(FromParnu).Shares_ = {{Tartu, 1}};
--- /dev/null
+++ b/test/Steering.cpp
@@ -0,0 +1,231 @@
+#include "lagoonpoint/Steering"
+#include "fakes/FakeNetwork.h"
+#include "fakes/Firms.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lagoonpoint;
+
+namespace {
+
+const ServiceId Tellimus("tellimus"), Ringplaan("ringplaan");
+const RegionId Tallinn("tallinn"), Tartu("tartu"), Parnu("parnu");
+const Duration Tick = Duration::millis(500);
+
+/// The VMs of a firm, their news over a fake network, and callers.
+struct Fleet {
+  Declarations D_ = fakes::declarationsOf("kaasik");
+  fakes::FakeNetwork Net_;
+  std::map<VmId, VmSteering> Vms_;
+  std::set<VmId> Dead_;
+  std::set<VmId> Ready_;
+  std::map<VmId, std::set<VmId>> Reach_; ///< where cut off; else Ready_
+  std::set<RegionId> Failed_;            ///< regions without upstreams
+  std::map<Flow, VmId> Entry_;           ///< where callers of a flow enter
+  Random Source_{9};
+  Time Now_{1000};
+  std::map<std::pair<RegionId, RegionId>, int> Served_; ///< since cleared
+  int Refused_ = 0;
+
+  Fleet() {
+    for (const auto &[Id, Vm] : D_.Vms_)
+      start(Id);
+    for (const auto &[Id, Region] : D_.Regions_)
+      Entry_[{Tellimus, Id}] = vmOf(Id);
+  }
+  RegionId regionOf(const VmId &Vm) const {
+    return D_.Zones_.at(D_.Vms_.at(Vm).Zone_).Region_;
+  }
+  VmId vmOf(const RegionId &Region) const {
+    for (const auto &[Id, Vm] : D_.Vms_)
+      if (regionOf(Id) == Region)
+        return Id;
+    return VmId();
+  }
+  void start(const VmId &Vm) {
+    Vms_[Vm] = startSteering(Vm, Now_);
+    Ready_.insert(Vm);
+    Dead_.erase(Vm);
+  }
+  void kill(const RegionId &Region) {
+    Failed_.insert(Region);
+    for (const auto &[Id, Vm] : D_.Vms_)
+      if (regionOf(Id) == Region) {
+        Ready_.erase(Id);
+        Dead_.insert(Id);
+        Net_.dropTo(Id);
+      }
+  }
+  void tickVm(const VmId &Vm) {
+    bool HasUpstreams = !Failed_.count(regionOf(Vm));
+    std::set<ServiceId> Serving;
+    if (HasUpstreams)
+      Serving = {Tellimus, Ringplaan};
+    auto Reach = Reach_.count(Vm) ? Reach_[Vm] : Ready_;
+    auto News = tick(Vms_[Vm], D_, Reach, Serving, Now_);
+    for (const VmId &To : Ready_)
+      if (News && To != Vm)
+        Net_.send(Now_, {Vm, To, Channel::Membership, encode(*News)});
+  }
+  void callers() {
+    std::map<RegionId, RegionCredit> Credits;
+    for (const auto &[Id, Region] : D_.Regions_)
+      Credits[Id] = {};
+    for (const auto &[F, Vm] : Entry_)
+      for (int I = 0; I < 20 && !Dead_.count(Vm); ++I) {
+        ZoneId Home(F.Origin_.str() + "-a");
+        RegionDecision Out = chooseRegion(Vms_[Vm], D_, Tellimus, Home, Credits,
+                                          {500, 2000}, Source_);
+        if (Out.Refused_)
+          ++Refused_;
+        else
+          ++Served_[{F.Origin_, Out.Region_}];
+      }
+  }
+  void run(Duration Span) {
+    for (Time End = Now_ + Span; Now_ < End; Now_ = Now_ + Tick) {
+      for (const Envelope &E : Net_.due(Now_))
+        if (!Dead_.count(E.To_))
+          hear(Vms_[E.To_], E.From_,
+               decode<SteeringNews>(E.Body_, "test", E.From_.str()), Now_);
+      for (const auto &[Id, Vm] : D_.Vms_)
+        if (!Dead_.count(Id))
+          tickVm(Id);
+      callers();
+    }
+  }
+  double share(const char *Vm, const RegionId &Origin, const RegionId &To) {
+    return shareOf(Vms_[VmId(Vm)].Regions_.Rows_.at({Tellimus, Origin}).Shares_,
+                   To);
+  }
+};
+
+} // namespace
+
+TEST_CASE("A fleet starts together, at once") {
+  Fleet F;
+  F.run(Duration::seconds(2));
+  for (const auto &[Id, S] : F.Vms_)
+    CHECK(S.IsStarted_);
+  F.Refused_ = 0;
+  F.run(Duration::seconds(30));
+  CHECK(F.Refused_ == 0);
+  CHECK(F.Served_[{Parnu, Parnu}] > 0);
+  CHECK(F.Served_[{Parnu, Tallinn}] == 0);
+
+  SECTION("and a drain ends with nothing sent to the region") {
+    F.D_.Regions_.at(Parnu).Drained_ = true;
+    F.run(Duration::seconds(110));
+    F.Served_.clear();
+    F.run(Duration::seconds(5));
+    CHECK(F.Served_[{Parnu, Parnu}] == 0);
+    CHECK(F.Served_[{Parnu, Tallinn}] + F.Served_[{Parnu, Tartu}] > 0);
+    CHECK(F.Refused_ == 0);
+
+    SECTION("and VMs that carry none of the flow know where it goes") {
+      CHECK(F.share("tr1", Parnu, Parnu) == Approx(0).margin(0.01));
+    }
+  }
+  SECTION("and a VM that starts later goes on with the plans of the others") {
+    F.D_.Regions_.at(Parnu).Drained_ = true;
+    F.run(Duration::seconds(50));
+    double Before = F.share("pa1", Parnu, Parnu);
+    CHECK(Before < 0.7);
+    F.start(VmId("pa2"));
+    CHECK(F.Vms_[VmId("pa2")].IsStarted_ == false);
+    F.run(Duration::seconds(2));
+    CHECK(F.share("pa2", Parnu, Parnu) <= Before);
+    CHECK(F.share("pa2", Parnu, Parnu) > Before - 0.15);
+  }
+  SECTION("and a VM without any peer starts after a while") {
+    VmSteering Alone = startSteering(VmId("pa2"), F.Now_);
+    std::set<VmId> Self{VmId("pa2")};
+    tick(Alone, F.D_, Self, {Tellimus}, F.Now_);
+    CHECK(!Alone.IsStarted_);
+    tick(Alone, F.D_, Self, {Tellimus}, F.Now_ + StartWait);
+    CHECK(Alone.IsStarted_);
+  }
+}
+
+TEST_CASE("A region dies and its callers come over") {
+  Fleet F;
+  F.run(Duration::seconds(30));
+  F.kill(Parnu);
+  F.Entry_[{Tellimus, Parnu}] = VmId("tr1");
+  F.Served_.clear();
+  F.run(Duration::seconds(9));
+  int Callers = 9 * 2 * 20;
+  int Moved = F.Served_[{Parnu, Tallinn}] + F.Served_[{Parnu, Tartu}];
+  CHECK(Moved <= 0.1 * Callers + 4 * std::sqrt(0.1 * Callers));
+  CHECK(F.Served_[{Parnu, Parnu}] == 0);
+  CHECK(F.Served_[{Tartu, Tartu}] == Callers);
+  F.run(Duration::seconds(120));
+  F.Refused_ = 0;
+  F.run(Duration::seconds(5));
+  CHECK(F.Refused_ == 0);
+
+  SECTION("and back, paced, when it returns") {
+    F.Failed_.clear();
+    for (const char *Vm : {"pa1", "pa2"})
+      F.start(VmId(Vm));
+    F.Entry_[{Tellimus, Parnu}] = VmId("pa1");
+    F.Served_.clear();
+    F.run(Duration::seconds(10));
+    int Back = F.Served_[{Parnu, Parnu}];
+    CHECK(Back <= 0.1 * 10 * 2 * 20 + 20);
+    F.run(Duration::seconds(120));
+    CHECK(F.share("pa1", Parnu, Parnu) == 1);
+  }
+}
+
+TEST_CASE("A region is cut off, and its callers come over later") {
+  Fleet F;
+  F.run(Duration::seconds(30));
+  std::set<VmId> Inside, Outside;
+  for (const auto &[Id, Vm] : F.D_.Vms_)
+    (F.regionOf(Id) == Parnu ? Inside : Outside).insert(Id);
+  for (const VmId &In : Inside)
+    for (const VmId &Out : Outside) {
+      F.Net_.cut(In, Out);
+      F.Net_.cut(Out, In);
+      F.Reach_[In] = Inside;
+      F.Reach_[Out] = Outside;
+    }
+  F.Refused_ = 0;
+  F.run(Duration::seconds(200));
+  CHECK(F.Refused_ == 0); // each side serves its own callers
+  CHECK(F.share("tr1", Parnu, Parnu) == 1);
+  F.Entry_[{Tellimus, Parnu}] = VmId("tr1");
+  F.Served_.clear();
+  F.run(Duration::seconds(9));
+  CHECK(F.Served_[{Parnu, Tallinn}] + F.Served_[{Parnu, Tartu}] <= 60);
+}
+
+TEST_CASE("Calls are forwarded to VMs that have upstreams") {
+  Fleet F;
+  F.run(Duration::seconds(10));
+  const VmSteering &S = F.Vms_[VmId("tr1")];
+  auto To = [&](const std::set<VmId> &Ready, Time Now) {
+    return forwarders(S, F.D_, Tellimus, Parnu, Ready, Now, F.Source_);
+  };
+  CHECK(To(F.Ready_, F.Now_).size() == 2);
+  CHECK(To({VmId("pa2")}, F.Now_) == std::vector{VmId("pa2")});
+  CHECK(To(F.Ready_, F.Now_ + Duration::seconds(20)).empty());
+  F.Failed_.insert(Parnu);
+  F.run(Duration::seconds(6));
+  CHECK(To(F.Ready_, F.Now_).empty());
+}
+
+TEST_CASE("Malformed news change nothing") {
+  Fleet F;
+  F.run(Duration::seconds(10));
+  VmSteering &S = F.Vms_[VmId("tr1")];
+  SteeringNews Bad;
+  Bad.IsStarted_ = true;
+  SECTION("a negative rate") { Bad.Sending_ = {{Parnu, -1.0}}; }
+  SECTION("shares that don't sum to 1") {
+    Bad.Regions_.Rows_ = {{Tellimus, Parnu, {{Tartu, 0.5}}, {}, 50}};
+  }
+  CHECK_THROWS_AS(hear(S, VmId("pa1"), Bad, F.Now_), Error);
+  CHECK(S.Peers_.at(VmId("pa1")).Serving_.size() == 2);
+}
