--- a/test/Shift.cpp
+++ b/test/Shift.cpp
@@ -151,6 +151,14 @@
     CHECK(S.share(Tallinn, Tallinn) == Approx(0.75).margin(0.01));
     CHECK(S.share(Tallinn, Parnu) == Approx(0.25).margin(0.01));
 
+    SECTION("and where no headroom is left, up to the limits") {
+      S.View_.Credit_ = {{Tallinn, 200}, {Tartu, 0}, {Parnu, 50}};
+      S.View_.Limit_ = {{Tallinn, 260}, {Tartu, 0}, {Parnu, 110}};
+      S.View_.Demand_[{Tellimus, Tallinn}] = 300;
+      S.run(Duration::seconds(60));
+      CHECK(S.share(Tallinn, Tallinn) == Approx(250.0 / 300).margin(0.02));
+      CHECK(S.share(Tallinn, Parnu) == Approx(50.0 / 300).margin(0.02));
+    }
     SECTION("and without credit anywhere it stays, to be refused") {
       S.View_.Credit_[Parnu] = 0;
       S.View_.Credit_[Tartu] = 0;
@@ -166,12 +174,50 @@
   CHECK(S.worst() <= WithinCap);
 }
 
+TEST_CASE("Survivors share the refusals of a region that failed") {
+  Declarations D = fakes::declarationsOf("kaasik");
+  SteeringView View = allUsable(D);
+  failRegion(View, Parnu);
+  View.Demand_[{Tellimus, Parnu}] = 100;
+  View.Credit_ = View.Limit_ = {{Tallinn, 0}, {Tartu, 0}, {Parnu, 0}};
+  RegionShares Target = targets(D, View).at({Tellimus, Parnu});
+  CHECK(shareOf(Target, Tallinn) == Approx(0.5));
+  CHECK(shareOf(Target, Tartu) == Approx(0.5));
+}
+
+TEST_CASE("Plans leave headroom by what the VMs report") {
+  Declarations D = fakes::declarationsOf("kaasik"); // 500/s a region, 9 VMs
+  std::set<VmId> Ready;
+  for (const auto &[Id, Vm] : D.Vms_)
+    Ready.insert(Id);
+  RegionLoads Loads;
+  Time Now(100000);
+  Loads.Reports_[VmId("ta1")] = {Now, {{Tallinn, 100}}};
+  Loads.Reports_[VmId("ta2")] = {Now, {{Tallinn, 235}}};
+  auto Credit = [&](const char *Vm) {
+    return planCredits(Loads, D, FillTo, VmId(Vm), Ready, Now).at(Tallinn);
+  };
+  CHECK(Credit("ta1") == Approx(110)); // 425 planned, 335 sent, 9 VMs
+  CHECK(Credit("pa1") == Approx(10));
+
+  SECTION("a silent VM is reckoned with for a while") {
+    Now = Now + ReportKept;
+    CHECK(Credit("pa1") == Approx(425.0 / 9));
+  }
+  SECTION("beyond the headroom each gives up the same part") {
+    Loads.Reports_[VmId("pa1")] = {Now, {{Tallinn, 515}}};
+    CHECK(Credit("ta1") == Approx(50));
+    CHECK(Credit("pa1") == Approx(257.5));
+    CHECK(Credit("tr1") == 0);
+  }
+}
+
 TEST_CASE("A restarted VM goes on where the others are") {
   Story S;
   S.run(Duration::seconds(5));
   S.D_.Regions_.at(Parnu).Drained_ = true;
   S.run(Duration::seconds(33));
-  std::string Bytes = encode(copyOf(S.Plan_, S.Now_));
+  std::string Bytes = encode(copyOf(S.Plan_, S.View_, S.Now_));
   double Before = S.share(Parnu, Parnu);
   Time Later = Time(50) + Duration::seconds(7); // of the other VM's clock
 
@@ -189,13 +235,65 @@
   }
   SECTION("but never with shares that are none") {
     for (double Share : {-0.1, 0.5, 2.0, std::nan("")}) {
-      PlanCopy Bad = copyOf(S.Plan_, S.Now_);
+      PlanCopy Bad = copyOf(S.Plan_, S.View_, S.Now_);
       Bad.Rows_.at(0).Parts_ = {{Parnu, Share}};
       CHECK_THROWS_AS(planOf(Bad, S.Now_), Error);
     }
   }
 }
 
+TEST_CASE("A VM that carries none of a flow leaves it to those that do") {
+  Story Here;
+  Story There;
+  There.View_.Demand_[{Tellimus, Parnu}] = 50;
+  Here.run(Duration::seconds(1));
+  There.run(Duration::seconds(1));
+  Flow FromParnu{Tellimus, Parnu};
+
+  SECTION("following their shift, so that callers who come over move nothing") {
+    There.D_.Regions_.at(Parnu).Drained_ = true;
+    for (int I = 0; I < 14; ++I) {
+      There.run(PlanEvery);
+      Here.run(PlanEvery);
+      hear(Here.Plan_, copyOf(There.Plan_, There.View_, There.Now_), Here.View_,
+           Here.Now_);
+      CHECK(Here.share(Parnu, Parnu) == There.share(Parnu, Parnu));
+    }
+    CHECK(Here.share(Parnu, Parnu) < 0.4);
+  }
+  SECTION("whatever its own view of the regions is") {
+    failRegion(Here.View_, Parnu);
+    hear(Here.Plan_, copyOf(There.Plan_, There.View_, There.Now_), Here.View_,
+         Here.Now_);
+    Here.run(PlanEvery * 2);
+    CHECK(Here.share(Parnu, Parnu) == 1);
+    Here.run(PlanEvery * 2); // nobody is heard to carry it any more
+    CHECK(Here.share(Parnu, Parnu) < 1);
+  }
+  SECTION("not following one that carries none either") {
+    There.View_.Demand_.clear();
+    There.Plan_.Rows_.at(FromParnu).Shares_ = {{Tartu, 1}};
+    hear(Here.Plan_, copyOf(There.Plan_, There.View_, There.Now_), Here.View_,
+         Here.Now_);
+    CHECK(Here.share(Parnu, Parnu) == 1);
+  }
+  SECTION("waiting for callers who are cut off or on their way") {
+    std::set<VmId> Ready;
+    for (const auto &[Id, Vm] : Here.D_.Vms_)
+      if (Id != VmId("pa2"))
+        Ready.insert(Id);
+    Here.View_.Hidden_ = hiddenFlows(Here.D_, Ready);
+    CHECK(Here.View_.Hidden_.size() == 2);
+    failRegion(Here.View_, Parnu);
+    Here.run(Duration::seconds(300));
+    CHECK(Here.share(Parnu, Parnu) == 1);
+    Here.View_.Demand_[FromParnu] = 50;
+    Here.run(Duration::seconds(30));
+    CHECK(Here.share(Parnu, Parnu) == Approx(0.7));
+    CHECK(Here.worst() <= WithinCap);
+  }
+}
+
 TEST_CASE("Look-ups name the closest VMs and move callers paced") {
   Declarations D = fakes::declarationsOf("kaasik");
   std::set<VmId> Ready;
@@ -314,7 +412,7 @@
       Views_[Vm].Credit_[anyRegion(R)] = double(R() % 200);
       break;
     default:
-      Plans_[Vm] = planOf(copyOf(Plans_[R() % Vms], Now_), Now_);
+      Plans_[Vm] = planOf(copyOf(Plans_[R() % Vms], {}, Now_), Now_);
       History_.clear(); // the copy's source was watched, not this VM
     }
     for (auto &[F, Rate] : Entering_[Vm])
