Steer calls, queue them fairly and run once-requests over the zones

Cause: a VM knew only the upstreams announced to it, ignored profiles and ran a resent once-request again at another VM. Change: membership, steering, the fair queue, retry budgets, metrics and the once-table are wired into the entry VM. Only VMs of an upstream's zone send to it and divide its slots; a call that another region serves is passed to one of its VMs, against leases on that region's capacity and the link's bytes. Region capacities and links are floors of the region's own VMs in full, so that a region that is cut off keeps them. The zone's first VM proposes views for once-requests. A base revision is outdated only by a later declaration, not by a key, drain or view.

--- a/lagoonpoint/src/Catalog/Catalog.cpp
+++ b/lagoonpoint/src/Catalog/Catalog.cpp
@@ -17,14 +17,23 @@
   return {ChangeVerdict::Conflict, State.Revision_, std::move(Message)};
 }
 
+/// Keys, drains and views leave the text as it is, so a base is outdated only
+/// by a later declaration.
 ChangeReply declare(Catalog &State, const Change &C) {
-  if (C.Base_ != State.Revision_)
-    return conflict(
-        State, "the change was made against revision " +
-                   std::to_string(C.Base_.value()) + ", but revision " +
-                   std::to_string(State.Revision_.value()) + " is in force");
+  if (C.Base_ < State.DeclaredAt_)
+    return conflict(State, "the file was edited from revision " +
+                               std::to_string(C.Base_.value()) +
+                               ", but it was replaced at revision " +
+                               std::to_string(State.DeclaredAt_.value()));
+  if (C.Base_ > State.Revision_)
+    return conflict(State, "revision " + std::to_string(C.Base_.value()) +
+                               " doesn't exist; revision " +
+                               std::to_string(State.Revision_.value()) +
+                               " is in force");
   State.Text_ = C.Text_;
-  return accept(State);
+  ChangeReply Reply = accept(State);
+  State.DeclaredAt_ = Reply.Revision_;
+  return Reply;
 }
 
 ChangeReply grantKey(Catalog &State, const Change &C) {
--- a/lagoonpoint/src/Catalog/Catalog.h
+++ b/lagoonpoint/src/Catalog/Catalog.h
@@ -23,15 +23,16 @@
   static constexpr std::size_t MaxReplies = 10'000;
 
   Revision Revision_;
-  std::string Text_; ///< of the declarations in force
+  Revision DeclaredAt_; ///< revision that put Text_ in force
+  std::string Text_;    ///< of the declarations in force
   std::map<KeyId, KeyGrant> Granted_;
   std::set<KeyId> Withdrawn_;
   std::set<Drain> Drains_;
   std::map<ZoneId, ZoneView> Views_;
   std::map<ChangeId, ChangeReply> Replies_;
   std::deque<ChangeId> ReplyOrder_; ///< oldest first
-  MSGPACK_DEFINE(Revision_, Text_, Granted_, Withdrawn_, Drains_, Views_,
-                 Replies_, ReplyOrder_)
+  MSGPACK_DEFINE(Revision_, DeclaredAt_, Text_, Granted_, Withdrawn_, Drains_,
+                 Views_, Replies_, ReplyOrder_)
 };
 
 /// Judges a change and applies it if accepted.
--- a/lagoonpoint/src/Catalog/Change.h
+++ b/lagoonpoint/src/Catalog/Change.h
@@ -11,7 +11,7 @@
 
 /// What a change does. Values are stored on disk and sent to peers.
 enum class ChangeKind : std::uint8_t {
-  Declare = 1,     ///< replaces the declarations; needs a base revision
+  Declare = 1,     ///< replaces the declarations if they are those of the base
   GrantKey = 2,    ///< adds a caller's key
   WithdrawKey = 3, ///< withdraws a key for good; always accepted
   SetDrain = 4,    ///< drains or undrains a region, zone or VM
--- a/lagoonpoint/src/Cli/StatusCommand.cpp
+++ b/lagoonpoint/src/Cli/StatusCommand.cpp
@@ -55,7 +55,7 @@
       << (WhyNot.empty() ? ", ready" : ", not ready: " + WhyNot) << "\n"
       << "revision " << textOf(Body, "revision") << ", leader "
       << textOf(Body, "leader") << " in term " << textOf(Body, "term")
-      << ", one more loss " << textOf(Body, "repair") << "\n\n";
+      << ", loss of one more voter: " << textOf(Body, "repair") << "\n\n";
   printTable(Out, Body->getArray("vms"),
              {{"VM", "vm"},
               {"ZONE", "zone"},
--- a/lagoonpoint/src/Cli/util/TextDiff.cpp
+++ b/lagoonpoint/src/Cli/util/TextDiff.cpp
@@ -9,6 +9,19 @@
 
 using Lines = std::vector<std::string>;
 
+/// Largest table of line pairs that is compared; beyond it, the differing
+/// middle is shown as removed and added whole.
+constexpr std::size_t MaxCells = 16'000'000;
+
+std::string wholeBlocks(const Lines &A, const Lines &B) {
+  std::string Out;
+  for (const std::string &Line : A)
+    Out += "-" + Line + "\n";
+  for (const std::string &Line : B)
+    Out += "+" + Line + "\n";
+  return Out;
+}
+
 Lines split(const std::string &Text) {
   Lines Out;
   std::istringstream In(Text);
@@ -54,6 +67,8 @@
   std::size_t Head = commonHead(A, B);
   A.erase(A.begin(), A.begin() + static_cast<std::ptrdiff_t>(Head));
   B.erase(B.begin(), B.begin() + static_cast<std::ptrdiff_t>(Head));
+  if (A.size() * B.size() > MaxCells)
+    return wholeBlocks(A, B);
   auto Length = tailLengths(A, B);
   std::string Out;
   std::size_t I = 0;
--- a/lagoonpoint/src/Core/Envelope.h
+++ b/lagoonpoint/src/Core/Envelope.h
@@ -18,6 +18,7 @@
   Once = 6,
   Upstreams = 7,
   Forward = 8,
+  Steering = 9,
 };
 
 /// \class Envelope
--- a/lagoonpoint/src/Http/util/ProxyCall.cpp
+++ b/lagoonpoint/src/Http/util/ProxyCall.cpp
@@ -312,7 +312,7 @@
     return fail(T, TryEnd::Broken);
   bool Shed =
       T.Report_.Status_ == 503 && T.Head_.Response_.get(NotRunField, "") == "1";
-  if (Whole && Shed && T.To_.Vm_.empty()) {
+  if (Whole && Shed && (T.To_.Vm_.empty() || !isOnce())) {
     releaseWire(T);
     MayHaveRun_ = T.RanBefore_;
     return fail(T, TryEnd::Shed);
--- a/lagoonpoint/src/Limits/Floors.cpp
+++ b/lagoonpoint/src/Limits/Floors.cpp
@@ -103,9 +103,8 @@
   double Rate = Region.Capacity_.perSecond();
   Allotment A{R, {Rate, std::max(1.0, Rate * StoredSeconds)}, {}};
   ZoneVms Zones = entryVms(D, Region.Id_);
-  double Share = D.Fleet_.FloorShare_;
   if (!Zones.empty())
-    divideEvenly(A, Zones, {A.Whole_.Rate_ * Share, A.Whole_.Burst_ * Share});
+    divideEvenly(A, Zones, A.Whole_);
   return A;
 }
 
@@ -114,9 +113,8 @@
   double Rate = Link.Cap_.bytesPerSecond();
   Allotment A{R, {Rate, Rate * StoredSeconds}, {}};
   ZoneVms Zones = entryVms(D, Link.From_);
-  double Share = D.Fleet_.FloorShare_;
   if (!Zones.empty())
-    divideEvenly(A, Zones, {A.Whole_.Rate_ * Share, A.Whole_.Burst_ * Share});
+    divideEvenly(A, Zones, A.Whole_);
   return A;
 }
 
@@ -125,11 +123,9 @@
   for (const auto &[Id, Team] : D.Teams_)
     Out[teamRate(Id)] = teamAllotment(D, R, Team);
   for (const auto &[Id, Region] : D.Regions_)
-    Out[{QuantityKind::RegionCapacity, Id.str()}] =
-        regionAllotment(D, R, Region);
+    Out[regionCapacity(Id)] = regionAllotment(D, R, Region);
   for (const LinkDecl &Link : D.Links_)
-    Out[{QuantityKind::LinkBytes, Link.From_.str() + ">" + Link.To_.str()}] =
-        linkAllotment(D, R, Link);
+    Out[linkBytes(Link.From_, Link.To_)] = linkAllotment(D, R, Link);
   return Out;
 }
 
--- a/lagoonpoint/src/Limits/Floors.h
+++ b/lagoonpoint/src/Limits/Floors.h
@@ -16,13 +16,14 @@
 Allotment teamAllotment(const Declarations &D, Revision R,
                         const TeamDecl &Team);
 
-/// Divides a region's capacity: all of it over the region's own VMs' zones is
-/// no floor of afar, so VMs elsewhere serve it only with a lease.
+/// Divides a region's whole capacity over its own VMs, so that a region that is
+/// cut off keeps all of it. VMs elsewhere send there only with a lease of what
+/// these VMs have set aside.
 /// \ingroup Limits
 Allotment regionAllotment(const Declarations &D, Revision R,
                           const RegionDecl &Region);
 
-/// Divides a link's bytes over the VMs of the region it leaves.
+/// Divides all of a link's bytes over the VMs of the region it leaves.
 /// \ingroup Limits
 Allotment linkAllotment(const Declarations &D, Revision R,
                         const LinkDecl &Link);
--- a/lagoonpoint/src/Limits/Quantity.h
+++ b/lagoonpoint/src/Limits/Quantity.h
@@ -34,6 +34,16 @@
   return {QuantityKind::TeamRate, Team.str()};
 }
 
+/// \returns the quantity of what a region's upstreams take.
+inline QuantityId regionCapacity(const RegionId &Region) {
+  return {QuantityKind::RegionCapacity, Region.str()};
+}
+
+/// \returns the quantity of the bytes over a link's one direction.
+inline QuantityId linkBytes(const RegionId &From, const RegionId &To) {
+  return {QuantityKind::LinkBytes, From.str() + ">" + To.str()};
+}
+
 /// \class Amount
 /// \ingroup Limits
 /// \brief A part of a quantity: units a second, and the units that may be
--- a/lagoonpoint/src/Node/AnnounceFront.cpp
+++ b/lagoonpoint/src/Node/AnnounceFront.cpp
@@ -4,27 +4,24 @@
 
 namespace {
 
-constexpr Duration AnnounceLease = Duration::seconds(3);
 constexpr Duration RenewEvery = Duration::seconds(1);
-constexpr unsigned MaxSlots = 10'000;
-constexpr unsigned MaxConnections = 100'000;
 constexpr const char *Step = "upstream.announce";
 
 [[noreturn]] void refuse(RefusalReason Reason, const std::string &Message) {
   throw Refusal(Reason, Ran::No, Step, Message);
 }
 
-void checkFields(const Announcement &A) {
-  if (A.Upstream_.empty())
-    refuse(RefusalReason::BadRequest, "the upstream has no id");
-  if (A.Address_.Port_ == 0)
-    refuse(RefusalReason::BadRequest, "the upstream has no address");
-  if (A.Slots_ == 0 || A.Slots_ > MaxSlots)
-    refuse(RefusalReason::BadRequest, "slots must be 1 to 10000");
-  if (A.Connections_ == 0 || A.Connections_ > MaxConnections)
-    refuse(RefusalReason::BadRequest, "connections must be 1 to 100000");
-  if (!(A.Load_ >= 0 && A.Load_ <= 1))
-    refuse(RefusalReason::BadRequest, "load must be 0 to 1");
+UpstreamOffer offerOf(const Announcement &A) {
+  UpstreamOffer Offer;
+  Offer.Key_ = {A.Service_, A.Upstream_};
+  Offer.Host_ = A.Address_.Host_;
+  Offer.Port_ = A.Address_.Port_;
+  Offer.Slots_ = A.Slots_;
+  Offer.Connections_ = A.Connections_;
+  Offer.Load_ = A.Load_;
+  Offer.LoadReported_ = A.LoadReported_;
+  Offer.Leaving_ = A.Leaving_;
+  return Offer;
 }
 
 } // namespace
@@ -40,9 +37,8 @@
   const ServiceDecl &Service = It->second;
   if (!secretMatches(Service.AnnounceSalt_, Service.AnnounceHash_, ServiceKey))
     refuse(RefusalReason::KeyUnknown, "wrong service key");
-  checkFields(A);
-  Upstreams_.announce(A, AnnounceLease);
-  return {AnnounceLease, RenewEvery};
+  Members_.announce(offerOf(A));
+  return {MembershipOptions().UpstreamLease_, RenewEvery};
 }
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Node/AnnounceFront.h
+++ b/lagoonpoint/src/Node/AnnounceFront.h
@@ -2,7 +2,7 @@
 
 #include "lagoonpoint/Http"
 #include "lagoonpoint/src/Node/InForce.h"
-#include "lagoonpoint/src/Node/Upstreams.h"
+#include "lagoonpoint/src/Node/MemberHost.h"
 
 namespace lagoonpoint {
 
@@ -11,15 +11,15 @@
 /// \brief Checks announcements of upstreams and takes them in.
 class AnnounceFront final : public UpstreamPort {
 public:
-  AnnounceFront(const InForceCell &Cell, Upstreams &Ups)
-      : InForce_(Cell), Upstreams_(Ups) {}
+  AnnounceFront(const InForceCell &Cell, MemberHost &M)
+      : InForce_(Cell), Members_(M) {}
 
   AnnounceReply announce(const Announcement &A,
                          const std::string &ServiceKey) override;
 
 private:
   const InForceCell &InForce_;
-  Upstreams &Upstreams_;
+  MemberHost &Members_;
 };
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Node/CallFront.cpp
+++ b/lagoonpoint/src/Node/CallFront.cpp
@@ -1,99 +1,79 @@
 #include "lagoonpoint/src/Node/CallFront.h"
 
+#include "lagoonpoint/src/Node/util/Labels.h"
+
 #include <algorithm>
 
 namespace lagoonpoint {
 
 namespace {
 
-/// \class Ticket
-/// One admitted call: the slot it holds and the upstreams it has tried.
-class Ticket final : public CallTicket {
-public:
-  Ticket(RouteDecl Route, TeamId Team, Time Deadline, Upstreams &Ups)
-      : Route_(std::move(Route)), Team_(std::move(Team)), Deadline_(Deadline),
-        Upstreams_(Ups) {}
-  ~Ticket() override { releaseSlot(); }
-
-  const RouteDecl &route() const override { return Route_; }
-  const TeamId &team() const override { return Team_; }
-  Time deadline() const override { return Deadline_; }
-  std::optional<StoredAnswer> stored() override { return std::nullopt; }
-
-  CallTarget next() override {
-    CallTarget Target = Upstreams_.acquire(Route_.Service_, Tried_, Deadline_);
-    Held_ = Target.Upstream_;
-    Tried_.insert(Held_);
-    return Target;
-  }
-
-  bool ended(const TryReport &Report) override {
-    releaseSlot();
-    if (Report.AnswerBegun_)
-      return false;
-    return Report.End_ == TryEnd::NotConnected ||
-           Report.End_ == TryEnd::NothingSent || Report.End_ == TryEnd::Shed;
-  }
-
-  void keep(const StoredAnswer &) override {}
-
-private:
-  void releaseSlot() {
-    if (!Held_.empty())
-      Upstreams_.release(Held_);
-    Held_ = UpstreamId();
-  }
-
-  RouteDecl Route_;
-  TeamId Team_;
-  Time Deadline_;
-  Upstreams &Upstreams_;
-  UpstreamId Held_;
-  std::set<UpstreamId> Tried_;
-};
-
 constexpr const char *Step = "call.admit";
+constexpr const char *LookupStep = "lookup";
 
 Duration allowedTime(const RouteDecl &Route, const Call &C) {
   Duration Wanted = C.Deadline_.value_or(Route.Deadline_);
   return std::min(Wanted, Route.MaxDeadline_);
 }
 
+const RouteDecl &routeOf(const InForce &F, const std::string &Path) {
+  const RouteDecl *Route = findRoute(F, Path);
+  if (!Route)
+    throw Refusal(RefusalReason::NoSuchRoute, Ran::No, Step,
+                  "no route matches this path");
+  return *Route;
+}
+
 } // namespace
 
 std::shared_ptr<const InForce> CallFront::current() const {
   std::string WhyNot = Control_.whyNotReady();
   if (!WhyNot.empty())
-    throw Refusal(RefusalReason::NotReady, Ran::No, Step, WhyNot);
+    throw Refusal(RefusalReason::NotReady, Ran::No, Step, WhyNot,
+                  Duration::seconds(1));
   return InForce_.get();
 }
 
 LookupReply CallFront::lookup(const LookupQuery &Query) {
+  auto Began = std::chrono::steady_clock::now();
+  try {
+    LookupReply Reply = answerLookup(Query);
+    std::chrono::duration<double> Spent =
+        std::chrono::steady_clock::now() - Began;
+    Services_.Metrics_.observe(Metric::LookupSeconds, {Query.Service_.str()},
+                               Spent.count());
+    return Reply;
+  } catch (const Refusal &R) {
+    countRefusal(Services_.Metrics_, TeamId(), R.reason(), R.ran());
+    throw;
+  }
+}
+
+LookupReply CallFront::answerLookup(const LookupQuery &Query) {
   auto F = current();
   if (!F->Declared_.Services_.count(Query.Service_))
-    throw Refusal(RefusalReason::BadRequest, Ran::No, "lookup",
+    throw Refusal(RefusalReason::BadRequest, Ran::No, LookupStep,
                   "no such service: " + Query.Service_.str());
+  ZoneId Zone = Services_.Steerer_.zoneOfCaller(Query.ClientAddress_);
+  auto Fleet = Services_.Members_.view();
   LookupReply Reply;
   Reply.Ttl_ = F->Declared_.Fleet_.LookupTtl_;
   Reply.Revision_ = F->Revision_;
-  for (const auto &[Id, Vm] : F->Declared_.Vms_)
-    if (Vm.Entry_ && !Vm.Drained_)
-      Reply.Targets_.push_back({Id, Vm.Zone_, Vm.Callers_, 0});
-  std::stable_partition(
-      Reply.Targets_.begin(), Reply.Targets_.end(),
-      [&](const LookupTarget &T) { return T.Zone_ == Settings_.Zone_; });
-  for (LookupTarget &T : Reply.Targets_)
-    T.Weight_ = 1.0 / static_cast<double>(Reply.Targets_.size());
+  for (const EntryTarget &T :
+       Services_.Steerer_.entryVms(Query.Service_, Zone, *Fleet)) {
+    const VmDecl &Vm = F->Declared_.Vms_.at(T.Vm_);
+    Reply.Targets_.push_back({T.Vm_, Vm.Zone_, Vm.Callers_, T.Weight_});
+  }
+  if (Reply.Targets_.empty())
+    throw Refusal(RefusalReason::NotReady, Ran::No, LookupStep,
+                  "no entry VM is ready", Duration::seconds(1));
+  Reply.OncePrefix_ = Services_.Once_.prefix(
+      Services_.Steerer_.onceZone(Query.Service_, Zone, *Fleet));
   return Reply;
 }
 
 RouteDecl CallFront::route(const std::string &Path) {
-  auto F = current();
-  const RouteDecl *Route = findRoute(*F, Path);
-  if (!Route)
-    throw Refusal(RefusalReason::NoSuchRoute, Ran::No, Step,
-                  "no route matches this path");
-  return *Route;
+  return routeOf(*current(), Path);
 }
 
 TeamId CallFront::teamOf(const InForce &F, const RouteDecl &Route,
@@ -112,17 +92,38 @@
   return Check.Key_->Team_;
 }
 
+Admission CallFront::check(const Call &C) {
+  Admission A;
+  A.InForce_ = current();
+  const InForce &F = *A.InForce_;
+  A.Route_ = routeOf(F, C.Path_);
+  A.Team_ = teamOf(F, A.Route_, C);
+  A.Deadline_ = C.Arrived_ + allowedTime(A.Route_, C);
+  A.Forwarded_ = C.Forwarded_;
+  A.Home_ = Services_.Steerer_.zoneOfCaller(C.ClientAddress_);
+  auto Team = F.Declared_.Teams_.find(A.Team_);
+  if (Team != F.Declared_.Teams_.end())
+    A.Weight_ = Team->second.Weight_;
+  return A;
+}
+
 std::unique_ptr<CallTicket> CallFront::admit(const Call &C) {
-  auto F = current();
-  const RouteDecl *Route = findRoute(*F, C.Path_);
-  if (!Route)
-    throw Refusal(RefusalReason::NoSuchRoute, Ran::No, Step,
-                  "no route matches this path");
-  TeamId Team = teamOf(*F, *Route, C);
-  Time Deadline = C.Arrived_ + allowedTime(*Route, C);
-  if (!Team.empty() && !C.Forwarded_)
-    Limits_.take(teamRate(Team), 1, Deadline);
-  return std::make_unique<Ticket>(*Route, Team, Deadline, Upstreams_);
+  Admission A;
+  try {
+    A = check(C);
+    // The VM that forwarded a call has taken its share already.
+    if (!A.Forwarded_ && !A.Team_.empty())
+      Services_.Limits_.take(teamRate(A.Team_), 1, A.Deadline_);
+    if (A.Route_.Kind_ == RouteKind::Once && !C.IdempotencyKey_.empty()) {
+      A.OnceKey_ = C.IdempotencyKey_;
+      A.Once_ = Services_.Once_.begin(A.OnceKey_, C.BodyDigest_, A.Deadline_,
+                                      A.Forwarded_);
+    }
+  } catch (const Refusal &R) {
+    countRefusal(Services_.Metrics_, A.Team_, R.reason(), R.ran());
+    throw;
+  }
+  return std::make_unique<AdmittedCall>(Services_, std::move(A));
 }
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Node/CallFront.h
+++ b/lagoonpoint/src/Node/CallFront.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "lagoonpoint/Http"
+#include "lagoonpoint/src/Node/AdmittedCall.h"
 #include "lagoonpoint/src/Node/Control.h"
-#include "lagoonpoint/src/Node/TeamLimits.h"
-#include "lagoonpoint/src/Node/Upstreams.h"
 
 #include <atomic>
 
@@ -14,10 +13,8 @@
 /// \brief Look-ups and calls of this VM.
 class CallFront final : public CallerPort {
 public:
-  CallFront(const Settings &S, const InForceCell &Cell, Control &Ctl,
-            TeamLimits &Limits, Upstreams &Ups)
-      : Settings_(S), InForce_(Cell), Control_(Ctl), Limits_(Limits),
-        Upstreams_(Ups) {}
+  CallFront(CallServices Services, const InForceCell &Cell, Control &Ctl)
+      : Services_(Services), InForce_(Cell), Control_(Ctl) {}
 
   LookupReply lookup(const LookupQuery &Query) override;
   RouteDecl route(const std::string &Path) override;
@@ -27,14 +24,14 @@
   void beginDrain() { Draining_ = true; }
 
 private:
+  LookupReply answerLookup(const LookupQuery &Query);
+  Admission check(const Call &C);
   std::shared_ptr<const InForce> current() const;
   TeamId teamOf(const InForce &F, const RouteDecl &Route, const Call &C) const;
 
-  const Settings &Settings_;
+  CallServices Services_;
   const InForceCell &InForce_;
   Control &Control_;
-  TeamLimits &Limits_;
-  Upstreams &Upstreams_;
   std::atomic<bool> Draining_{false};
 };
 
--- a/lagoonpoint/src/Node/Control.cpp
+++ b/lagoonpoint/src/Node/Control.cpp
@@ -1,9 +1,15 @@
 #include "lagoonpoint/src/Node/Control.h"
 
+#include <chrono>
+#include <thread>
+
 namespace lagoonpoint {
 
 namespace {
 
+constexpr Duration ProposeWait = Duration::seconds(3);
+constexpr Duration ForcePoll = Duration::millis(20);
+
 std::unique_ptr<ReplicaHost> makeHost(const Settings &S, const Clock &C,
                                       Transport &T, ReplicaHost::Observer O) {
   if (S.DataFolder_.empty())
@@ -11,25 +17,54 @@
   return std::make_unique<ReplicaHost>(S, C, T, std::move(O));
 }
 
+/// \returns where a revision is in force, as the VMs reported it.
+ForceReport forceReport(const InForce &F, const FleetView &Fleet, Revision R) {
+  std::map<ZoneId, bool> Whole;
+  ForceReport Report;
+  for (const auto &[Id, Vm] : F.Declared_.Vms_) {
+    auto Found = Fleet.Vms_.find(Id);
+    bool Confirmed = Found != Fleet.Vms_.end() && Found->second.Revision_ >= R;
+    Whole.try_emplace(Vm.Zone_, true);
+    Whole[Vm.Zone_] = Whole[Vm.Zone_] && Confirmed;
+    if (!Confirmed)
+      Report.Unconfirmed_.push_back(Id);
+  }
+  for (const auto &[Zone, All] : Whole)
+    if (All)
+      Report.Zones_.push_back(Zone);
+  return Report;
+}
+
+std::string whyLagging(const MemberView *Member) {
+  if (!Member || Member->Incarnation_ == Incarnation())
+    return "never heard of";
+  if (Member->State_ == VmState::Dead || Member->State_ == VmState::Suspect)
+    return "doesn't answer";
+  return "has not reported it yet";
+}
+
 } // namespace
 
 Control::Control(const Settings &S, const Clock &C, Transport &T,
-                 InForceCell &Cell, Upstreams &Ups)
-    : Settings_(S), InForce_(Cell), Upstreams_(Ups),
+                 InForceCell &Cell, MemberHost &M)
+    : Settings_(S), Clock_(C), InForce_(Cell), Members_(M),
       Host_(makeHost(S, C, T,
                      [this](const Catalog &State, const Change *Cause) {
                        onCatalog(State, Cause);
                      })),
-      Router_(S.Vm_, S.InitialVoters_, Host_.get(), C, T) {}
+      Router_(S.Vm_, S.InitialVoters_, Host_.get(), C, T),
+      Proposer_("control.propose", Duration::seconds(1), [] {}) {}
 
 Control::~Control() { stop(); }
 
 void Control::start() {
   if (Host_)
     Host_->start();
+  Proposer_.start();
 }
 
 void Control::stop() {
+  Proposer_.stop();
   if (Host_)
     Host_->stop();
 }
@@ -52,6 +87,26 @@
   return Router_.submit(C, Wait);
 }
 
+void Control::propose(Change C) {
+  Proposer_.post([this, C = std::move(C)] { submit(C, ProposeWait); });
+}
+
+void Control::keepView() {
+  auto F = InForce_.get();
+  if (F->Revision_ == Revision())
+    return;
+  auto View = viewToPropose(Keeper_, *F, *Members_.view(), Settings_.Zone_,
+                            Settings_.Vm_, Clock_.now());
+  if (!View)
+    return;
+  Change C;
+  C.Id_ = ChangeId("view-" + Settings_.Vm_.str() + "-" +
+                   std::to_string(Clock_.unixMillis()));
+  C.Kind_ = ChangeKind::SetView;
+  C.View_ = *View;
+  propose(C);
+}
+
 ChangeReply Control::withdrawKey(const Change &C, Duration Wait) {
   return submit(C, Wait);
 }
@@ -77,7 +132,16 @@
   return Host_->addVoter(V.With_);
 }
 
-ForceReport Control::awaitInForce(Revision, Duration) { return {}; }
+ForceReport Control::awaitInForce(Revision R, Duration Wait) {
+  Time Deadline = Clock_.now() + Wait;
+  while (true) {
+    auto F = InForce_.get();
+    ForceReport Report = forceReport(*F, *Members_.view(), R);
+    if (Report.Unconfirmed_.empty() || Clock_.now() >= Deadline)
+      return Report;
+    std::this_thread::sleep_for(std::chrono::milliseconds(ForcePoll.count()));
+  }
+}
 
 bool Control::declares(const Drain &D) const {
   auto F = InForce_.get();
@@ -107,22 +171,47 @@
   return Host_ ? Host_->leaderView() : LeaderView();
 }
 
+std::vector<VmStatus> Control::vmRows(const InForce &F,
+                                      const FleetView &Fleet) const {
+  std::vector<VmStatus> Rows;
+  for (const auto &[Id, Vm] : F.Declared_.Vms_) {
+    auto Found = Fleet.Vms_.find(Id);
+    const MemberView *Member =
+        Found == Fleet.Vms_.end() ? nullptr : &Found->second;
+    VmStatus Row{Id, Vm.Zone_, "dead", Revision(), ""};
+    if (Member) {
+      Row.State_ = toString(Member->State_);
+      Row.Revision_ = Member->Revision_;
+    }
+    if (Row.Revision_ < F.Revision_)
+      Row.Why_ = whyLagging(Member);
+    Rows.push_back(Row);
+  }
+  return Rows;
+}
+
 ControlStatus Control::status() {
   ControlStatus Out;
   Out.Vm_ = Settings_.Vm_;
   Out.Zone_ = Settings_.Zone_;
   Out.WhyNotReady_ = whyNotReady();
   Out.Revision_ = InForce_.get()->Revision_;
-  for (const Announcement &A : Upstreams_.list())
-    Out.Upstreams_.push_back({A.Service_, A.Upstream_, Settings_.Zone_,
-                              A.Leaving_ ? "leaving" : "serving", A.Slots_,
-                              A.Load_});
+  auto Fleet = Members_.view();
+  Out.Vms_ = vmRows(*InForce_.get(), *Fleet);
+  for (const UpstreamRecord &U : Fleet->Upstreams_)
+    Out.Upstreams_.push_back({U.Key_.Service_, U.Key_.Upstream_, U.Zone_,
+                              "serving", U.Slots_, U.Load_});
   if (!Host_)
     return Out;
   ReplicaStatus Replica = Host_->status();
   Out.Leader_ = Replica.Leader_;
   Out.Term_ = Replica.Term_;
-  Out.Repair_ = Replica.SurvivesOneLoss_ ? "loses nothing" : "may lose changes";
+  bool Leads = Replica.Role_ == ReplicaRole::Leader;
+  if (!Leads)
+    Out.Repair_ = "known to the leader";
+  else
+    Out.Repair_ =
+        Replica.SurvivesOneLoss_ ? "loses nothing" : "may lose changes";
   for (const Voter &V : Replica.Config_.Voters_)
     Out.Voters_.push_back(
         {V.Vm_, V.Vm_ == Replica.Leader_ ? "leader" : "voter",
--- a/lagoonpoint/src/Node/Control.h
+++ b/lagoonpoint/src/Node/Control.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "lagoonpoint/src/Node/ChangeRouter.h"
+#include "lagoonpoint/src/Node/Dispatcher.h"
 #include "lagoonpoint/src/Node/InForce.h"
-#include "lagoonpoint/src/Node/Upstreams.h"
+#include "lagoonpoint/src/Node/MemberHost.h"
+#include "lagoonpoint/src/Node/ViewKeeper.h"
 
 #include <atomic>
 
@@ -68,7 +70,7 @@
 class Control {
 public:
   Control(const Settings &S, const Clock &C, Transport &T, InForceCell &Cell,
-          Upstreams &Ups);
+          MemberHost &M);
   ~Control();
 
   void start();
@@ -95,16 +97,26 @@
   std::string whyNotReady() const;
   LeaderView leaderView() const;
 
+  /// Proposes the zone's next view for once-requests if it is due.
+  void keepView();
+
 private:
+  /// Submits a change without waiting for its verdict.
+  void propose(Change C);
   void onCatalog(const Catalog &State, const Change *Cause);
 
+  std::vector<VmStatus> vmRows(const InForce &F, const FleetView &Fleet) const;
+
   const Settings &Settings_;
+  const Clock &Clock_;
   InForceCell &InForce_;
-  Upstreams &Upstreams_;
+  MemberHost &Members_;
   mutable std::mutex Lock_;
   Catalog Catalog_; ///< as in force here
   std::unique_ptr<ReplicaHost> Host_;
   ChangeRouter Router_;
+  ViewKeeper Keeper_;
+  Worker Proposer_;
 };
 
 } // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Node/MemberHost.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "lagoonpoint/Config"
+#include "lagoonpoint/Membership"
+#include "lagoonpoint/src/Node/InForce.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <vector>
+
+namespace lagoonpoint {
+
+/// \class FleetView
+/// \ingroup Node
+/// \brief The VMs and upstreams as this VM saw them at one moment; immutable.
+struct FleetView {
+  std::map<VmId, MemberView> Vms_;
+  std::vector<UpstreamRecord> Upstreams_; ///< usable ones, of all zones
+  Contact Contact_ = Contact::Connected;
+
+  /// \returns true if the VM answers and doesn't drain.
+  bool ready(const VmId &Vm) const;
+  /// \returns all VMs that are ready.
+  std::set<VmId> readyVms() const;
+};
+
+/// \class MemberHost
+/// \ingroup Node
+/// \brief Membership under its lock. Thread-safe.
+class MemberHost {
+public:
+  MemberHost(const Settings &S, Incarnation I, const Clock &C, Transport &T);
+
+  void announce(const UpstreamOffer &Offer);
+  void setInForce(const InForce &F);
+  void setDraining();
+  void receive(const Envelope &Message);
+  /// Sends what is due and takes a new view.
+  void tick();
+  std::shared_ptr<const FleetView> view() const;
+
+private:
+  template <class Step> void locked(Step S);
+
+  const Clock &Clock_;
+  Transport &Transport_;
+  mutable std::mutex Lock_;
+  Members Members_;
+  mutable std::mutex ViewLock_;
+  std::shared_ptr<const FleetView> View_ = std::make_shared<FleetView>();
+};
+
+} // namespace lagoonpoint
--- a/lagoonpoint/src/Node/Node.cpp
+++ b/lagoonpoint/src/Node/Node.cpp
@@ -10,11 +10,16 @@
 #include "lagoonpoint/src/Node/TeamLimits.h"
 #include "lagoonpoint/src/Node/Worker.h"
 
+#include <chrono>
+#include <thread>
+
 namespace lagoonpoint {
 
 namespace {
 
 constexpr Duration TickEvery = Duration::millis(25);
+constexpr Duration MembersEvery = Duration::millis(100);
+constexpr Duration SteerEvery = Duration::millis(500);
 
 PeerOptions peerOptions(const Settings &S) {
   PeerOptions Options;
@@ -34,6 +39,20 @@
   return Peers;
 }
 
+UpstreamNews newsOf(const UpstreamRecord &U) {
+  UpstreamNews News;
+  News.Id_ = U.Key_.Upstream_;
+  News.Zone_ = U.Zone_;
+  News.Address_ = {U.Host_, U.Port_};
+  News.Slots_ = U.Slots_;
+  News.Connections_ = U.Connections_;
+  if (U.LoadReported_)
+    News.Load_ = U.Load_;
+  News.LoadAge_ = U.LoadAge_;
+  News.Lease_ = U.Lease_;
+  return News;
+}
+
 } // namespace
 
 struct Node::Parts {
@@ -42,43 +61,42 @@
         Peers_(
             peerOptions(S), [this](Envelope E) { receive(std::move(E)); },
             Clock_, [](const Error &E) { logError(E, LogLevel::Warning); }),
-        Limits_(S.Vm_,
-                Incarnation(static_cast<std::uint64_t>(Clock_.unixMillis())),
-                Clock_, Peers_),
-        Upstreams_(Clock_), Control_(S, Clock_, Peers_, InForce_, Upstreams_),
-        Calls_(S, InForce_, Control_, Limits_, Upstreams_),
-        Announces_(InForce_, Upstreams_), Operators_(Control_),
-        CallerServer_(Calls_, S, Clock_),
+        Incarnation_(static_cast<std::uint64_t>(Clock_.unixMillis())),
+        Limits_(S.Vm_, Incarnation_, Clock_, Peers_),
+        Members_(S, Incarnation_, Clock_, Peers_),
+        Once_(S, Incarnation_, Clock_, Peers_), Steerer_(S, Clock_, Peers_),
+        Dispatcher_(Clock_), Control_(S, Clock_, Peers_, InForce_, Members_),
+        Services_{S,        Clock_,   Limits_,  Dispatcher_, Once_,
+                  Steerer_, Members_, Retries_, Metrics_},
+        Calls_(Services_, InForce_, Control_), Announces_(InForce_, Members_),
+        Operators_(Control_, Metrics_), CallerServer_(Calls_, S, Clock_),
         UpstreamServer_(Announces_, S, Clock_),
         OperatorServer_(Operators_, S, Clock_),
         Ticker_("node.tick", TickEvery, [this] { tick(); }) {}
 
-  void receive(Envelope Message) {
-    if (Message.Channel_ == Channel::Lease)
-      Limits_.receive(Message);
-    else
-      Control_.receive(std::move(Message));
-  }
-
-  void tick() {
-    auto F = InForce_.get();
-    if (F->Revision_ != Applied_) {
-      Peers_.setPeers(peersOf(Settings_, F->Declared_));
-      Limits_.setInForce(*F);
-      Applied_ = F->Revision_;
-    }
-    Limits_.settle(Applied_);
-    Limits_.setLeader(Control_.leaderView());
-    Limits_.tick();
-  }
+  void receive(Envelope Message);
+  void tick();
+  void takeInForce();
+  void learnUpstreams();
+  std::set<ServiceId> servedHere();
+  /// Waits until no caller holds a look-up answer that names this VM.
+  void waitForCaches();
+  bool due(Time &Next, Duration Every);
 
   const Settings &Settings_;
   SystemClock Clock_;
   InForceCell InForce_;
   PeerTransport Peers_;
+  Incarnation Incarnation_;
   TeamLimits Limits_;
-  Upstreams Upstreams_;
+  MemberHost Members_;
+  OnceHost Once_;
+  Steerer Steerer_;
+  Dispatcher Dispatcher_;
+  RetryBudgets Retries_;
+  MetricRegistry Metrics_;
   Control Control_;
+  CallServices Services_;
   CallFront Calls_;
   AnnounceFront Announces_;
   OperatorFront Operators_;
@@ -86,9 +104,100 @@
   UpstreamServer UpstreamServer_;
   OperatorServer OperatorServer_;
   Revision Applied_;
+  Time NextMembers_;
+  Time NextSteer_;
   Worker Ticker_;
 };
 
+void Node::Parts::receive(Envelope Message) {
+  switch (Message.Channel_) {
+  case Channel::Lease:
+    return Limits_.receive(Message);
+  case Channel::Membership:
+  case Channel::Upstreams:
+    return Members_.receive(Message);
+  case Channel::Steering:
+    return Steerer_.receive(Message);
+  case Channel::Once:
+    return Once_.receive(Message);
+  case Channel::Replication:
+  case Channel::Dissemination:
+  case Channel::Withdrawal:
+  case Channel::Forward:
+    return Control_.receive(std::move(Message));
+  }
+}
+
+void Node::Parts::waitForCaches() {
+  Duration Ttl = InForce_.get()->Declared_.Fleet_.LookupTtl_;
+  Duration Wait = std::min(Ttl, Settings_.DrainLimit_);
+  if (Settings_.Entry_ && Applied_ != Revision())
+    std::this_thread::sleep_for(std::chrono::milliseconds(Wait.count()));
+}
+
+bool Node::Parts::due(Time &Next, Duration Every) {
+  Time Now = Clock_.now();
+  if (Now < Next)
+    return false;
+  Next = Now + Every;
+  return true;
+}
+
+void Node::Parts::takeInForce() {
+  auto F = InForce_.get();
+  if (F->Revision_ == Applied_)
+    return;
+  Peers_.setPeers(peersOf(Settings_, F->Declared_));
+  Limits_.setInForce(*F);
+  Members_.setInForce(*F);
+  Once_.setInForce(*F);
+  Steerer_.setInForce(F);
+  Applied_ = F->Revision_;
+}
+
+/// Hands the dispatcher the upstreams of this zone and the VMs that share
+/// their slots.
+void Node::Parts::learnUpstreams() {
+  auto F = InForce_.get();
+  auto Fleet = Members_.view();
+  std::map<ServiceId, std::vector<UpstreamNews>> ByService;
+  for (const auto &[Id, Service] : F->Declared_.Services_)
+    ByService[Id];
+  for (const UpstreamRecord &U : Fleet->Upstreams_)
+    if (U.Zone_ == Settings_.Zone_ && ByService.count(U.Key_.Service_))
+      ByService[U.Key_.Service_].push_back(newsOf(U));
+  std::set<VmId> Sharers{Settings_.Vm_};
+  for (const auto &[Id, Vm] : F->Declared_.Vms_)
+    if (Vm.Entry_ && Vm.Zone_ == Settings_.Zone_ && Fleet->ready(Id))
+      Sharers.insert(Id);
+  for (const auto &[Service, News] : ByService)
+    Dispatcher_.learn(Service, News, Sharers, Settings_.Vm_,
+                      F->Declared_.Services_.at(Service).SlowStart_);
+}
+
+std::set<ServiceId> Node::Parts::servedHere() {
+  std::set<ServiceId> Served;
+  for (const auto &[Id, Service] : InForce_.get()->Declared_.Services_)
+    if (Dispatcher_.usable(Id))
+      Served.insert(Id);
+  return Served;
+}
+
+void Node::Parts::tick() {
+  takeInForce();
+  Limits_.settle(Applied_);
+  Limits_.setLeader(Control_.leaderView());
+  Limits_.tick();
+  Once_.tick();
+  if (due(NextMembers_, MembersEvery)) {
+    Members_.tick();
+    learnUpstreams();
+    Control_.keepView();
+  }
+  if (due(NextSteer_, SteerEvery))
+    Steerer_.tick(*Members_.view(), servedHere());
+}
+
 Node::Node(const Settings &S) : Parts_(std::make_unique<Parts>(S)) {}
 
 Node::~Node() { stop(); }
@@ -108,6 +217,8 @@
 void Node::drain() {
   log({.Step_ = "node.drain", .Message_ = "draining"});
   Parts_->Calls_.beginDrain();
+  Parts_->Members_.setDraining();
+  Parts_->waitForCaches();
   if (Parts_->Settings_.Entry_)
     Parts_->CallerServer_.stop();
   Parts_->Limits_.giveBackAll();
--- a/lagoonpoint/src/Node/OperatorFront.cpp
+++ b/lagoonpoint/src/Node/OperatorFront.cpp
@@ -246,13 +246,7 @@
   return {HTTPResponse::HTTP_OK, Body};
 }
 
-std::string OperatorFront::metrics() {
-  return "# HELP lagoonpoint_invariant_violations Invariants violated since "
-         "the "
-         "start\n# TYPE lagoonpoint_invariant_violations counter\n"
-         "lagoonpoint_invariant_violations " +
-         std::to_string(invariantViolations()) + "\n";
-}
+std::string OperatorFront::metrics() { return Metrics_.text(); }
 
 bool OperatorFront::ready(std::string &WhyNot) {
   WhyNot = Control_.whyNotReady();
--- a/lagoonpoint/src/Node/OperatorFront.h
+++ b/lagoonpoint/src/Node/OperatorFront.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lagoonpoint/Http"
+#include "lagoonpoint/Metrics"
 #include "lagoonpoint/src/Node/Control.h"
 
 namespace lagoonpoint {
@@ -10,7 +11,7 @@
 /// \brief The operators' requests: changes, status, voters.
 class OperatorFront final : public OperatorPort {
 public:
-  explicit OperatorFront(Control &C) : Control_(C) {}
+  OperatorFront(Control &C, MetricRegistry &M) : Control_(C), Metrics_(M) {}
 
   OperatorReply handle(const OperatorRequest &Request) override;
   std::string metrics() override;
@@ -25,6 +26,7 @@
   OperatorReply status();
 
   Control &Control_;
+  MetricRegistry &Metrics_;
 };
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Node/TeamLimits.cpp
+++ b/lagoonpoint/src/Node/TeamLimits.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// The replication leader lends all of them.
+constexpr QuantityKind Kinds[] = {QuantityKind::TeamRate,
+                                  QuantityKind::RegionCapacity,
+                                  QuantityKind::LinkBytes};
 /// How long a waiter outlasts its deadline before it counts as dry.
 constexpr Duration WaitSlack = Duration::millis(100);
 
@@ -93,11 +97,12 @@
   Time Now = Clock_.now();
   for (Slot &S : Slots_) {
     std::lock_guard Guard(S.Lock_);
-    if (View.Leading_)
-      S.Shard_->lead(QuantityKind::TeamRate, View.Term_, View.LeadsUntil_, Now);
-    else if (!View.Leader_.empty())
-      S.Shard_->setAuthority(QuantityKind::TeamRate, View.Leader_, View.Term_,
-                             Now);
+    for (QuantityKind Kind : Kinds) {
+      if (View.Leading_)
+        S.Shard_->lead(Kind, View.Term_, View.LeadsUntil_, Now);
+      else if (!View.Leader_.empty())
+        S.Shard_->setAuthority(Kind, View.Leader_, View.Term_, Now);
+    }
   }
 }
 
--- a/lagoonpoint/src/Steering/Upstream.h
+++ b/lagoonpoint/src/Steering/Upstream.h
@@ -52,7 +52,7 @@
 };
 
 /// How one try at an upstream ended, as its health is judged by it.
-enum class TryOutcome {
+enum class UpstreamOutcome {
   Answered,     ///< whole answer received
   Refused,      ///< connection refused or not made in time
   Shed,         ///< it said that it didn't run the request
--- a/lagoonpoint/src/Steering/UpstreamChoice.cpp
+++ b/lagoonpoint/src/Steering/UpstreamChoice.cpp
@@ -152,7 +152,7 @@
   U->Leaving_ = U->Leaving_ || News.Leaving_;
   U->LeaseUntil_ = Now + News.Lease_;
   if (News.Load_)
-    U->Report_ = LoadReport{*News.Load_, Now};
+    U->Report_ = LoadReport{*News.Load_, Now - News.LoadAge_};
 }
 
 void forgetExpired(UpstreamGroup &G, Time Now) {
@@ -192,7 +192,7 @@
   return Chosen;
 }
 
-void finish(UpstreamGroup &G, const UpstreamId &Id, TryOutcome Outcome,
+void finish(UpstreamGroup &G, const UpstreamId &Id, UpstreamOutcome Outcome,
             Duration Spent, Time Now) {
   Upstream *U = find(G, Id);
   if (!U)
@@ -202,6 +202,15 @@
   judge(G, *U, Outcome, Spent, Now);
 }
 
+bool hasFreeSlot(const UpstreamGroup &G, Time Now) {
+  return std::any_of(
+      G.Upstreams_.begin(), G.Upstreams_.end(), [&](const Upstream &U) {
+        bool Probe = U.Phase_ == UpstreamPhase::Probing && U.InFlight_ == 0;
+        return isFree(U, G.Rules_, Placement(), Now) &&
+               (U.Phase_ == UpstreamPhase::Serving || Probe);
+      });
+}
+
 bool isUsable(const UpstreamGroup &G, Time Now) {
   return std::any_of(G.Upstreams_.begin(), G.Upstreams_.end(),
                      [&](const Upstream &U) {
--- a/lagoonpoint/src/Steering/UpstreamChoice.h
+++ b/lagoonpoint/src/Steering/UpstreamChoice.h
@@ -43,6 +43,7 @@
   unsigned Slots_ = 0;
   unsigned Connections_ = 0;
   std::optional<double> Load_;
+  Duration LoadAge_; ///< since the upstream reported it
   bool Leaving_ = false;
   Duration Lease_;
 };
@@ -84,9 +85,13 @@
 /// Takes a call out of flight and learns from how it ended.
 /// \ingroup Steering
 /// \param Spent from dispatch to the end
-void finish(UpstreamGroup &G, const UpstreamId &Id, TryOutcome Outcome,
+void finish(UpstreamGroup &G, const UpstreamId &Id, UpstreamOutcome Outcome,
             Duration Spent, Time Now);
 
+/// \returns whether some call could be placed now.
+/// \ingroup Steering
+bool hasFreeSlot(const UpstreamGroup &G, Time Now);
+
 /// \returns whether any upstream takes work, now or as soon as one is free.
 /// \ingroup Steering
 bool isUsable(const UpstreamGroup &G, Time Now);
--- a/lagoonpoint/src/Steering/util/UpstreamHealth.cpp
+++ b/lagoonpoint/src/Steering/util/UpstreamHealth.cpp
@@ -118,26 +118,27 @@
   return {Typical * std::pow(Slower, Left), Left * U.Failures_};
 }
 
-void judge(UpstreamGroup &G, Upstream &U, TryOutcome Outcome, Duration Spent,
-           Time Now) {
-  if (Outcome != TryOutcome::Inconclusive && Outcome != TryOutcome::Shed)
+void judge(UpstreamGroup &G, Upstream &U, UpstreamOutcome Outcome,
+           Duration Spent, Time Now) {
+  if (Outcome != UpstreamOutcome::Inconclusive &&
+      Outcome != UpstreamOutcome::Shed)
     fadeUntil(G, U, Now);
   switch (Outcome) {
-  case TryOutcome::Answered:
+  case UpstreamOutcome::Answered:
     return succeed(U, Spent, Now);
-  case TryOutcome::Shed:
+  case UpstreamOutcome::Shed:
     U.BackOffUntil_ = Now + ShedBackOff;
     return;
-  case TryOutcome::TimedOut:
+  case UpstreamOutcome::TimedOut:
     if (hadFairTime(U, Spent)) {
       observeLatency(U, Spent);
       fail(G, U, Now);
     }
     return;
-  case TryOutcome::Refused:
-  case TryOutcome::Broken:
+  case UpstreamOutcome::Refused:
+  case UpstreamOutcome::Broken:
     return fail(G, U, Now);
-  case TryOutcome::Inconclusive:
+  case UpstreamOutcome::Inconclusive:
     return;
   }
 }
--- a/lagoonpoint/src/Steering/util/UpstreamHealth.h
+++ b/lagoonpoint/src/Steering/util/UpstreamHealth.h
@@ -21,8 +21,8 @@
 
 /// Learns from how a try ended, ejects an upstream that fails again and again
 /// and takes one back whose probe was answered.
-void judge(UpstreamGroup &G, Upstream &U, TryOutcome Outcome, Duration Spent,
-           Time Now);
+void judge(UpstreamGroup &G, Upstream &U, UpstreamOutcome Outcome,
+           Duration Spent, Time Now);
 
 /// Lets ejected upstreams be probed once their time is over.
 void reviveDue(UpstreamGroup &G, Time Now);
--- a/test/Catalog.cpp
+++ b/test/Catalog.cpp
@@ -48,6 +48,18 @@
     CHECK(State.Revision_ == Revision(2));
     CHECK(State.Text_ == Text + "\n");
   }
+  SECTION("while a key was granted since the base") {
+    NewKey New = makeKey(KeyId("k1"), TeamId("rangers"));
+    applyChange(State, onKey("g1", ChangeKind::GrantKey, New.Grant_));
+    CHECK(applyChange(State, declareAt("c2", 1, Text + "\n")).Revision_ ==
+          Revision(3));
+    CHECK(applyChange(State, declareAt("c3", 2, Text)).Verdict_ ==
+          ChangeVerdict::Conflict);
+  }
+  SECTION("from a revision that doesn't exist") {
+    CHECK(applyChange(State, declareAt("c2", 2, Text)).Verdict_ ==
+          ChangeVerdict::Conflict);
+  }
   SECTION("and the file has errors") {
     ChangeReply Bad =
         applyChange(State, declareAt("c2", 1, Text + "\n[vm.x]\n"));
--- a/test/UpstreamChoice.cpp
+++ b/test/UpstreamChoice.cpp
@@ -45,7 +45,7 @@
   }
   Upstream *tryPlace(const Placement &P) { return place(G_, P, Now_, Source_); }
   /// Places a call and ends it at once.
-  UpstreamId call(TryOutcome End = TryOutcome::Answered,
+  UpstreamId call(UpstreamOutcome End = UpstreamOutcome::Answered,
                   Duration Spent = Duration::millis(10)) {
     Upstream *U = tryPlace({Here, {}, true});
     REQUIRE(U);
@@ -61,7 +61,8 @@
       REQUIRE(U);
       bool IsBad = U->Id_ == UpstreamId(Bad);
       ++Placed_[U->Id_];
-      finish(G_, U->Id_, IsBad ? TryOutcome::TimedOut : TryOutcome::Answered,
+      finish(G_, U->Id_,
+             IsBad ? UpstreamOutcome::TimedOut : UpstreamOutcome::Answered,
              Duration::millis(IsBad ? 2000 : 10), Now_);
     }
   }
@@ -78,14 +79,15 @@
   while (S.tryPlace(AnyCall))
     ++Placed;
   CHECK(Placed == 2 * Slots);
-  finish(S.G_, UpstreamId("u1"), TryOutcome::Answered, Duration(5), S.Now_);
+  finish(S.G_, UpstreamId("u1"), UpstreamOutcome::Answered, Duration(5),
+         S.Now_);
   Upstream *Freed = S.tryPlace(AnyCall);
   REQUIRE(Freed);
   CHECK(Freed->Id_ == UpstreamId("u1"));
   CHECK_THROWS_AS(
       [&] {
         for (unsigned I = 0; I <= Slots; ++I)
-          finish(S.G_, UpstreamId("u0"), TryOutcome::Answered, Duration(),
+          finish(S.G_, UpstreamId("u0"), UpstreamOutcome::Answered, Duration(),
                  S.Now_);
       }(),
       InvariantViolation);
@@ -120,7 +122,7 @@
     CHECK(!S.tryPlace(AnyCall));
   }
   SECTION("to one that has just shed a call") {
-    S.call(TryOutcome::Shed);
+    S.call(UpstreamOutcome::Shed);
     CHECK(!S.tryPlace(AnyCall));
     S.pass(Duration::millis(60));
     CHECK(S.tryPlace(AnyCall));
@@ -214,7 +216,8 @@
       Here, {UpstreamId("u1"), UpstreamId("u2"), UpstreamId("u3")}, true};
   for (int I = 0; I < 3; ++I) {
     REQUIRE(S.tryPlace(OnlyU0));
-    finish(S.G_, UpstreamId("u0"), TryOutcome::Refused, Duration(1), S.Now_);
+    finish(S.G_, UpstreamId("u0"), UpstreamOutcome::Refused, Duration(1),
+           S.Now_);
   }
   CHECK(!S.tryPlace(OnlyU0));
   S.pass(Duration::millis(2100));
@@ -227,7 +230,8 @@
   SECTION("with one probe at a time, and longer if that fails") {
     CHECK(S.tryPlace(OnlyU0));
     CHECK(!S.tryPlace(OnlyU0));
-    finish(S.G_, UpstreamId("u0"), TryOutcome::Broken, Duration(1), S.Now_);
+    finish(S.G_, UpstreamId("u0"), UpstreamOutcome::Broken, Duration(1),
+           S.Now_);
     S.announceAll(4);
     S.pass(Duration::millis(2100));
     CHECK(!S.tryPlace(OnlyU0));
@@ -244,7 +248,7 @@
   Story S;
   S.warm(6);
   for (int I = 0; I < 200; ++I)
-    S.call(TryOutcome::Broken);
+    S.call(UpstreamOutcome::Broken);
   auto Serving = std::count_if(
       S.G_.Upstreams_.begin(), S.G_.Upstreams_.end(),
       [](const Upstream &U) { return U.Phase_ == UpstreamPhase::Serving; });
@@ -255,7 +259,7 @@
     Short.announceAll(1);
     Short.call();
     for (int I = 0; I < 50; ++I)
-      Short.call(TryOutcome::TimedOut, Duration::millis(5));
+      Short.call(UpstreamOutcome::TimedOut, Duration::millis(5));
     CHECK(Short.at("u0").Failures_ == 0);
   }
 }
@@ -309,7 +313,7 @@
         }
       } else if (!Running.empty()) {
         std::swap(Running[Faults() % Running.size()], Running.back());
-        finish(S.G_, Running.back(), static_cast<TryOutcome>(Faults() % 6),
+        finish(S.G_, Running.back(), static_cast<UpstreamOutcome>(Faults() % 6),
                Duration::millis(static_cast<std::int64_t>(Faults() % 500)),
                S.Now_);
         Running.pop_back();
