--- /dev/null
+++ b/bench/listener.cpp
@@ -0,0 +1,97 @@
+/// \file
+/// The callers' listener with an entry VM that admits everything and knows one
+/// upstream: what the listener itself costs, measured with bench_load.
+
+#include "lagoonpoint/Http"
+
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <string>
+
+namespace po = boost::program_options;
+using namespace lagoonpoint;
+
+namespace {
+
+/// Admits everything to one upstream.
+class OpenPort final : public CallerPort {
+public:
+  explicit OpenPort(const Address &Upstream) : Upstream_(Upstream) {}
+
+  LookupReply lookup(const LookupQuery &) override {
+    LookupReply Reply{{}, Duration::seconds(5), Revision(1), "a-1-1-"};
+    for (const char *Vm : {"e1", "e2", "e3", "e4"})
+      Reply.Targets_.push_back(
+          {VmId(Vm), ZoneId("a"), {"10.0.0.1", 8080}, 0.25});
+    return Reply;
+  }
+  RouteDecl route(const std::string &) override { return Route_; }
+  std::unique_ptr<CallTicket> admit(const Call &C) override {
+    return std::make_unique<Ticket>(*this, C);
+  }
+  bool draining() const override { return false; }
+
+private:
+  class Ticket final : public CallTicket {
+  public:
+    Ticket(const OpenPort &Port, const Call &C)
+        : Port_(Port), Deadline_(C.Arrived_ + Duration::seconds(5)) {}
+    const RouteDecl &route() const override { return Port_.Route_; }
+    const TeamId &team() const override { return Team_; }
+    Time deadline() const override { return Deadline_; }
+    std::optional<StoredAnswer> stored() override { return {}; }
+    CallTarget next() override {
+      return {UpstreamId("u1"), VmId(), Port_.Upstream_};
+    }
+    bool ended(const TryReport &) override { return false; }
+    void keep(const StoredAnswer &) override {}
+
+  private:
+    const OpenPort &Port_;
+    Time Deadline_;
+    TeamId Team_{"team"};
+  };
+
+  Address Upstream_;
+  RouteDecl Route_;
+};
+
+} // namespace
+
+int main(int Count, char **Words) {
+  Settings S;
+  Address Upstream;
+  po::options_description All("bench_listener");
+  auto Add = All.add_options();
+  Add("help", "show this");
+  Add("port", po::value(&S.Callers_.Port_)->default_value(0), "0 for any");
+  Add("upstream-port", po::value(&Upstream.Port_)->default_value(1),
+      "of the upstream on this machine");
+  Add("threads", po::value(&S.CallerThreads_)->default_value(64), "threads");
+  po::variables_map Given;
+  po::store(po::parse_command_line(Count, Words, All), Given);
+  po::notify(Given);
+  if (Given.count("help")) {
+    std::cout << All;
+    return 0;
+  }
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  S.Vm_ = VmId("e1");
+  S.Callers_.Host_ = Upstream.Host_ = "127.0.0.1";
+  SystemClock Clock;
+  OpenPort Port(Upstream);
+  CallerServer Server(Port, S, Clock);
+  Server.start();
+  std::cout << "listening on 127.0.0.1:" << Server.port() << std::endl;
+  int Signal = 0;
+  sigwait(&Signals, &Signal);
+  Server.stop();
+  return 0;
+}
--- a/bench/upstream.cpp
+++ b/bench/upstream.cpp
@@ -1,9 +1,10 @@
-// A stand-in upstream: announces itself to a VM, answers every request after
-// a service time, and leaves on SIGTERM.
+/// \file
+/// A stand-in upstream: answers after a service time, announces itself to a
+/// VM, and can shed, cut its answers or hang. SIGTERM makes it leave.
 
 #include "lagoonpoint/Core"
 
-#include <Poco/JSON/Object.h>
+#include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPRequestHandler.h>
@@ -12,64 +13,116 @@
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/SocketAddress.h>
 #include <Poco/NullStream.h>
 #include <Poco/StreamCopier.h>
 #include <boost/program_options.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <csignal>
+#include <cstdio>
 #include <iostream>
-#include <sstream>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace po = boost::program_options;
-namespace net = Poco::Net;
+using namespace lagoonpoint;
 
 namespace {
 
 struct Options {
+  std::string Host_;
+  unsigned short Port_ = 0;
   std::string Service_;
   std::string Id_;
   std::string Key_;
-  std::string Announce_;
-  unsigned short Port_ = 0;
-  unsigned Slots_ = 3;
-  unsigned Connections_ = 400;
-  int ServiceMillis_ = 1;
+  std::vector<std::string> Vms_; ///< upstreams' listeners, HOST:PORT
+  unsigned Slots_ = 0;
+  unsigned Connections_ = 0;
+  double ServiceMillis_ = 0;
+  double ShedShare_ = 0;
+  double CutShare_ = 0;
+  double HangShare_ = 0;
+  std::size_t BodyBytes_ = 0;
+  double LeaveSeconds_ = 0;
+  bool AlwaysShedOverSlots_ = false;
 };
 
-std::atomic<unsigned> InFlight{0};
-std::atomic<unsigned> Served{0};
+std::atomic<int> Running{0};
+std::atomic<long> RunCount{0};
+std::atomic<long> ShedCount{0};
+std::atomic<long> Keys{0}; ///< requests in which a caller's key was seen
+
+double randomShare() {
+  thread_local Random Generator{std::random_device()()};
+  return std::uniform_real_distribution<>()(Generator);
+}
+
+void sleepMillis(double Millis) {
+  std::this_thread::sleep_for(
+      std::chrono::duration<double, std::milli>(Millis));
+}
 
-class Handler final : public net::HTTPRequestHandler {
+class Handler : public Poco::Net::HTTPRequestHandler {
 public:
   explicit Handler(const Options &O) : Options_(O) {}
 
-  void handleRequest(net::HTTPServerRequest &Request,
-                     net::HTTPServerResponse &Response) override {
-    ++InFlight;
-    Poco::NullOutputStream Nothing;
-    Poco::StreamCopier::copyStream(Request.stream(), Nothing);
-    std::this_thread::sleep_for(
-        std::chrono::milliseconds(Options_.ServiceMillis_));
-    std::string Body = Options_.Id_ + " ran " + Request.getMethod() + " " +
-                       Request.getURI() + " as number " +
-                       std::to_string(++Served) + "\n";
-    Response.setContentLength(static_cast<std::streamsize>(Body.size()));
-    Response.send() << Body;
-    --InFlight;
+  void handleRequest(Poco::Net::HTTPServerRequest &Request,
+                     Poco::Net::HTTPServerResponse &Response) override {
+    int Now = ++Running;
+    bool Over = Options_.AlwaysShedOverSlots_ &&
+                Now > static_cast<int>(Options_.Slots_);
+    Poco::NullOutputStream Sink;
+    Poco::StreamCopier::copyStream(Request.stream(), Sink);
+    if (Request.has("Authorization") || Request.has("X-Api-Key"))
+      ++Keys;
+    if (Over || randomShare() < Options_.ShedShare_)
+      shed(Response);
+    else
+      answer(Request, Response);
+    --Running;
   }
 
 private:
+  void shed(Poco::Net::HTTPServerResponse &Response) {
+    ++ShedCount;
+    Response.setStatusAndReason(
+        Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+    Response.set("X-Not-Run", "1");
+    Response.sendBuffer("busy", 4);
+  }
+
+  std::string describe(const Poco::Net::HTTPServerRequest &Request) const {
+    return Options_.Id_ + " ran " + Request.getMethod() + " " +
+           Request.getURI() + " as number " + std::to_string(++RunCount) + "\n";
+  }
+
+  void answer(const Poco::Net::HTTPServerRequest &Request,
+              Poco::Net::HTTPServerResponse &Response) {
+    if (Options_.ServiceMillis_ > 0)
+      sleepMillis(Options_.ServiceMillis_);
+    if (randomShare() < Options_.HangShare_)
+      sleepMillis(60'000);
+    std::string Body = describe(Request);
+    Body.resize(std::max(Body.size(), Options_.BodyBytes_), 'x');
+    if (randomShare() >= Options_.CutShare_) {
+      Response.sendBuffer(Body.data(), Body.size());
+      return;
+    }
+    Response.setContentLength(static_cast<std::streamsize>(Body.size()) + 10);
+    Response.setKeepAlive(false);
+    Response.send() << Body;
+  }
+
   const Options &Options_;
 };
 
-class HandlerFactory final : public net::HTTPRequestHandlerFactory {
+class Factory : public Poco::Net::HTTPRequestHandlerFactory {
 public:
-  explicit HandlerFactory(const Options &O) : Options_(O) {}
-  net::HTTPRequestHandler *
-  createRequestHandler(const net::HTTPServerRequest &) override {
+  explicit Factory(const Options &O) : Options_(O) {}
+  Poco::Net::HTTPRequestHandler *
+  createRequestHandler(const Poco::Net::HTTPServerRequest &) override {
     return new Handler(Options_);
   }
 
@@ -77,82 +130,111 @@
   const Options &Options_;
 };
 
-void announce(const Options &O, bool Leaving) {
-  Poco::JSON::Object Body;
-  Body.set("service", O.Service_);
-  Body.set("upstream", O.Id_);
-  Body.set("host", "127.0.0.1");
-  Body.set("port", O.Port_);
-  Body.set("slots", O.Slots_);
-  Body.set("connections", O.Connections_);
-  Body.set("load", std::min(1.0, double(InFlight) / O.Slots_));
-  Body.set("leaving", Leaving);
-  std::ostringstream Text;
-  Body.stringify(Text);
-  try {
-    net::HTTPClientSession Session{net::SocketAddress(O.Announce_)};
-    net::HTTPRequest Request("POST", "/v1/announce", "HTTP/1.1");
-    Request.set("Authorization", "Bearer " + O.Key_);
-    Request.setContentType("application/json");
-    Request.setContentLength(static_cast<std::streamsize>(Text.str().size()));
-    Session.sendRequest(Request) << Text.str();
-    net::HTTPResponse Response;
-    std::string Answer;
-    Poco::StreamCopier::copyToString(Session.receiveResponse(Response), Answer);
-    if (Response.getStatus() != net::HTTPResponse::HTTP_OK)
-      std::cout << "announcement refused: " << Answer << std::endl;
-  } catch (const Poco::Exception &E) {
-    std::cout << "announcement failed: " << E.displayText() << std::endl;
+std::string announcement(const Options &O, unsigned short Port, bool Leaving) {
+  double Load = std::min(1.0, double(Running) / O.Slots_);
+  return "{\"service\":\"" + O.Service_ + "\",\"upstream\":\"" + O.Id_ +
+         "\",\"host\":\"" + O.Host_ + "\",\"port\":" + std::to_string(Port) +
+         ",\"slots\":" + std::to_string(O.Slots_) +
+         ",\"connections\":" + std::to_string(O.Connections_) +
+         ",\"load\":" + std::to_string(Load) +
+         ",\"leaving\":" + (Leaving ? "true" : "false") + "}";
+}
+
+/// Announces to the first VM that takes it.
+void announce(const Options &O, unsigned short Port, bool Leaving) {
+  constexpr long PatienceSeconds = 1;
+  std::string Body = announcement(O, Port, Leaving);
+  for (const std::string &Vm : O.Vms_) {
+    try {
+      Poco::Net::HTTPClientSession Session{Poco::Net::SocketAddress(Vm)};
+      Session.setTimeout(Poco::Timespan(PatienceSeconds, 0));
+      Poco::Net::HTTPRequest Request("POST", "/v1/announce", "HTTP/1.1");
+      Request.set("X-Api-Key", O.Key_);
+      Request.setContentLength(static_cast<std::streamsize>(Body.size()));
+      Session.sendRequest(Request) << Body;
+      Poco::Net::HTTPResponse Response;
+      std::istream &Reply = Session.receiveResponse(Response);
+      if (Response.getStatus() == Poco::Net::HTTPResponse::HTTP_OK)
+        return;
+      std::cerr << Vm << ": ";
+      Poco::StreamCopier::copyStream(Reply, std::cerr);
+    } catch (const Poco::Exception &E) {
+      std::cerr << Vm << ": " << E.displayText() << "\n";
+    }
   }
 }
 
-Options parse(int Count, char **Words) {
-  Options O;
-  po::options_description All("options");
+po::options_description describe(Options &O) {
+  po::options_description All("bench_upstream");
   auto Add = All.add_options();
-  Add("service", po::value(&O.Service_)->required(), "service it runs");
-  Add("id", po::value(&O.Id_)->required(), "its id");
-  Add("announce", po::value(&O.Announce_)->required(),
-      "upstreams' listener of a VM of its zone, HOST:PORT");
-  Add("key", po::value(&O.Key_)->required(), "the service's key");
-  Add("port", po::value(&O.Port_)->required(), "port it listens on");
-  Add("slots", po::value(&O.Slots_), "requests it runs at once");
-  Add("connections", po::value(&O.Connections_), "connections it accepts");
-  Add("service-ms", po::value(&O.ServiceMillis_), "time a request takes");
-  po::variables_map Given;
-  po::store(po::parse_command_line(Count, Words, All), Given);
-  po::notify(Given);
-  return O;
+  Add("help", "show this");
+  Add("host", po::value(&O.Host_)->default_value("127.0.0.1"), "IP number");
+  Add("port", po::value(&O.Port_)->default_value(0), "0 for any");
+  Add("service", po::value(&O.Service_)->default_value("tags"), "service id");
+  Add("id", po::value(&O.Id_)->default_value("u1"), "upstream id");
+  Add("key", po::value(&O.Key_)->default_value(""), "service key");
+  Add("announce", po::value(&O.Vms_),
+      "upstreams' listener of a VM of its zone, HOST:PORT; may be repeated");
+  Add("slots", po::value(&O.Slots_)->default_value(3), "requests at once");
+  Add("connections", po::value(&O.Connections_)->default_value(400),
+      "connections, a thread each");
+  Add("service-ms", po::value(&O.ServiceMillis_)->default_value(1),
+      "service time");
+  Add("body", po::value(&O.BodyBytes_)->default_value(0),
+      "least bytes of an answer");
+  Add("shed", po::value(&O.ShedShare_)->default_value(0), "share to shed");
+  Add("shed-over-slots", po::bool_switch(&O.AlwaysShedOverSlots_),
+      "shed what comes beyond the slots");
+  Add("cut", po::value(&O.CutShare_)->default_value(0), "share to cut");
+  Add("hang", po::value(&O.HangShare_)->default_value(0), "share to hang");
+  Add("leave-after", po::value(&O.LeaveSeconds_)->default_value(2),
+      "seconds from SIGTERM to the end");
+  return All;
 }
 
-void serve(const Options &O) {
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGINT);
-  sigaddset(&Signals, SIGTERM);
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  net::HTTPServerParams::Ptr Params = new net::HTTPServerParams;
-  Params->setMaxThreads(static_cast<int>(O.Connections_));
-  net::HTTPServer Server(
-      new HandlerFactory(O),
-      net::ServerSocket(net::SocketAddress("127.0.0.1", O.Port_)), Params);
-  Server.start();
-  timespec Second{1, 0};
+/// Announces every second until SIGTERM or SIGINT.
+void announceUntilSignal(const Options &O, unsigned short Port,
+                         const sigset_t &Signals) {
+  const timespec Second{1, 0};
   do
-    announce(O, false);
+    announce(O, Port, false);
   while (sigtimedwait(&Signals, nullptr, &Second) < 0);
-  announce(O, true);
-  Server.stopAll(false);
 }
 
 } // namespace
 
 int main(int Count, char **Words) {
-  try {
-    serve(parse(Count, Words));
+  Options O;
+  po::options_description All = describe(O);
+  po::variables_map Given;
+  po::store(po::parse_command_line(Count, Words, All), Given);
+  po::notify(Given);
+  if (Given.count("help")) {
+    std::cout << All;
     return 0;
-  } catch (const std::exception &E) {
-    std::cerr << "bench_upstream: " << E.what() << "\n";
-    return 1;
   }
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+
+  Poco::Net::ServerSocket Socket(Poco::Net::SocketAddress(O.Host_, O.Port_),
+                                 1024);
+  auto *Params = new Poco::Net::HTTPServerParams;
+  Params->setMaxThreads(static_cast<int>(O.Connections_));
+  Params->setMaxQueued(static_cast<int>(O.Connections_));
+  Params->setMaxKeepAliveRequests(0);
+  Poco::ThreadPool Pool(8, static_cast<int>(O.Connections_));
+  Poco::Net::HTTPServer Server(new Factory(O), Pool, Socket, Params);
+  Server.start();
+  unsigned short Port = Socket.address().port();
+  std::cout << "listening on " << O.Host_ << ":" << Port << std::endl;
+  announceUntilSignal(O, Port, Signals);
+  announce(O, Port, true);
+  sleepMillis(O.LeaveSeconds_ * 1000);
+  Server.stopAll(false);
+  std::cout << "ran " << RunCount << ", shed " << ShedCount << ", with a key "
+            << Keys << std::endl;
+  return 0;
 }
