Test the voters' disk at every byte and every operation

Cause: only the fault matrix used it. Change: tests with a cut at every byte, damage at every byte, power loss at every operation, the folder lock. Undecodable content is a CorruptError. The cut after a failed write is gone: loading always starts a fresh, wholly synced log, so what a failed sync left visible is never taken for durable. Conclusion: damage to acknowledged bytes is always found.

--- a/lagoonpoint/src/Disk/DiskStorage.cpp
+++ b/lagoonpoint/src/Disk/DiskStorage.cpp
@@ -99,6 +99,14 @@
     : Folder_(Folder), Disk_(NewDisk) {}
 
 StoredState DiskStorage::load() {
+  try {
+    return readFolder();
+  } catch (const CodecError &E) {
+    throw CorruptError(E.step(), E.peer(), E.message() + " at offset 0");
+  }
+}
+
+StoredState DiskStorage::readFolder() {
   Names Present = readNames();
   if (!Present.Vote_) {
     create();
@@ -205,8 +213,8 @@
            Header, logName());
   Durable_ = Bytes.size();
   Stored.Entries_ = entriesAfter(Stored.Snapshot_, Header, std::move(Entries));
-  // An earlier process may have written bytes that never became durable; a
-  // fresh copy that is synced as a whole leaves no doubt.
+  // After a failed sync the system may show bytes that never reach the disk. A
+  // fresh copy, synced as a whole, leaves no doubt.
   guard([&] { startLog(Stored.Snapshot_.Meta_, Stored.Entries_); });
 }
 
@@ -270,20 +278,8 @@
     Writes();
   } catch (const DiskError &) {
     Failed_ = true;
-    cutUnsynced();
     throw;
   }
 }
 
-/// After a failed sync the system may show bytes as written that never reach
-/// the disk; a later load must not find them.
-void DiskStorage::cutUnsynced() {
-  try {
-    Folder_.truncate(logName(), Durable_);
-  } catch (const Error &) {
-    // The disk is failing: nothing more can be done, and nothing is
-    // acknowledged.
-  }
-}
-
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Disk/DiskStorage.h
+++ b/lagoonpoint/src/Disk/DiskStorage.h
@@ -35,6 +35,7 @@
     bool Vote_ = false;
   };
 
+  StoredState readFolder();
   Names readNames();
   void create();
   void loadVote(StoredState &Stored);
@@ -47,7 +48,6 @@
   void removeStale(const Names &Present, std::uint64_t Snapshot);
   std::string logName() const;
   void guard(const std::function<void()> &Writes);
-  void cutUnsynced();
 
   Files &Folder_;
   DiskId Disk_;
--- /dev/null
+++ b/test/Disk.cpp
@@ -0,0 +1,237 @@
+#include "lagoonpoint/Disk"
+#include "fakes/FakeDisk.h"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <unistd.h>
+
+using namespace lagoonpoint;
+using fakes::FakeDisk;
+
+namespace {
+
+const std::string Live = "log-2"; // the second log: load() starts a fresh one
+
+LogEntry entry(std::uint64_t Index, std::uint64_t T) {
+  return {Term(T), LogIndex(Index), EntryKind::Command,
+          "command " + std::to_string(Index)};
+}
+
+StoredState load(Files &Folder) {
+  return DiskStorage(Folder, DiskId(99)).load();
+}
+
+/// Four acknowledged entries, one record each, and a vote.
+void fill(Files &Folder) {
+  DiskStorage Storage(Folder, DiskId(7));
+  Storage.load();
+  Storage.saveVote(Term(3), VmId("b"));
+  for (std::uint64_t Index = 1; Index <= 4; ++Index)
+    Storage.append({entry(Index, 2)});
+}
+
+bool isCorrupt(FakeDisk &Disk, const std::string &Name) {
+  try {
+    load(Disk);
+  } catch (const CorruptError &E) {
+    CHECK(E.peer() == Name);
+    CHECK(E.message().find("offset") != std::string::npos);
+    return true;
+  }
+  return false;
+}
+
+/// Runs the writes with a crash at each operation in turn.
+template <class Check>
+void crashEverywhere(const std::function<void(DiskStorage &)> &Writes,
+                     const Check &Verify) {
+  for (int At = 0;; ++At) {
+    FakeDisk Disk;
+    fill(Disk);
+    DiskStorage Storage(Disk, DiskId(7));
+    Storage.load();
+    int Operations = 0;
+    Disk.setHook([&](const std::string &) {
+      return fakes::DiskFate{.CrashBefore_ = Operations++ == At};
+    });
+    bool Crashed = false;
+    try {
+      Writes(Storage);
+    } catch (const fakes::Crash &) {
+      Crashed = true;
+    }
+    Disk.setHook({});
+    Disk.losePower(static_cast<std::size_t>(At * 7));
+    INFO("crash before operation " << At);
+    Verify(load(Disk), Crashed);
+    if (!Crashed)
+      return;
+  }
+}
+
+} // namespace
+
+TEST_CASE("A data folder") {
+  FakeDisk Disk;
+  fill(Disk);
+
+  SECTION("gives back what was acknowledged, also after a power loss") {
+    Disk.losePower(0);
+    StoredState Stored = load(Disk);
+    CHECK(Stored.Disk_ == DiskId(7));
+    CHECK(Stored.Term_ == Term(3));
+    CHECK(Stored.Vote_ == VmId("b"));
+    CHECK(Stored.Entries_.size() == 4);
+    CHECK(Stored.Recovered_.empty());
+  }
+  SECTION("replaces entries from the first one appended again") {
+    DiskStorage Storage(Disk, DiskId(7));
+    Storage.load();
+    Storage.append({entry(2, 5), entry(3, 5)});
+    StoredState Stored = load(Disk);
+    CHECK(Stored.Entries_ ==
+          std::vector<LogEntry>{entry(1, 2), entry(2, 5), entry(3, 5)});
+  }
+  SECTION("keeps a snapshot and what follows it") {
+    DiskStorage Storage(Disk, DiskId(7));
+    Storage.load();
+    Snapshot S{{LogIndex(3), Term(2), VoterConfig()}, "state"};
+    Storage.saveSnapshot(S, {entry(4, 2)});
+    StoredState Stored = load(Disk);
+    CHECK(Stored.Snapshot_.State_ == "state");
+    CHECK(Stored.Entries_ == std::vector<LogEntry>{entry(4, 2)});
+  }
+  SECTION("refuses work after a failed write") {
+    DiskStorage Storage(Disk, DiskId(7));
+    Storage.load();
+    Disk.setHook([](const std::string &Operation) {
+      return fakes::DiskFate{.Fails_ = Operation == "sync"};
+    });
+    CHECK_THROWS_AS(Storage.append({entry(5, 2)}), DiskError);
+    Disk.setHook({});
+    CHECK_THROWS_AS(Storage.append({entry(5, 2)}), DiskError);
+    CHECK_THROWS_AS(Storage.saveVote(Term(9), VmId("a")), DiskError);
+  }
+}
+
+TEST_CASE("A write cut short at the end of the log") {
+  FakeDisk Disk;
+  fill(Disk);
+  std::string Whole = Disk.read(Live);
+  DiskStorage Storage(Disk, DiskId(7));
+  Storage.load();
+  Storage.append({entry(5, 2)});
+  std::string Next = Disk.read("log-3");
+  std::string Last = Next.substr(Next.size() - 40);
+
+  SECTION("is cut with a line, wherever it broke off") {
+    for (std::size_t Kept = 1; Kept < Last.size(); ++Kept) {
+      Disk.write(Live, Whole + Last.substr(0, Kept));
+      Disk.remove("log-3");
+      StoredState Stored = load(Disk);
+      CHECK(Stored.Entries_.size() == 4);
+      REQUIRE(Stored.Recovered_.size() == 1);
+      CHECK(Stored.Recovered_[0].find(Live) == 0);
+      CHECK(Stored.Recovered_[0].find("offset") != std::string::npos);
+    }
+  }
+}
+
+TEST_CASE("A damaged byte of what was acknowledged stops the voter") {
+  FakeDisk Disk;
+  fill(Disk);
+
+  SECTION("anywhere in the log") {
+    std::size_t Size = Disk.read(Live).size();
+    for (std::size_t Offset = 0; Offset < Size; ++Offset) {
+      Disk.damage(Live, Offset);
+      INFO("offset " << Offset);
+      CHECK(isCorrupt(Disk, Live));
+      Disk.damage(Live, Offset);
+    }
+    CHECK(load(Disk).Entries_.size() == 4);
+  }
+  SECTION("in the log before its last record, also without the length note") {
+    Disk.remove("durable");
+    Disk.damage(Live, Disk.read(Live).size() / 2);
+    CHECK(isCorrupt(Disk, Live));
+  }
+  SECTION("in the vote") {
+    Disk.damage("vote", 20);
+    CHECK(isCorrupt(Disk, "vote"));
+  }
+  SECTION("in the snapshot") {
+    Disk.damage("snapshot-0", 20);
+    CHECK(isCorrupt(Disk, "snapshot-0"));
+  }
+  SECTION("and so does a missing file") {
+    SECTION("the vote") { Disk.remove("vote"); }
+    SECTION("the log") { Disk.remove(Live); }
+    SECTION("the snapshot") { Disk.remove("snapshot-0"); }
+    CHECK_THROWS_AS(load(Disk), CorruptError);
+  }
+}
+
+TEST_CASE("A power loss at any operation leaves the old or the new") {
+  SECTION("vote") {
+    crashEverywhere([](DiskStorage &S) { S.saveVote(Term(4), VmId("c")); },
+                    [](const StoredState &Stored, bool Crashed) {
+                      bool New =
+                          Stored.Term_ == Term(4) && Stored.Vote_ == VmId("c");
+                      bool Old =
+                          Stored.Term_ == Term(3) && Stored.Vote_ == VmId("b");
+                      CHECK((New || (Old && Crashed)));
+                    });
+  }
+  SECTION("entries") {
+    crashEverywhere(
+        [](DiskStorage &S) {
+          S.append({entry(4, 5), entry(5, 5)});
+        },
+        [](const StoredState &Stored, bool Crashed) {
+          bool New =
+              Stored.Entries_.size() == 5 && Stored.Entries_[3] == entry(4, 5);
+          bool Old =
+              Stored.Entries_.size() == 4 && Stored.Entries_[3] == entry(4, 2);
+          CHECK((New || (Old && Crashed)));
+        });
+  }
+  SECTION("snapshot that conflicts with the log") {
+    Snapshot S{{LogIndex(3), Term(5), VoterConfig()}, "state"};
+    crashEverywhere([&](DiskStorage &Storage) { Storage.saveSnapshot(S, {}); },
+                    [](const StoredState &Stored, bool Crashed) {
+                      bool New = Stored.Snapshot_.State_ == "state" &&
+                                 Stored.Entries_.empty();
+                      bool Old = Stored.Snapshot_.Meta_.Index_ == LogIndex() &&
+                                 Stored.Entries_.size() == 4;
+                      CHECK((New || (Old && Crashed)));
+                    });
+  }
+}
+
+TEST_CASE("A real folder") {
+  std::filesystem::path Path =
+      std::filesystem::temp_directory_path() /
+      ("lagoonpoint-disk-" + std::to_string(::getpid()));
+  std::filesystem::remove_all(Path);
+
+  SECTION("keeps what was written for the next process") {
+    {
+      PosixFiles Folder(Path.string());
+      fill(Folder);
+    }
+    PosixFiles Folder(Path.string());
+    CHECK(load(Folder).Entries_.size() == 4);
+  }
+  SECTION("is refused to a second process, and free after the first") {
+    auto First = std::make_unique<PosixFiles>(Path.string());
+    CHECK_THROWS_AS(PosixFiles(Path.string()), DiskError);
+    First.reset();
+    CHECK_NOTHROW(PosixFiles(Path.string()));
+  }
+  SECTION("that can't be made is an error naming it") {
+    CHECK_THROWS_AS(PosixFiles("/proc/no-such-folder"), DiskError);
+  }
+  std::filesystem::remove_all(Path);
+}
--- a/test/Replication.cpp
+++ b/test/Replication.cpp
@@ -64,6 +64,26 @@
       CHECK(leaderOf(Group) != Old);
     }
   }
+  SECTION("keep their leader when one that was cut off or removed returns") {
+    Group.run(Settle);
+    VmId Leader = leaderOf(Group);
+    Term Before = Group.leader()->status(Group.Now_).Term_;
+    VmId Away = Leader == VmId("a") ? VmId("b") : VmId("a");
+    for (const VmId &Other : Trio) {
+      Group.Net_.cut(Away, Other);
+      Group.Net_.cut(Other, Away);
+    }
+    SECTION("cut off") {}
+    SECTION("removed") {
+      Group.run(Settle);
+      REQUIRE(Group.leader()->remove(Away, Group.Now_).accepted());
+    }
+    Group.run(Settle * 4);
+    Group.Net_.healAll();
+    Group.run(Settle * 4);
+    CHECK(leaderOf(Group) == Leader);
+    CHECK(Group.leader()->status(Group.Now_).Term_ == Before);
+  }
   SECTION("don't begin while one of them was never seen") {
     Group.stop("c");
     Group.run(Settle);
--- a/test/fakes/Operations.h
+++ b/test/fakes/Operations.h
@@ -33,10 +33,14 @@
   std::function<bool(ReplicaCluster &)> Advance_;
 };
 
-/// Lets a cluster elect a leader and accept a few changes.
+/// Lets a cluster elect a leader and accept changes, a few at a time.
 inline void settle(ReplicaCluster &C, int Changes = 2) {
-  for (int N = 0; N < Changes; ++N)
+  constexpr int AtOnce = 10;
+  for (int N = 0; N < Changes; ++N) {
     C.submit(withdrawal("settle" + std::to_string(N)));
+    if (N % AtOnce == AtOnce - 1)
+      C.runUntil([&] { return C.allAnswered(); }, Duration::seconds(60));
+  }
   C.runUntil([&] { return C.allAnswered() && C.converged(); },
              Duration::seconds(60));
 }
