Let one candidate retry soon after a split vote

Cause: the longest elections were two candidates that split the vote and then both waited for a whole election timeout. Change: on the rival's request the candidate with the smaller id retries after 200 to 600 ms, the other waits out a new timeout. Repeating pre-votes sooner was tried too and changed nothing.

--- a/lagoonpoint/src/Replication/Types.h
+++ b/lagoonpoint/src/Replication/Types.h
@@ -96,12 +96,14 @@
 ///
 /// A follower supports no other leader for ElectionMin_ after it heard from
 /// one. Lease_ is shorter than ElectionMin_ by the margin for clock rates: the
-/// clocks of two voters may differ in rate by up to 10 %.
+/// clocks of two voters may differ in rate by up to 10 %. After a split vote
+/// one of the candidates tries again after TieRetry_.
 struct ReplicationTiming {
   Duration Heartbeat_ = Duration::millis(200);
   Duration ElectionMin_ = Duration::millis(1000);
   Duration ElectionMax_ = Duration::millis(2000);
   Duration Lease_ = Duration::millis(900);
+  Duration TieRetry_ = Duration::millis(200); ///< one to three times this
 };
 
 /// \class ReplicationLimits
--- a/lagoonpoint/src/Replication/util/Election.cpp
+++ b/lagoonpoint/src/Replication/util/Election.cpp
@@ -21,6 +21,23 @@
   return S.Granted_.size() >= S.Log_.config().quorum();
 }
 
+Duration drawBetween(ReplicaState &S, Duration Least, Duration Most) {
+  auto Span = static_cast<std::uint64_t>((Most - Least).count());
+  std::uint64_t Extra = S.Random_() % (Span + 1);
+  return Least + Duration::millis(static_cast<std::int64_t>(Extra));
+}
+
+/// Two candidates of one term have split the vote: one of them retries soon
+/// and the other leaves it the time to win.
+void settleTie(ReplicaState &S, const VmId &Rival, Time Now) {
+  if (S.Options_.Self_ > Rival) {
+    resetElection(S, Now);
+    return;
+  }
+  Duration Least = S.Options_.Timing_.TieRetry_;
+  S.ElectionDue_ = Now + drawBetween(S, Least, Least * 3);
+}
+
 void countOwnVote(ReplicaState &S) {
   S.Granted_.clear();
   if (isVoter(S))
@@ -105,10 +122,8 @@
 
 void resetElection(ReplicaState &S, Time Now) {
   const ReplicationTiming &Timing = S.Options_.Timing_;
-  std::int64_t Span = (Timing.ElectionMax_ - Timing.ElectionMin_).count();
-  std::uint64_t Extra = S.Random_() % static_cast<std::uint64_t>(Span + 1);
-  S.ElectionDue_ = Now + Timing.ElectionMin_ +
-                   Duration::millis(static_cast<std::int64_t>(Extra));
+  S.ElectionDue_ =
+      Now + drawBetween(S, Timing.ElectionMin_, Timing.ElectionMax_);
 }
 
 void becomeFollower(ReplicaState &S, Term T, const VmId &Leader, Time Now,
@@ -150,6 +165,8 @@
   }
   if (M.Term_ > S.Term_)
     becomeFollower(S, M.Term_, VmId(), Now, Out);
+  else if (S.Role_ == ReplicaRole::Candidate && M.Term_ == S.Term_)
+    settleTie(S, From, Now);
   grantVote(S, From, M, Now, Out);
 }
 
