Check that promises are on the disk, and lose disks at random

Cause: a mutant that didn't save a vote, and one that counted votes whatever the disk, passed all checks. Change: after each step, before its messages leave, the checks read back what a power loss would leave and compare it with the replica; in random runs any one voter loses its disk as soon as that is reported harmless; a directed test for a wiped voter that is asked to elect. Conclusion: the checks now see promises, not only their consequences.

--- a/bench/replication_soak.cpp
+++ b/bench/replication_soak.cpp
@@ -15,6 +15,7 @@
 struct Totals {
   std::uint64_t Checks_ = 0;
   std::uint64_t Faults_ = 0;
+  std::uint64_t Wipes_ = 0;
   std::uint64_t Changes_ = 0;
   std::uint64_t Failed_ = 0;
 };
@@ -24,6 +25,7 @@
   std::string Wrong = Run.run();
   Sum.Checks_ += Run.checks();
   Sum.Faults_ += Run.faults();
+  Sum.Wipes_ += Run.wipes();
   Sum.Changes_ += Run.changes();
   if (Wrong.empty())
     return;
@@ -47,9 +49,11 @@
   Totals Sum;
   for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed)
     runSeed(Seed, Duration::seconds(Seconds), Sum);
-  std::printf("seeds %llu faults %llu changes %llu checks %llu failed %llu\n",
+  std::printf("seeds %llu faults %llu lost disks %llu changes %llu checks %llu "
+              "failed %llu\n",
               static_cast<unsigned long long>(Seeds),
               static_cast<unsigned long long>(Sum.Faults_),
+              static_cast<unsigned long long>(Sum.Wipes_),
               static_cast<unsigned long long>(Sum.Changes_),
               static_cast<unsigned long long>(Sum.Checks_),
               static_cast<unsigned long long>(Sum.Failed_));
--- a/test/Replication.cpp
+++ b/test/Replication.cpp
@@ -126,6 +126,30 @@
   }
 }
 
+TEST_CASE("A voter that lost its disk can't help to elect") {
+  ReplicaGroup Group(Trio, Trio);
+  Group.run(Settle);
+  VmId Leader = leaderOf(Group);
+  VmId Behind = Leader == VmId("a") ? VmId("b") : VmId("a");
+  VmId Wiped = Leader == VmId("c") ? VmId("b") : VmId("c");
+  Group.stop(Behind.str().c_str());
+  propose(Group, {"x"});
+
+  SECTION("one that lacks what it had acknowledged") {
+    Group.stop(Leader.str().c_str());
+    Group.stop(Wiped.str().c_str());
+    Group[Wiped.str().c_str()].Disk_ = fakes::FakeDisk();
+    Group.start(Wiped);
+    Group.start(Behind);
+    Group.run(Settle * 2);
+    CHECK(Group.leader() == nullptr);
+    Group.start(Leader);
+    Group.run(Settle);
+    REQUIRE(Group.leader());
+    CHECK(Group[Behind.str().c_str()].Applied_ == Commands{"x"});
+  }
+}
+
 TEST_CASE("A reconfiguration is refused") {
   ReplicaGroup Group(Trio, {VmId("a"), VmId("b"), VmId("c"), VmId("d")});
   Group.run(Settle);
--- a/test/fakes/FakeDisk.h
+++ b/test/fakes/FakeDisk.h
@@ -40,6 +40,14 @@
     for (auto &[Name, F] : Names_)
       F->losePower(Kept);
   }
+  /// \returns a disk as it would be found after a power loss now.
+  FakeDisk afterPowerLoss() const {
+    FakeDisk Copy;
+    for (const auto &[Name, F] : Durable_)
+      Copy.Names_[Name] = std::make_shared<File>(File{F->Synced_, F->Synced_});
+    Copy.Durable_ = Copy.Names_;
+    return Copy;
+  }
   /// Changes one byte in place, as a failing disk may.
   void damage(const std::string &Name, std::size_t Offset) {
     file(Name).Data_.at(Offset) ^= 0x20;
--- a/test/fakes/RandomRun.h
+++ b/test/fakes/RandomRun.h
@@ -22,7 +22,7 @@
         Cluster_(3, 5, Options.Seed_) {
     Cluster_.Limits_.PieceBytes_ = 256 + Random_() % 2048;
     Cluster_.Limits_.SnapshotEvery_ = 4 + Random_() % 40;
-    FaultEvery_ = 10 + Random_() % 300;
+    FaultEvery_ = 5 + Random_() % 200;
     for (auto &Entry : Cluster_.nodes())
       Entry.second.Rate_ = 0.952 + static_cast<double>(Random_() % 96) / 1000;
   }
@@ -36,7 +36,10 @@
     }
     Cluster_.Plan_ = {};
     bool Recovered = Cluster_.runUntil(
-        [this] { return Cluster_.allAnswered() && Cluster_.converged(); },
+        [this] {
+          removeLost();
+          return Cluster_.allAnswered() && Cluster_.converged();
+        },
         Options_.Quiet_);
     std::string Wrong = Cluster_.Checks_.report();
     return Recovered ? Wrong : "did not recover; " + Wrong;
@@ -44,6 +47,7 @@
 
   std::uint64_t checks() const { return Cluster_.Checks_.Observed_; }
   std::uint64_t faults() const { return Faults_; }
+  std::uint64_t wipes() const { return Wipes_; }
   std::uint64_t changes() const { return Cluster_.Changes_.size(); }
 
   /// \returns the last faults and actions, one a line.
@@ -82,12 +86,15 @@
     constexpr std::uint64_t ChangeEvery = 40; // steps, on average
     constexpr std::uint64_t ReconfigureEvery = 100;
     constexpr std::uint64_t DisasterEvery = 2000;
+    constexpr std::uint64_t WipeEvery = 300;
     if (chance(ChangeEvery))
       submit();
     if (chance(ReconfigureEvery))
       reconfigure();
     if (chance(DisasterEvery))
       disaster();
+    if (chance(WipeEvery))
+      wipeOne();
   }
 
   void submit() {
@@ -110,6 +117,8 @@
   }
 
   void reconfigure() {
+    if (justLostOne())
+      return; // shrinking the voters then would be a second loss
     std::string Vm(1, static_cast<char>('a' + Random_() % 5));
     bool Add = chance(2);
     note((Add ? "add " : "remove ") + Vm);
@@ -125,11 +134,49 @@
       Cluster_.crash(Entry.second, true);
   }
 
+  bool justLostOne() const {
+    constexpr Duration Noticed = Duration::seconds(3);
+    return Wipes_ > 0 && Cluster_.now() < LastWipe_ + Noticed;
+  }
+
+  /// Any one voter may lose its disk once that is said to lose nothing.
+  void wipeOne() {
+    ClusterNode *Leader = Cluster_.leader();
+    if (!Leader || justLostOne())
+      return;
+    Time Now = Cluster_.localTime(*Leader);
+    ReplicaStatus Status = Leader->Replica_->status(Now);
+    if (!Status.SurvivesOneLoss_ || !Leader->Replica_->leaseValid(Now))
+      return;
+    const std::vector<Voter> &Voters = Status.Config_.Voters_;
+    ClusterNode &Lost =
+        Cluster_.nodes().at(Voters[Random_() % Voters.size()].Vm_);
+    note(Lost.Id_.str() + " loses its disk");
+    LastWipe_ = Cluster_.now();
+    ++Wipes_;
+    Cluster_.wipe(Lost);
+  }
+
+  /// Removes voters whose disk is not the one they vote by.
+  void removeLost() {
+    ClusterNode *Leader = Cluster_.leader();
+    if (!Leader)
+      return;
+    VoterConfig Config = Leader->Replica_->state().Log_.config();
+    for (const Voter &V : Config.Voters_) {
+      const ClusterNode &N = Cluster_.nodes().at(V.Vm_);
+      if (N.isUp() && N.Replica_->state().Disk_ != V.Disk_)
+        removeVoter(Cluster_, V.Vm_.str().c_str());
+    }
+  }
+
   RandomRunOptions Options_;
   Random Random_;
   ReplicaCluster Cluster_;
   std::uint64_t FaultEvery_ = 0;
   std::uint64_t Faults_ = 0;
+  std::uint64_t Wipes_ = 0;
+  Time LastWipe_;
   std::deque<std::string> Trace_;
 };
 
--- a/test/fakes/ReplicaChecks.h
+++ b/test/fakes/ReplicaChecks.h
@@ -23,6 +23,10 @@
     Seen_.erase(N.Id_);
   }
 
+  /// A VM comes back with an empty disk. What it held before counted when it
+  /// was acknowledged.
+  void observeWipe(const ClusterNode &N) { Promises_.erase(N.Id_); }
+
   void observeFault(const ClusterNode &N) {
     bool FromDisk = N.Replica_->fault().rfind("disk.", 0) == 0;
     expect(FromDisk, N, N.Replica_->fault());
@@ -31,9 +35,12 @@
   /// Called after each step of a replica, before its messages leave.
   void observe(const ClusterNode &N) {
     const ReplicaState &S = N.Replica_->state();
-    Promises_[N.Id_] = {S.Term_, S.Vote_};
     observeLeader(N, S);
     observeLog(N, S);
+    Promise Present{S.Term_, S.Vote_};
+    if (Promises_[N.Id_] != Present)
+      observeDisk(N, S);
+    Promises_[N.Id_] = Present;
     observeCommit(N, S);
   }
 
@@ -95,6 +102,7 @@
   struct Promise {
     Term Term_;
     VmId Vote_;
+    friend bool operator==(const Promise &, const Promise &) = default;
   };
   struct LogSeen {
     LogIndex Last_;
@@ -122,12 +130,24 @@
                "a new leader lacks a committed entry");
   }
 
+  /// What may be promised to others would survive a power loss.
+  void observeDisk(const ClusterNode &N, const ReplicaState &S) {
+    FakeDisk Left = N.Disk_.afterPowerLoss();
+    StoredState Stored = DiskStorage(Left, DiskId()).load();
+    expect(Stored.Term_ == S.Term_ && Stored.Vote_ == S.Vote_, N,
+           "a vote isn't durable");
+    expect(Stored.Snapshot_.Meta_ == S.Log_.base().Meta_ &&
+               Stored.Entries_ == S.Log_.tailAfter(S.Log_.baseIndex()),
+           N, "the log isn't durable");
+  }
+
   /// Entries of equal index and term are equal, and so is what precedes them.
   void observeLog(const ClusterNode &N, const ReplicaState &S) {
     LogSeen Present{S.Log_.lastIndex(), S.Log_.lastTerm(), S.Log_.baseIndex()};
     if (Seen_[N.Id_] == Present)
       return;
     Seen_[N.Id_] = Present;
+    observeDisk(N, S);
     for (const LogEntry &E : S.Log_.tailAfter(S.Log_.baseIndex())) {
       Term Previous = *S.Log_.termAt(LogIndex(E.Index_.value() - 1));
       auto [First, New] = Entries_.emplace(std::pair(E.Index_, E.Term_),
--- a/test/fakes/ReplicaCluster.h
+++ b/test/fakes/ReplicaCluster.h
@@ -154,6 +154,14 @@
     return Out.str();
   }
 
+  /// Takes a VM's disk away for an empty one.
+  void wipe(ClusterNode &N) {
+    crash(N, false);
+    N.Disk_ = FakeDisk();
+    attach(N);
+    Checks_.observeWipe(N);
+  }
+
   /// Lets a replica do something and sends what follows from it.
   template <class Action> void act(ClusterNode &N, const Action &Do) {
     guarded(N, [&] {
