Move accepted changes to every VM, and stop withdrawn keys

Cause: VMs that don't vote had no way to the declarations in force, and a withdrawn key would have needed a quorum to stop. Conclusion: a change is in force on nine VMs within 7 s of virtual time under each fault tried, and no VM goes back.

--- /dev/null
+++ b/lagoonpoint/src/Dissemination/FeedStore.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "lagoonpoint/Codec"
+#include "lagoonpoint/Core"
+
+#include <string>
+
+namespace lagoonpoint {
+
+/// One accepted change, from a revision to the next.
+struct Delta {
+  Revision Base_;
+  Revision To_;
+  std::string Body_;
+
+  MSGPACK_DEFINE(Base_, To_, Body_)
+};
+
+/// The whole state at one revision.
+struct Snapshot {
+  Revision Revision_;
+  std::string Body_;
+
+  MSGPACK_DEFINE(Revision_, Body_)
+};
+
+/// \class FeedStore
+/// \ingroup Dissemination
+/// \brief Port to the state that a feed moves forward; it alone knows what the
+/// bodies mean.
+class FeedStore {
+public:
+  virtual ~FeedStore() = default;
+
+  virtual Revision revision() const = 0;
+  /// \returns a digest of the state; equal for all VMs at one revision.
+  virtual std::string digest() const = 0;
+  virtual Snapshot snapshot() const = 0;
+  /// Moves from Base_ to To_. A VM with a disk writes it before it serves it.
+  /// \throws Error if the body can't be applied; nothing has changed then
+  virtual void apply(const Delta &Change) = 0;
+  /// Replaces the state.
+  /// \throws Error if the body can't be read; nothing has changed then
+  virtual void restore(const Snapshot &State) = 0;
+};
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Dissemination/FeedTree.cpp
@@ -0,0 +1,78 @@
+#include "lagoonpoint/src/Dissemination/FeedTree.h"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+
+namespace lagoonpoint {
+
+namespace {
+
+const FeedPeer *find(const std::vector<FeedPeer> &Peers, const VmId &Vm) {
+  auto It = std::find_if(Peers.begin(), Peers.end(),
+                         [&](const FeedPeer &P) { return P.Vm_ == Vm; });
+  return It == Peers.end() ? nullptr : &*It;
+}
+
+void addOnce(std::vector<VmId> &Out, const VmId &Vm, const VmId &Self) {
+  if (Vm != Self && std::find(Out.begin(), Out.end(), Vm) == Out.end())
+    Out.push_back(Vm);
+}
+
+std::vector<FeedPeer> treeOf(const std::vector<FeedPeer> &Peers,
+                             const FeedPeer &Self) {
+  std::vector<FeedPeer> Tree;
+  for (const FeedPeer &P : Peers)
+    if (P.Zone_ == Self.Zone_ && (P.Alive_ || P.Vm_ == Self.Vm_))
+      Tree.push_back(P);
+  std::sort(Tree.begin(), Tree.end(), [](const auto &A, const auto &B) {
+    return std::tuple(!A.Voter_, A.Vm_) < std::tuple(!B.Voter_, B.Vm_);
+  });
+  return Tree;
+}
+
+void addAncestors(std::vector<VmId> &Out, const std::vector<FeedPeer> &Tree,
+                  const VmId &Self) {
+  std::size_t Rank = 0;
+  while (Tree[Rank].Vm_ != Self)
+    ++Rank;
+  while (Rank > 0) {
+    Rank = (Rank - 1) / FollowersPerSource;
+    addOnce(Out, Tree[Rank].Vm_, Self);
+  }
+}
+
+/// Adds those a filter takes, beginning at a place that differs by VM.
+void addSpread(std::vector<VmId> &Out, const std::vector<FeedPeer> &Peers,
+               const VmId &Self,
+               const std::function<bool(const FeedPeer &)> &Takes) {
+  std::vector<VmId> Taken;
+  for (const FeedPeer &P : Peers)
+    if (P.Alive_ && Takes(P))
+      Taken.push_back(P.Vm_);
+  std::size_t Start =
+      Taken.empty() ? 0 : std::hash<std::string>()(Self.str()) % Taken.size();
+  for (std::size_t At = 0; At < Taken.size(); ++At)
+    addOnce(Out, Taken[(Start + At) % Taken.size()], Self);
+}
+
+} // namespace
+
+std::vector<VmId> feedSources(const std::vector<FeedPeer> &Peers,
+                              const VmId &Self, const VmId &Leader) {
+  std::vector<VmId> Out;
+  const FeedPeer *Mine = find(Peers, Self);
+  if (!Mine)
+    return Out;
+  if (Mine->Voter_) {
+    if (!Leader.empty())
+      addOnce(Out, Leader, Self);
+    return Out;
+  }
+  addAncestors(Out, treeOf(Peers, *Mine), Self);
+  addSpread(Out, Peers, Self, [](const FeedPeer &P) { return P.Voter_; });
+  addSpread(Out, Peers, Self, [](const FeedPeer &) { return true; });
+  return Out;
+}
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Dissemination/WithdrawnKeys.cpp
@@ -0,0 +1,138 @@
+#include "lagoonpoint/src/Dissemination/WithdrawnKeys.h"
+
+#include "lagoonpoint/src/Membership/util/StableHash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoonpoint {
+
+namespace {
+
+/// More keys at once come from a comparison: VMs compare them further.
+constexpr std::size_t MaxPassedOn = 64;
+
+std::uint64_t hashOf(const KeyId &Key) {
+  return StableHash().add(Key.str()).value();
+}
+
+} // namespace
+
+WithdrawnKeys::WithdrawnKeys(WithdrawalOptions Options)
+    : Options_(std::move(Options)) {}
+
+void WithdrawnKeys::setPeers(std::vector<VmId> Peers) {
+  Peers_ = std::move(Peers);
+  std::erase(Peers_, Options_.Self_);
+}
+
+void WithdrawnKeys::withdraw(const KeyId &Key) {
+  if (add(Key)) {
+    RoundsLeft_[Key] = Options_.Rounds_;
+    NextRound_ = Time();
+  }
+}
+
+void WithdrawnKeys::addLogged(const std::set<KeyId> &Keys) {
+  for (const KeyId &Key : Keys)
+    add(Key);
+}
+
+bool WithdrawnKeys::add(const KeyId &Key) {
+  std::size_t Before = Keys_.size();
+  if (!Keys_.insert(Key).second)
+    return false;
+  std::uint64_t Hash = hashOf(Key);
+  Digests_[Hash % BucketCount] += Hash;
+  LAGOONPOINT_ASSERT(Keys_.size() == Before + 1, "withdrawal.add");
+  return true;
+}
+
+void WithdrawnKeys::tick(Random &Dice, Time Now) {
+  if (Peers_.empty())
+    return;
+  if (Now >= NextRound_ && !RoundsLeft_.empty()) {
+    NextRound_ = Now + Options_.RoundEvery_;
+    pushRound(Dice);
+  }
+  if (Now >= NextCompare_) {
+    NextCompare_ = Now + Options_.CompareEvery_;
+    compareWithOne(Dice);
+  }
+}
+
+void WithdrawnKeys::pushRound(Random &Dice) {
+  Message Out;
+  for (auto &[Key, Left] : RoundsLeft_) {
+    Out.Keys_.push_back(Key);
+    --Left;
+  }
+  std::erase_if(RoundsLeft_, [](const auto &E) { return E.second == 0; });
+  std::vector<VmId> Chosen;
+  std::sample(Peers_.begin(), Peers_.end(), std::back_inserter(Chosen),
+              Options_.Fanout_, Dice);
+  for (const VmId &Vm : Chosen)
+    post(Vm, Out);
+}
+
+void WithdrawnKeys::compareWithOne(Random &Dice) {
+  Message Out;
+  Out.Digest_ = {wholeDigest()};
+  post(Peers_[Dice() % Peers_.size()], Out);
+}
+
+std::uint64_t WithdrawnKeys::wholeDigest() const {
+  std::uint64_t Sum = 0;
+  for (std::uint64_t Digest : Digests_)
+    Sum += Digest;
+  return Sum;
+}
+
+void WithdrawnKeys::receive(const Envelope &E) {
+  auto In = decode<Message>(E.Body_, "withdrawal.receive", E.From_.str());
+  bool Malformed = In.Digest_.size() > 1 ||
+                   (!In.Buckets_.empty() && In.Buckets_.size() != BucketCount);
+  if (Malformed)
+    throw CodecError("withdrawal.receive", E.From_.str(), "malformed digest");
+  if (In.Keys_.size() <= MaxPassedOn)
+    for (const KeyId &Key : In.Keys_)
+      withdraw(Key);
+  else
+    addLogged({In.Keys_.begin(), In.Keys_.end()});
+  if (!In.Digest_.empty())
+    answerDigest(E.From_, In);
+  if (!In.Buckets_.empty())
+    answerBuckets(E.From_, In);
+}
+
+void WithdrawnKeys::answerDigest(const VmId &To, const Message &In) {
+  if (In.Digest_[0] == wholeDigest())
+    return;
+  Message Out;
+  Out.Buckets_.assign(Digests_.begin(), Digests_.end());
+  post(To, Out);
+}
+
+void WithdrawnKeys::answerBuckets(const VmId &To, const Message &In) {
+  Message Out;
+  for (const KeyId &Key : Keys_) {
+    std::size_t Bucket = hashOf(Key) % BucketCount;
+    if (Digests_[Bucket] != In.Buckets_[Bucket])
+      Out.Keys_.push_back(Key);
+  }
+  if (!In.Answered_) {
+    Out.Buckets_.assign(Digests_.begin(), Digests_.end());
+    Out.Answered_ = true;
+  }
+  post(To, Out);
+}
+
+std::vector<Envelope> WithdrawnKeys::takeOutbox() {
+  return std::exchange(Outbox_, {});
+}
+
+void WithdrawnKeys::post(const VmId &To, const Message &Out) {
+  Outbox_.push_back({Options_.Self_, To, Channel::Withdrawal, encode(Out)});
+}
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/test/Dissemination.cpp
@@ -0,0 +1,230 @@
+#include "lagoonpoint/Dissemination"
+#include "fakes/ControlFleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lagoonpoint;
+using fakes::ControlFleet;
+using fakes::ControlVm;
+using fakes::Fate;
+
+namespace {
+
+const Duration Second = Duration::seconds(1);
+const Duration InForceWithin = Second * 7; ///< the target of the deployment
+
+bool startUp(ControlFleet &Fleet) {
+  Fleet.run(Second * 3);
+  Fleet.propose("first");
+  return Fleet
+      .until([&] { return Fleet.allReady() && Fleet.allHold(Revision(1)); },
+             Second * 15)
+      .has_value();
+}
+
+} // namespace
+
+TEST_CASE("A change reaches every VM") {
+  ControlFleet Fleet(3, 3);
+  REQUIRE(startUp(Fleet));
+  auto HoldAll = [&](Revision R) {
+    return Fleet.until([&] { return Fleet.allHold(R); }, InForceWithin)
+        .has_value();
+  };
+
+  SECTION("at once, and the leader knows who confirmed it") {
+    Revision R = *Fleet.propose("change");
+    CHECK(HoldAll(R));
+    auto Confirmed = [&] {
+      const auto &All = Fleet.Vms_.at(Fleet.Leader_)->Feed_.confirmed();
+      return std::all_of(Fleet.Vms_.begin(), Fleet.Vms_.end(),
+                         [&](const auto &E) {
+                           auto It = All.find(E.first);
+                           return It != All.end() && It->second.Revision_ >= R;
+                         });
+    };
+    CHECK(Fleet.until(Confirmed, InForceWithin));
+  }
+  SECTION("though every VM's first message is lost, late or doubled") {
+    int Kind = GENERATE(0, 1, 2);
+    std::map<VmId, int> Seen;
+    Fleet.Net_.setHook([&, Kind](std::uint64_t, const Envelope &E) {
+      Fate F;
+      bool Struck = E.Channel_ == Channel::Dissemination && Seen[E.From_]++ < 4;
+      F.Lost_ = Struck && Kind == 0;
+      F.Copies_ = Struck && Kind == 1 ? 3 : 1;
+      F.Delay_ = Duration::millis(Struck && Kind == 2 ? 2500 : 1);
+      return F;
+    });
+    Fleet.propose("one");
+    Fleet.run(Duration::millis(300));
+    CHECK(HoldAll(*Fleet.propose("two")));
+  }
+  SECTION("after its source has died") {
+    VmId Source = Fleet.at("z2-001").Feed_.source();
+    Fleet.crash(Source);
+    Fleet.run(Second * 4);
+    CHECK(HoldAll(*Fleet.propose("change")));
+  }
+  SECTION("that can't send to its source, or not hear it") {
+    VmId Vm("z2-001");
+    VmId Source = Fleet.at(Vm.str()).Feed_.source();
+    bool Sends = GENERATE(true, false);
+    if (Sends)
+      Fleet.cut(Source, Vm);
+    else
+      Fleet.cut(Vm, Source);
+    CHECK(HoldAll(*Fleet.propose("change")));
+  }
+  SECTION("in a zone that was cut off, once it heals") {
+    Fleet.cutZone(ZoneId("z3"));
+    Fleet.run(Second * 8);
+    Revision R = *Fleet.propose("change");
+    Fleet.run(Second * 8);
+    CHECK(Fleet.at("z3-001").Store_.revision() < R);
+    Fleet.healAll();
+    CHECK(HoldAll(R));
+  }
+  SECTION("that restarts after hundreds of changes") {
+    VmId Vm = GENERATE(VmId("z2-000"), VmId("z2-001"));
+    Fleet.crash(Vm);
+    for (int Count = 0; Count < 700; ++Count)
+      Fleet.propose("change " + std::to_string(Count));
+    Fleet.run(Second);
+    Fleet.start(Vm);
+    CHECK(HoldAll(Revision(Fleet.Log_.size())));
+    CHECK(Fleet.until([&] { return Fleet.allReady(); }, InForceWithin));
+  }
+  SECTION("whose state is wrong finds it and takes another") {
+    ControlVm &V = Fleet.at("z3-002");
+    V.Store_.Hash_ ^= 1;
+    CHECK(Fleet.until([&] { return V.Feed_.repairs() == 1; }, InForceWithin));
+    CHECK(V.Store_.digest() == Fleet.at("z1-000").Store_.digest());
+  }
+}
+
+TEST_CASE("A restarted VM") {
+  ControlFleet Fleet(3, 3);
+  REQUIRE(startUp(Fleet));
+  VmId Vm("z2-001");
+
+  SECTION("serves nothing before it holds what is in force") {
+    Fleet.crash(Vm);
+    Revision R = *Fleet.propose("change");
+    Fleet.run(Second);
+    Fleet.start(Vm);
+    Fleet.EachStep_ = [&] {
+      ControlVm &V = Fleet.at(Vm.str());
+      if (V.Feed_.readiness() != Readiness::NotReady)
+        CHECK(V.Store_.revision() >= R);
+    };
+    Fleet.run(Second * 8);
+    CHECK(Fleet.at(Vm.str()).Feed_.readiness() == Readiness::ByProof);
+  }
+  SECTION("of a zone that is cut off") {
+    Fleet.cutZone(ZoneId("z2"));
+    Fleet.run(Second * 8);
+
+    SECTION("takes what its peers hold, and says so") {
+      Fleet.crash(Vm);
+      Fleet.run(Second);
+      Fleet.start(Vm);
+      ControlVm &V = Fleet.at(Vm.str());
+      CHECK(Fleet.until([&] { return Fleet.allReady(); }, Second * 15));
+      CHECK(V.Feed_.readiness() == Readiness::ByZonePeers);
+      CHECK(V.Store_.revision() == Revision(1));
+    }
+    SECTION("and is alone") {
+      for (const char *Id : {"z2-000", "z2-001", "z2-002"})
+        Fleet.crash(VmId(Id));
+      bool Disk = GENERATE(true, false);
+      Fleet.start(Vm, Disk);
+      Fleet.run(Second * 20);
+      ControlVm &V = Fleet.at(Vm.str());
+      CHECK(V.Feed_.readiness() ==
+            (Disk ? Readiness::ByDiskCache : Readiness::NotReady));
+      CHECK(V.Feed_.whyNotReady(Fleet.Now_).empty() == Disk);
+    }
+  }
+}
+
+TEST_CASE("A malformed message to a feed is refused with its sender") {
+  ControlFleet Fleet(1, 2);
+  std::string Body = GENERATE(std::string(), std::string("\1garbage"),
+                              std::string("\2"), std::string("\7"));
+  try {
+    Fleet.at("z1-000").Feed_.receive(
+        {VmId("z1-001"), VmId("z1-000"), Channel::Dissemination, Body},
+        Fleet.Now_);
+    FAIL("taken");
+  } catch (const CodecError &E) {
+    CHECK(E.peer() == "z1-001");
+  }
+}
+
+TEST_CASE("Nothing reverts in long runs of random faults") {
+  auto Seed = GENERATE(range(1, 21));
+  Random Dice(static_cast<unsigned>(Seed));
+  ControlFleet Fleet(3, 3);
+  REQUIRE(startUp(Fleet));
+  bool Faulty = true;
+  Fleet.Net_.setHook([&](std::uint64_t, const Envelope &) {
+    Fate F;
+    F.Lost_ = Faulty && Dice() % 5 == 0;
+    F.Copies_ = 1 + (Faulty && Dice() % 10 == 0);
+    F.Delay_ = Duration::millis(Faulty ? Dice() % 600 : 1);
+    return F;
+  });
+  std::map<VmId, Revision> Served;
+  Fleet.EachStep_ = [&] {
+    for (auto &[Vm, V] : Fleet.Vms_) {
+      Readiness R = V->Feed_.readiness();
+      if (R == Readiness::NotReady)
+        continue;
+      if (R != Readiness::ByZonePeers && V->Store_.revision() < Served[Vm])
+        FAIL(Vm << " went back to " << V->Store_.revision());
+      Served[Vm] = std::max(Served[Vm], V->Store_.revision());
+    }
+  };
+  std::vector<VmId> Ids;
+  for (const auto &[Vm, Zone] : Fleet.Declared_)
+    Ids.push_back(Vm);
+  for (int Round = 0; Round < 60; ++Round) {
+    VmId Vm = Ids[Dice() % Ids.size()];
+    switch (Dice() % 7) {
+    case 0:
+      Fleet.crash(Vm);
+      break;
+    case 1:
+    case 2:
+      if (!Fleet.isUp(Vm))
+        Fleet.start(Vm, Dice() % 2 == 0);
+      break;
+    case 3:
+      Fleet.cutZone(Fleet.Declared_[Vm]);
+      break;
+    case 4:
+      Fleet.cut(Vm, Ids[Dice() % Ids.size()]);
+      break;
+    case 5:
+      Fleet.healAll();
+      break;
+    default:
+      for (std::uint64_t Count = Dice() % 40; Count > 0; --Count)
+        Fleet.propose("change");
+    }
+    Fleet.run(Duration::millis(Dice() % 2500));
+  }
+  Faulty = false;
+  Fleet.healAll();
+  for (const VmId &Vm : Ids)
+    if (!Fleet.isUp(Vm))
+      Fleet.start(Vm);
+  Fleet.run(Second * 12);
+  REQUIRE(Fleet.propose("last"));
+  CHECK(Fleet.until([&] { return Fleet.allHold(Revision(Fleet.Log_.size())); },
+                    InForceWithin));
+  for (auto &[Vm, V] : Fleet.Vms_)
+    CHECK(V->Store_.digest() == Fleet.at("z1-000").Store_.digest());
+  CHECK(invariantViolations() == 0);
+}
