Test that withdrawn keys stop within their bound

Cause: the bound on the time to stop a withdrawn key was stated, not tried. Change: test_WithdrawnKeys: the verdict, spreading without a quorum and inside a zone that is cut off, a VM alone, and random runs with loss, crashes and cuts.

--- /dev/null
+++ b/test/WithdrawnKeys.cpp
@@ -0,0 +1,221 @@
+#include "fakes/ControlFleet.h"
+#include "lagoonpoint/Dissemination"
+
+#include <catch2/catch.hpp>
+
+using namespace lagoonpoint;
+using fakes::ControlFleet;
+using fakes::ControlVm;
+using fakes::Fate;
+
+namespace {
+
+const Duration Second = Duration::seconds(1);
+const Duration Hour = Second * 3600;
+const KeyId Key("k1");
+
+/// How long after its commit an unexpired proof may still accept the key.
+const Duration StopBound = leaseEndAtAuthority(FeedOptions().KeyLease_);
+
+void startUp(ControlFleet &Fleet) {
+  Fleet.run(Second * 3);
+  Fleet.propose("first");
+  REQUIRE(Fleet.until([&] { return Fleet.allReady(); }, Second * 15));
+  Fleet.run(Second * 2);
+}
+
+bool allSay(ControlFleet &Fleet, KeyVerdict Verdict) {
+  return std::all_of(Fleet.Vms_.begin(), Fleet.Vms_.end(), [&](auto &E) {
+    return Fleet.verdict(E.first, Key, Hour) == Verdict;
+  });
+}
+
+} // namespace
+
+TEST_CASE("The verdict on a known key") {
+  WithdrawnKeys None({.Self_ = VmId("a")});
+  KeyCurrency C{.ProvedAt_ = Time(1000),
+                .Lease_ = Second * 5,
+                .Contact_ = Contact::Connected,
+                .ZoneLapsed_ = false};
+  auto At = [&](Time Now) { return keyVerdict(C, None, Key, Hour, Now); };
+  Time Lapse = Time(1000) + C.Lease_;
+
+  SECTION("is good until the proof lapses") {
+    CHECK(At(Lapse - Duration::millis(1)) == KeyVerdict::Ok);
+    CHECK(At(Lapse) == KeyVerdict::NotCurrent);
+  }
+  SECTION("stays good where the whole zone lapsed, for the declared time") {
+    C.ZoneLapsed_ = true;
+    C.Contact_ = Contact::ZoneCutOff;
+    CHECK(At(Lapse) == KeyVerdict::Ok);
+    CHECK(At(Time(1000) + Hour) == KeyVerdict::NotCurrent);
+    CHECK(keyVerdict(C, None, Key, Duration(), Lapse) ==
+          KeyVerdict::NotCurrent);
+  }
+  SECTION("is not current on a VM that is alone") {
+    C.ZoneLapsed_ = true;
+    C.Contact_ = Contact::Alone;
+    CHECK(At(Lapse) == KeyVerdict::NotCurrent);
+  }
+  SECTION("is not current without any proof") {
+    C.ProvedAt_.reset();
+    CHECK(At(Time(1000)) == KeyVerdict::NotCurrent);
+  }
+  SECTION("is withdrawn before all else") {
+    None.withdraw(Key);
+    CHECK(At(Time(1000)) == KeyVerdict::Withdrawn);
+  }
+}
+
+TEST_CASE("A key withdrawn at any VM stops everywhere") {
+  ControlFleet Fleet(3, 3);
+  startUp(Fleet);
+  REQUIRE(allSay(Fleet, KeyVerdict::Ok));
+
+  SECTION("without a quorum") {
+    Fleet.crash(VmId("z1-000"));
+    Fleet.crash(VmId("z2-000"));
+    Fleet.at("z3-002").Withdrawn_.withdraw(Key);
+    CHECK(Fleet.until([&] { return allSay(Fleet, KeyVerdict::Withdrawn); },
+                      Second * 3));
+  }
+  SECTION("inside a zone that is cut off, and elsewhere once it heals") {
+    Fleet.cutZone(ZoneId("z2"));
+    Fleet.run(Second * 8);
+    Fleet.at("z2-001").Withdrawn_.withdraw(Key);
+    Fleet.run(Second * 3);
+    for (const auto &[Vm, Zone] : Fleet.Declared_)
+      CHECK(Fleet.at(Vm.str()).Withdrawn_.contains(Key) ==
+            (Zone == ZoneId("z2")));
+    Fleet.healAll();
+    CHECK(Fleet.until([&] { return allSay(Fleet, KeyVerdict::Withdrawn); },
+                      Second * 10));
+  }
+  SECTION("and stays withdrawn on a VM that restarts with nothing") {
+    Fleet.at("z1-001").Withdrawn_.withdraw(Key);
+    Fleet.run(Second * 2);
+    Fleet.crash(VmId("z3-001"));
+    Fleet.start(VmId("z3-001"));
+    CHECK(Fleet.until([&] { return allSay(Fleet, KeyVerdict::Withdrawn); },
+                      Second * 8));
+  }
+}
+
+TEST_CASE("Sets of withdrawn keys that differ are compared in parts") {
+  WithdrawnKeys A({.Self_ = VmId("a")}), B({.Self_ = VmId("b")});
+  A.setPeers({VmId("b")});
+  B.setPeers({VmId("a")});
+  std::set<KeyId> Many;
+  for (int Number = 0; Number < 1000; ++Number)
+    Many.insert(KeyId("k" + std::to_string(Number)));
+  A.addLogged(Many);
+  B.addLogged(Many);
+  A.addLogged({KeyId("only-a")});
+  B.addLogged({KeyId("only-b")});
+  Random Dice(1);
+  A.tick(Dice, Time(5000));
+  std::size_t Bytes = 0;
+  for (int Hop = 0; Hop < 6; ++Hop)
+    for (WithdrawnKeys *From : {&A, &B})
+      for (const Envelope &E : From->takeOutbox()) {
+        Bytes += E.Body_.size();
+        (From == &A ? B : A).receive(E);
+      }
+  CHECK(A.keys() == B.keys());
+  CHECK(A.keys().size() == 1002);
+  CHECK(Bytes < 2000);
+}
+
+TEST_CASE("A VM cut from everything stops taking keys when its proof lapses") {
+  ControlFleet Fleet(3, 3);
+  startUp(Fleet);
+  VmId Vm("z2-001");
+  for (const auto &[Other, Zone] : Fleet.Declared_) {
+    Fleet.cut(Vm, Other);
+    Fleet.cut(Other, Vm);
+  }
+  Fleet.propose("-k1");
+  Time Committed = Fleet.Now_;
+  Fleet.run(StopBound);
+  Fleet.EachStep_ = [&] {
+    CHECK(Fleet.verdict(Vm, Key, Hour) == KeyVerdict::NotCurrent);
+  };
+  Fleet.run(Second * 10);
+  CHECK(Fleet.Now_ - Committed > StopBound);
+}
+
+TEST_CASE("A zone that is cut off goes on with the keys it knows") {
+  ControlFleet Fleet(3, 3);
+  startUp(Fleet);
+  Fleet.cutZone(ZoneId("z2"));
+  Fleet.run(Second * 20);
+  CHECK(Fleet.verdict(VmId("z2-001"), Key, Hour) == KeyVerdict::Ok);
+  CHECK(Fleet.verdict(VmId("z2-001"), Key, Second * 10) ==
+        KeyVerdict::NotCurrent);
+  CHECK(Fleet.verdict(VmId("z1-001"), Key, Second * 10) == KeyVerdict::Ok);
+}
+
+TEST_CASE("No VM takes a withdrawn key after its bound, whatever fails") {
+  auto Seed = GENERATE(range(1, 41));
+  bool Epidemic = GENERATE(true, false);
+  Random Dice(static_cast<unsigned>(Seed));
+  ControlFleet Fleet(3, 3);
+  Fleet.Epidemic_ = Epidemic;
+  startUp(Fleet);
+  Fleet.Net_.setHook([&](std::uint64_t, const Envelope &) {
+    Fate F;
+    F.Lost_ = Dice() % 10 == 0;
+    F.Copies_ = 1 + (Dice() % 10 == 0);
+    F.Delay_ = Duration::millis(Dice() % 300);
+    return F;
+  });
+  std::vector<VmId> Ids;
+  for (const auto &[Vm, Zone] : Fleet.Declared_)
+    Ids.push_back(Vm);
+  std::map<VmId, Time> CutSince; ///< VMs that may go on as a cut-off zone
+  Time Committed;
+  Fleet.EachStep_ = [&] {
+    if (Committed == Time() || Fleet.Now_ - Committed <= StopBound)
+      return;
+    for (auto &[Vm, V] : Fleet.Vms_)
+      if (!CutSince.count(Vm) && V->Feed_.readiness() != Readiness::NotReady)
+        REQUIRE(Fleet.verdict(Vm, Key, Hour) != KeyVerdict::Ok);
+  };
+  for (int Round = 0; Round < 30; ++Round) {
+    VmId Vm = Ids[Dice() % Ids.size()];
+    switch (Dice() % 6) {
+    case 0:
+      if (!Fleet.isVoter(Vm))
+        Fleet.crash(Vm);
+      break;
+    case 1:
+      if (!Fleet.isUp(Vm))
+        Fleet.start(Vm);
+      break;
+    case 2:
+      if (!CutSince.empty())
+        break;
+      Fleet.cutZone(Fleet.Declared_[Vm]);
+      for (const auto &[Other, Zone] : Fleet.Declared_)
+        if (Zone == Fleet.Declared_[Vm])
+          CutSince[Other] = Fleet.Now_;
+      break;
+    case 3:
+      Fleet.healAll();
+      break;
+    default:
+      if (Committed == Time() && Round > 8 && Fleet.propose("-k1"))
+        Committed = Fleet.Now_;
+    }
+    Fleet.run(Duration::millis(Dice() % 2500));
+  }
+  Fleet.Net_.setHook({});
+  Fleet.healAll();
+  for (const VmId &Vm : Ids)
+    if (!Fleet.isUp(Vm))
+      Fleet.start(Vm);
+  if (Committed != Time())
+    CHECK(Fleet.until([&] { return allSay(Fleet, KeyVerdict::Withdrawn); },
+                      Second * 15));
+}
