Follow callers that move between VMs

Cause: a lease shrunk by its authority was used by neither side until the holder's next ask, and a holder whose callers had left filled a full bucket. Change: holders shrink their own leases towards the target; a full bucket halves the demand it reports; a dry pool hands out whole units only.

--- a/lagoonpoint/src/Limits/LeaseAuthority.cpp
+++ b/lagoonpoint/src/Limits/LeaseAuthority.cpp
@@ -181,14 +181,19 @@
     return Shown;
   }
   Amount Use = Target + Amount{0, Ask.Need_};
-  return split(notNegative(Use - Ask.Own_), Spare);
+  Amount Loan = notNegative(Use - Ask.Own_);
+  // A loan is shrunk by its holder, which follows the target at its next ask:
+  // shrunk here, neither side could use the difference until then.
+  return split(most(Loan, Ask.Keep_.total()), Spare);
 }
 
 double chooseTokens(const LeaseAuthority &A, const LeaseAsk &Ask,
                     const LeaseGrant &G) {
   double Room = Ask.Room_ + G.Lent_.total().Burst_;
   double Want = Ask.Need_ + G.Target_.Burst_;
-  return std::max(0.0, std::min({A.Tokens_, Room, Want}));
+  double Tokens = std::max(0.0, std::min(Room, Want));
+  // Of a pool that runs dry, less than one whole unit would serve nobody.
+  return Tokens <= A.Tokens_ ? Tokens : std::floor(A.Tokens_);
 }
 
 Duration retryIn(const LeaseAuthority &A, const LeaseGrant &G,
@@ -312,7 +317,7 @@
     G.Target_ = chooseTarget(A, *B, Lendable, Now);
   else
     G.Target_ = Ask.Own_ + Ask.Keep_.Firm_;
-  if (G.Target_ == Amount())
+  if (G.Target_ == Amount() && Ask.Keep_.total() == Amount())
     G.For_ = ShortLease;
   Time End = Now + G.For_;
   Lent Before = outstanding(A, Now);
--- a/lagoonpoint/src/Limits/LeaseHolder.cpp
+++ b/lagoonpoint/src/Limits/LeaseHolder.cpp
@@ -12,9 +12,12 @@
 /// An ask for which no call waits is sent at most this often.
 constexpr Duration AskGap = Duration::millis(100);
 constexpr Duration MinRetryAfter = Duration::millis(20);
-/// An early ask is sent when less than this part of the target is stored, or
-/// less than this part of the demand is left.
+/// An early ask is sent when less than this part of the target is stored.
 constexpr double LowWater = 0.5;
+/// A bucket counts as full from this part of its limit.
+constexpr double FullShare = 0.98;
+/// An early ask gives rate back when less than this part of it is needed.
+constexpr double MinUse = 0.7;
 /// Calls don't wait for an authority that left so many asks unanswered.
 constexpr unsigned MaxUnanswered = 2;
 /// What a bucket may fill up to between an ask and its answer.
@@ -64,24 +67,32 @@
   LAGOONPOINT_ASSERT(H.Tokens_ >= 0, "lease.bucket");
 }
 
+/// The target, less where demand has fallen, and what calls wait for.
+Amount neededNow(const LeaseHolder &H, double Waiting) {
+  double Store = std::min(H.Target_.Burst_, internal::storeFor(H.Demand_));
+  return {std::min(H.Target_.Rate_, H.Demand_), Store + Waiting};
+}
+
+/// A full bucket loses what its lease earns.
+bool overflows(const LeaseHolder &H, Time Now) {
+  Amount Lease = liveLease(H, Now);
+  double Limit = usableFloor(H, Now).Burst_ + Lease.Burst_;
+  return Lease.Rate_ > 0 && H.Tokens_ >= Limit * FullShare;
+}
+
 bool earlyAskDue(const LeaseHolder &H, Time Now) {
   if (Now < H.DryUntil_ || H.Unanswered_ >= MaxUnanswered)
     return false;
   if (!H.Waiting_.empty())
     return true;
   bool Low = H.Tokens_ < H.Target_.Burst_ * LowWater;
-  bool Unused =
-      H.Demand_ < H.Reported_ * LowWater && liveLease(H, Now).Rate_ > 0;
+  double Rate = liveLease(H, Now).Rate_;
+  double Needed = neededNow(H, 0).Rate_ - usableFloor(H, Now).Rate_;
+  bool Unused = Rate > 0 && (Needed < Rate * MinUse || overflows(H, Now));
   return (Low || Unused) &&
          Now - H.NextRenew_ + H.Timing_.renewEvery() >= AskGap;
 }
 
-/// The target, less where demand has fallen, and what calls wait for.
-Amount neededNow(const LeaseHolder &H, double Waiting) {
-  double Store = std::min(H.Target_.Burst_, internal::storeFor(H.Demand_));
-  return {std::min(H.Target_.Rate_, H.Demand_), Store + Waiting};
-}
-
 /// Gives up what the demand doesn't need, soft part first.
 Lent shrink(Lent L, Amount Needed) {
   Amount Excess = notNegative(L.total() - Needed);
@@ -192,6 +203,8 @@
   if (Now < H.NextRenew_ && !earlyAskDue(H, Now))
     return std::nullopt;
 
+  if (overflows(H, Now))
+    H.Demand_ /= 2;
   Amount Floor = declaredFloor(H);
   double Need = waitingUnits(H);
   Amount Needed = neededNow(H, Need);
@@ -202,7 +215,6 @@
   Ask.Term_ = H.Term_;
   Ask.Accepted_ = H.Accepted_;
   Ask.Demand_ = H.Demand_;
-  H.Reported_ = H.Demand_;
   Ask.Need_ = Need;
   Ask.Stamp_ = H.Stamp_;
   Ask.AsideFor_ = H.Timing_.asideFor();
--- a/lagoonpoint/src/Limits/LeaseHolder.h
+++ b/lagoonpoint/src/Limits/LeaseHolder.h
@@ -68,9 +68,8 @@
 
   double Tokens_ = 0;
   Time Updated_;
-  double Offered_ = 0;  ///< units wanted since DemandAt_
-  double Demand_ = 0;   ///< units a second, smoothed
-  double Reported_ = 0; ///< demand in the last ask
+  double Offered_ = 0; ///< units wanted since DemandAt_
+  double Demand_ = 0;  ///< units a second, smoothed
   Time DemandAt_;
   std::deque<Waiter> Waiting_;
 };
