Encode lease messages in fewer bytes

Cause: most numbers of an ask are zero or need no double, yet took 9 bytes; a bucket that is merely full counted as losing tokens. Change: numbers go as integer, float or double, whichever holds them exactly; amounts are rounded to floats on the safe side; only lost units count.

--- a/lagoonpoint/src/Limits/LeaseAuthority.cpp
+++ b/lagoonpoint/src/Limits/LeaseAuthority.cpp
@@ -167,8 +167,8 @@
 
 Lent split(Amount Target, const Lent &Spare) {
   Lent Out;
-  Out.Firm_ = least(Target, Spare.Firm_);
-  Out.Soft_ = least(notNegative(Target - Out.Firm_), Spare.Soft_);
+  Out.Firm_ = roundedDown(least(Target, Spare.Firm_));
+  Out.Soft_ = roundedDown(least(notNegative(Target - Out.Firm_), Spare.Soft_));
   return Out;
 }
 
@@ -177,7 +177,7 @@
   Lent Spare = spare(A, To, Now, End);
   if (inWait(A, Now)) {
     // Firm parts of all predecessors' loans add up to at most the base.
-    Lent Shown{least(Ask.Keep_.Firm_, Spare.Firm_), {}};
+    Lent Shown{roundedDown(least(Ask.Keep_.Firm_, Spare.Firm_)), {}};
     return Shown;
   }
   Amount Use = Target + Amount{0, Ask.Need_};
@@ -193,7 +193,8 @@
   double Want = Ask.Need_ + G.Target_.Burst_;
   double Tokens = std::max(0.0, std::min(Room, Want));
   // Of a pool that runs dry, less than one whole unit would serve nobody.
-  return Tokens <= A.Tokens_ ? Tokens : std::floor(A.Tokens_);
+  Tokens = Tokens <= A.Tokens_ ? Tokens : std::floor(A.Tokens_);
+  return internal::roundedDown(Tokens);
 }
 
 Duration retryIn(const LeaseAuthority &A, const LeaseGrant &G,
@@ -314,7 +315,7 @@
 
   Amount Lendable = lendable(A, Now + A.Timing_.Length_).total();
   if (!inWait(A, Now))
-    G.Target_ = chooseTarget(A, *B, Lendable, Now);
+    G.Target_ = roundedDown(chooseTarget(A, *B, Lendable, Now));
   else
     G.Target_ = Ask.Own_ + Ask.Keep_.Firm_;
   if (G.Target_ == Amount() && Ask.Keep_.total() == Amount())
--- a/lagoonpoint/src/Limits/LeaseHolder.cpp
+++ b/lagoonpoint/src/Limits/LeaseHolder.cpp
@@ -14,8 +14,8 @@
 constexpr Duration MinRetryAfter = Duration::millis(20);
 /// An early ask is sent when less than this part of the target is stored.
 constexpr double LowWater = 0.5;
-/// A bucket counts as full from this part of its limit.
-constexpr double FullShare = 0.98;
+/// An early ask gives rate back when a full bucket has lost so many units.
+constexpr double MaxOverflow = 1;
 /// An early ask gives rate back when less than this part of it is needed.
 constexpr double MinUse = 0.7;
 /// Calls don't wait for an authority that left so many asks unanswered.
@@ -52,6 +52,7 @@
     Limit = std::min(Limit, H.Pending_->Ceiling_);
   double Filled = H.Tokens_ + Surely.Rate_ * surelyPassed(Now - H.Updated_);
   H.Tokens_ = std::min(Filled, Limit);
+  H.Overflow_ += Filled - H.Tokens_;
   H.Updated_ = Now;
   H.Aside_.prune(Now);
   if (H.Pending_ && Now - H.Pending_->SentAt_ >= AskTimeout) {
@@ -73,13 +74,6 @@
   return {std::min(H.Target_.Rate_, H.Demand_), Store + Waiting};
 }
 
-/// A full bucket loses what its lease earns.
-bool overflows(const LeaseHolder &H, Time Now) {
-  Amount Lease = liveLease(H, Now);
-  double Limit = usableFloor(H, Now).Burst_ + Lease.Burst_;
-  return Lease.Rate_ > 0 && H.Tokens_ >= Limit * FullShare;
-}
-
 bool earlyAskDue(const LeaseHolder &H, Time Now) {
   if (Now < H.DryUntil_ || H.Unanswered_ >= MaxUnanswered)
     return false;
@@ -88,7 +82,8 @@
   bool Low = H.Tokens_ < H.Target_.Burst_ * LowWater;
   double Rate = liveLease(H, Now).Rate_;
   double Needed = neededNow(H, 0).Rate_ - usableFloor(H, Now).Rate_;
-  bool Unused = Rate > 0 && (Needed < Rate * MinUse || overflows(H, Now));
+  bool Unused =
+      Rate > 0 && (Needed < Rate * MinUse || H.Overflow_ >= MaxOverflow);
   return (Low || Unused) &&
          Now - H.NextRenew_ + H.Timing_.renewEvery() >= AskGap;
 }
@@ -203,8 +198,9 @@
   if (Now < H.NextRenew_ && !earlyAskDue(H, Now))
     return std::nullopt;
 
-  if (overflows(H, Now))
+  if (H.Overflow_ >= MaxOverflow)
     H.Demand_ /= 2;
+  H.Overflow_ = 0;
   Amount Floor = declaredFloor(H);
   double Need = waitingUnits(H);
   Amount Needed = neededNow(H, Need);
@@ -214,27 +210,30 @@
   Ask.Sequence_ = ++H.Sequence_;
   Ask.Term_ = H.Term_;
   Ask.Accepted_ = H.Accepted_;
-  Ask.Demand_ = H.Demand_;
+  Ask.Demand_ = internal::roundedDown(H.Demand_);
   Ask.Need_ = Need;
   Ask.Stamp_ = H.Stamp_;
   Ask.AsideFor_ = H.Timing_.asideFor();
   // A promise that can't be heard would only cost this VM its floor.
   if (H.Stamp_ != 0 && H.Unanswered_ == 0) {
-    Ask.Aside_ = notNegative(Floor - Needed);
+    Ask.Aside_ = roundedUp(notNegative(Floor - Needed));
     H.Aside_.add(Ask.Aside_, Now + Ask.AsideFor_);
   }
-  Ask.Own_ = usableFloor(H, Now);
+  Ask.Own_ = roundedDown(usableFloor(H, Now));
   if (Now >= H.LentUntil_)
     H.Lent_ = {};
   H.Lent_ = shrink(H.Lent_, notNegative(Needed - Ask.Own_));
+  H.Lent_ = {roundedDown(H.Lent_.Firm_), roundedDown(H.Lent_.Soft_)};
   Ask.Keep_ = H.Lent_;
   Amount Usable = Ask.Own_ + H.Lent_.total();
-  Ask.Returned_ = std::max(0.0, H.Tokens_ - Usable.Burst_);
+  Ask.Returned_ =
+      internal::roundedDown(std::max(0.0, H.Tokens_ - Usable.Burst_));
   H.Tokens_ -= Ask.Returned_;
+  H.Tokens_ = std::min(H.Tokens_, Usable.Burst_);
   double Ceiling = Usable.Burst_;
   if (H.Unanswered_ == 0)
     Ceiling = std::min(Ceiling, H.Tokens_ + Usable.Rate_ * AnswerSeconds);
-  Ask.Room_ = Ask.Own_.Burst_ - Ceiling;
+  Ask.Room_ = internal::roundedDown(Ask.Own_.Burst_ - Ceiling);
   H.Pending_ = LeaseHolder::PendingAsk{Ask.Sequence_, Now, Ceiling};
   H.NextRenew_ = Now + H.Timing_.renewEvery();
   return Ask;
--- a/lagoonpoint/src/Limits/LeaseHolder.h
+++ b/lagoonpoint/src/Limits/LeaseHolder.h
@@ -68,8 +68,9 @@
 
   double Tokens_ = 0;
   Time Updated_;
-  double Offered_ = 0; ///< units wanted since DemandAt_
-  double Demand_ = 0;  ///< units a second, smoothed
+  double Overflow_ = 0; ///< units lost to a full bucket since the last ask
+  double Offered_ = 0;  ///< units wanted since DemandAt_
+  double Demand_ = 0;   ///< units a second, smoothed
   Time DemandAt_;
   std::deque<Waiter> Waiting_;
 };
--- a/lagoonpoint/src/Limits/LeaseMessages.h
+++ b/lagoonpoint/src/Limits/LeaseMessages.h
@@ -20,17 +20,18 @@
 /// Holder to authority: renews a lease and sets unused floor aside.
 struct LeaseAsk {
   QuantityId Quantity_;
-  Incarnation Incarnation_;    ///< of the holder's process
-  std::uint64_t Sequence_ = 0; ///< of this holder's asks and returns
-  Term Term_;                  ///< of the authority asked
-  std::uint64_t Accepted_ = 0; ///< ask whose grant the holder lives on
-  Lent Keep_;                  ///< what it still uses of that grant
-  double Returned_ = 0;        ///< tokens that move to the authority
-  double Demand_ = 0;          ///< units a second that callers want here
-  double Need_ = 0;            ///< units that callers wait for now
-  double Room_ = 0; ///< tokens it can take beyond its leased burst; may be < 0
-  Amount Own_;      ///< floor not set aside
-  Amount Aside_;    ///< floor it won't use ...
+  Incarnation Incarnation_;       ///< of the holder's process
+  std::uint64_t Sequence_ = 0;    ///< of this holder's asks and returns
+  Term Term_;                     ///< of the authority asked
+  std::uint64_t Accepted_ = 0;    ///< ask whose grant the holder lives on
+  Lent Keep_;                     ///< what it still uses of that grant
+  internal::WireNumber Returned_; ///< tokens that move to the authority
+  internal::WireNumber Demand_;   ///< units a second that callers want here
+  internal::WireNumber Need_;     ///< units that callers wait for now
+  internal::WireNumber
+      Room_;     ///< tokens it can take beyond its leased burst; may be < 0
+  Amount Own_;   ///< floor not set aside
+  Amount Aside_; ///< floor it won't use ...
   Duration AsideFor_;      ///< ... for this long from its sending
   std::int64_t Stamp_ = 0; ///< of the last grant received in this term
   MSGPACK_DEFINE(Quantity_, Incarnation_, Sequence_, Term_, Accepted_, Keep_,
@@ -44,11 +45,11 @@
   Incarnation Incarnation_; ///< of the holder asked by
   std::uint64_t Sequence_ = 0;
   Term Term_;
-  Lent Lent_;         ///< replaces the lease held so far
-  Duration For_;      ///< from the sending of the ask
-  double Tokens_ = 0; ///< that move to the holder
-  Amount Target_;     ///< what the VM should use, of its floor and by lease
-  Duration RetryIn_;  ///< when a dry holder may ask again
+  Lent Lent_;                   ///< replaces the lease held so far
+  Duration For_;                ///< from the sending of the ask
+  internal::WireNumber Tokens_; ///< that move to the holder
+  Amount Target_;    ///< what the VM should use, of its floor and by lease
+  Duration RetryIn_; ///< when a dry holder may ask again
   std::int64_t Stamp_ = 0; ///< the authority's time; echoed, never compared
   MSGPACK_DEFINE(Quantity_, Incarnation_, Sequence_, Term_, Lent_, For_,
                  Tokens_, Target_, RetryIn_, Stamp_)
@@ -60,7 +61,7 @@
   Incarnation Incarnation_;
   std::uint64_t Sequence_ = 0;
   Term Term_;
-  double Tokens_ = 0;
+  internal::WireNumber Tokens_;
   MSGPACK_DEFINE(Quantity_, Incarnation_, Sequence_, Term_, Tokens_)
 };
 
--- a/lagoonpoint/src/Limits/Quantity.h
+++ b/lagoonpoint/src/Limits/Quantity.h
@@ -2,8 +2,10 @@
 
 #include "lagoonpoint/Codec"
 #include "lagoonpoint/Core"
+#include "lagoonpoint/src/Limits/util/WireNumber.h"
 
 #include <algorithm>
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -49,7 +51,17 @@
   friend Amount operator-(Amount A, Amount B) {
     return {A.Rate_ - B.Rate_, A.Burst_ - B.Burst_};
   }
-  MSGPACK_DEFINE(Rate_, Burst_)
+
+  template <class Packer> void msgpack_pack(Packer &Out) const {
+    Out.pack_array(2);
+    Out.pack(internal::WireNumber(Rate_));
+    Out.pack(internal::WireNumber(Burst_));
+  }
+  void msgpack_unpack(const msgpack::object &In) {
+    auto Parts = In.as<std::array<internal::WireNumber, 2>>();
+    Rate_ = Parts[0];
+    Burst_ = Parts[1];
+  }
 };
 
 /// \returns the smaller of each part.
@@ -62,6 +74,16 @@
   return {std::max(A.Rate_, B.Rate_), std::max(A.Burst_, B.Burst_)};
 }
 
+/// \returns the amount in floats that are at most its parts.
+inline Amount roundedDown(Amount A) {
+  return {internal::roundedDown(A.Rate_), internal::roundedDown(A.Burst_)};
+}
+
+/// \returns the amount in floats that are at least its parts.
+inline Amount roundedUp(Amount A) {
+  return {internal::roundedUp(A.Rate_), internal::roundedUp(A.Burst_)};
+}
+
 /// \class Allotment
 /// \ingroup Limits
 /// \brief What one revision declares of a quantity: the whole, and the floors
