Plan with the slots that a region has left

Cause: plans reckoned with the declared capacity also when a region had lost half of its upstreams; its own credit then refused what it could not take. Change: VMs report the slots they hold at upstreams that take work, warming ones in part; a region counts with its declared capacity less the part of its usual slots that is missing.

--- a/bench/steering.cpp
+++ b/bench/steering.cpp
@@ -4,6 +4,7 @@
 #include "lagoonpoint/Steering"
 #include "test/fakes/Firms.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <deque>
 #include <functional>
@@ -34,6 +35,7 @@
 struct RegionQueue {
   double Capacity_ = 0; ///< warm calls a second
   double Backlog_ = 0;  ///< work waiting
+  double Slots_ = 30;   ///< of its upstreams
   bool Dead_ = false;
   std::map<Flow, double> WarmRate_;
   std::map<Flow, double> Second_; ///< calls of this second
@@ -183,6 +185,16 @@
     Q.Backlog_ = std::max(0.0, Q.Backlog_ - Q.Capacity_ / TicksPerSecond);
 }
 
+/// \returns a VM's part of its region's slots.
+double slotsOf(Run &R, const VmId &Vm) {
+  RegionId Region = R.regionOf(Vm);
+  auto Vms =
+      std::count_if(R.Vms_.begin(), R.Vms_.end(), [&](const VmId &Other) {
+        return R.regionOf(Other) == Region;
+      });
+  return R.Queues_[Region].Slots_ / static_cast<double>(Vms);
+}
+
 /// Every VM tells the others what it sends, each at a second of its own.
 void reportSecond(Run &R) {
   constexpr double Newest = 0.3;
@@ -195,7 +207,7 @@
     }
     if (static_cast<int>(I) % ReportSeconds != Turn)
       continue;
-    R.Loads_.Reports_[Vm] = {R.Now_, R.Sending_[Vm]};
+    R.Loads_.Reports_[Vm] = {R.Now_, R.Sending_[Vm], slotsOf(R, Vm)};
     if (R.Queues_[R.regionOf(Vm)].Dead_)
       continue;
     PlanCopy Copy = copyOf(R.Plans_[Vm], R.Views_[Vm], R.Now_);
@@ -224,7 +236,9 @@
     for (const auto &[F, Rate] : R.Demand_)
       V.Demand_[F] += Newest * (R.Entered_[Vm][F] - V.Demand_[F]);
     RegionLoads Loads = R.Loads_;
-    Loads.Reports_[Vm] = {R.Now_, R.Sending_[Vm]};
+    Loads.Reports_[Vm] = {R.Now_, R.Sending_[Vm], slotsOf(R, Vm)};
+    countSlots(Loads, R.D_, R.Now_);
+    R.Loads_.Slots_ = Loads.Slots_;
     V.Credit_ = planCredits(Loads, R.D_, FillTo, Vm, Ready, R.Now_);
     V.Limit_ = planCredits(Loads, R.D_, 1.0, Vm, Ready, R.Now_);
     advance(R.Plans_[Vm], R.D_, V, R.Now_);
@@ -363,6 +377,10 @@
     R.Queues_[Victim].WarmRate_.clear();
     restart(R, Victim);
   };
+  auto Halve = [=](Run &R) {
+    R.Queues_[Victim].Capacity_ /= 2;
+    R.Queues_[Victim].Slots_ /= 2;
+  };
   auto AvoidHome = [=](Run &R) {
     for (auto &[Id, P] : R.D_.Profiles_) {
       P.Objective_ = Objective::Cheapest;
@@ -378,15 +396,17 @@
     double Rate = R.D_.Regions_.at(Victim).Capacity_.perSecond() * 0.5;
     R.AnswerBytes_ = 1.5 * Cap / Rate;
   };
-  return {{"nothing happens", 0.5, 180, Nothing, {}},
-          {"drain of a region", 0.5, 180, Nothing, {{10, Drain}}},
-          {"region fails at peak, returns",
-           0.8,
-           420,
-           Nothing,
-           {{10, Kill}, {200, Revive}}},
-          {"price change at noon", 0.5, 180, AvoidHome, {{10, NewPrices}}},
-          {"drain over a full link", 0.5, 180, BigAnswers, {{10, Drain}}}};
+  return {
+      {"nothing happens", 0.5, 180, Nothing, {}},
+      {"drain of a region", 0.5, 180, Nothing, {{10, Drain}}},
+      {"region fails at peak, returns",
+       0.8,
+       420,
+       Nothing,
+       {{10, Kill}, {200, Revive}}},
+      {"half of a region's upstreams die", 0.6, 180, Nothing, {{10, Halve}}},
+      {"price change at noon", 0.5, 180, AvoidHome, {{10, NewPrices}}},
+      {"drain over a full link", 0.5, 180, BigAnswers, {{10, Drain}}}};
 }
 
 void print(const char *Name, const Figures &F) {
--- a/lagoonpoint/src/Steering/UpstreamChoice.cpp
+++ b/lagoonpoint/src/Steering/UpstreamChoice.cpp
@@ -202,12 +202,12 @@
   judge(G, *U, Outcome, Spent, Now);
 }
 
-bool isUsable(const UpstreamGroup &G, Time Now) {
-  return std::any_of(G.Upstreams_.begin(), G.Upstreams_.end(),
-                     [&](const Upstream &U) {
-                       return takesWork(U, Now) && U.HeldSlots_ > 0 &&
-                              U.Phase_ != UpstreamPhase::Ejected;
-                     });
+double warmSlots(const UpstreamGroup &G, Time Now) {
+  double Sum = 0;
+  for (const Upstream &U : G.Upstreams_)
+    if (takesWork(U, Now) && U.Phase_ != UpstreamPhase::Ejected)
+      Sum += U.HeldSlots_ * warmth(U, G.Rules_, Now);
+  return Sum;
 }
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Steering/UpstreamChoice.h
+++ b/lagoonpoint/src/Steering/UpstreamChoice.h
@@ -87,9 +87,10 @@
 void finish(UpstreamGroup &G, const UpstreamId &Id, TryOutcome Outcome,
             Duration Spent, Time Now);
 
-/// \returns whether any upstream takes work, now or as soon as one is free.
+/// \returns the slots this VM holds at upstreams that take work, warming ones
+/// counted in part.
 /// \ingroup Steering
-bool isUsable(const UpstreamGroup &G, Time Now);
+double warmSlots(const UpstreamGroup &G, Time Now);
 
 /// \returns the load to reckon with: the report, drawn towards AssumedLoad_ as
 /// it grows old, and never below what this VM itself has there.
--- a/lagoonpoint/src/Steering/VmSteering.cpp
+++ b/lagoonpoint/src/Steering/VmSteering.cpp
@@ -10,6 +10,15 @@
 /// A peer's word on its upstreams lasts for this many of its news.
 constexpr int NewsKept = 3;
 
+using ServiceSlots = std::map<ServiceId, double>;
+
+double sumOfSlots(const ServiceSlots &Slots) {
+  double Sum = 0;
+  for (const auto &[Service, Count] : Slots)
+    Sum += Count;
+  return Sum;
+}
+
 const RegionId &regionOf(const Declarations &D, const VmId &Vm) {
   return D.Zones_.at(D.Vms_.at(Vm).Zone_).Region_;
 }
@@ -20,11 +29,12 @@
 
 std::set<ServicePlace> usable(const VmSteering &S, const Declarations &D,
                               const std::set<VmId> &Ready,
-                              const std::set<ServiceId> &Serving, Time Now) {
+                              const ServiceSlots &Slots, Time Now) {
   std::set<ServicePlace> Out;
   if (D.Vms_.count(S.Self_))
-    for (const ServiceId &Service : Serving)
-      Out.insert({Service, regionOf(D, S.Self_)});
+    for (const auto &[Service, Count] : Slots)
+      if (Count > 0)
+        Out.insert({Service, regionOf(D, S.Self_)});
   for (const auto &[Vm, Peer] : S.Peers_) {
     if (!Ready.count(Vm) || !D.Vms_.count(Vm) || !isFresh(Peer, Now))
       continue;
@@ -35,11 +45,12 @@
 }
 
 void refreshView(VmSteering &S, const Declarations &D,
-                 const std::set<VmId> &Ready,
-                 const std::set<ServiceId> &Serving, Time Now) {
+                 const std::set<VmId> &Ready, const ServiceSlots &Slots,
+                 Time Now) {
   roll(S.Meter_, Now);
-  S.Loads_.Reports_[S.Self_] = {Now, S.Meter_.Sending_};
-  S.View_.Usable_ = usable(S, D, Ready, Serving, Now);
+  S.Loads_.Reports_[S.Self_] = {Now, S.Meter_.Sending_, sumOfSlots(Slots)};
+  countSlots(S.Loads_, D, Now);
+  S.View_.Usable_ = usable(S, D, Ready, Slots, Now);
   S.View_.Demand_ = S.Meter_.Demand_;
   S.View_.Hidden_ = hiddenFlows(D, Ready);
   S.View_.Credit_ = planCredits(S.Loads_, D, FillTo, S.Self_, Ready, Now);
@@ -59,13 +70,16 @@
   });
 }
 
-SteeringNews newsOf(const VmSteering &S, const std::set<ServiceId> &Serving,
-                    Time Now) {
+SteeringNews newsOf(const VmSteering &S, const ServiceSlots &Slots, Time Now) {
   SteeringNews Out{copyOf(S.Regions_, S.View_, Now),
                    copyOf(S.Lookups_, Now),
                    {},
-                   {Serving.begin(), Serving.end()},
+                   {},
+                   sumOfSlots(Slots),
                    S.IsStarted_};
+  for (const auto &[Service, Count] : Slots)
+    if (Count > 0)
+      Out.Serving_.push_back(Service);
   for (const auto &[Region, Rate] : S.Meter_.Sending_)
     Out.Sending_.push_back({Region, Rate});
   return Out;
@@ -83,23 +97,26 @@
 
 std::optional<SteeringNews> tick(VmSteering &S, const Declarations &D,
                                  const std::set<VmId> &Ready,
-                                 const std::set<ServiceId> &Serving, Time Now) {
+                                 const std::map<ServiceId, double> &Slots,
+                                 Time Now) {
   if (!S.IsStarted_ && !mayStartAlone(S, D, Ready, Now))
-    return newsOf(S, Serving, Now);
+    return newsOf(S, Slots, Now);
   S.IsStarted_ = true;
-  refreshView(S, D, Ready, Serving, Now);
+  refreshView(S, D, Ready, Slots, Now);
   advance(S.Regions_, D, S.View_, Now);
   advance(S.Lookups_, D, Ready, Now);
   if (Now < S.NextNews_)
     return {};
   S.NextNews_ = Now + PlanEvery;
-  return newsOf(S, Serving, Now);
+  return newsOf(S, Slots, Now);
 }
 
 void hear(VmSteering &S, const VmId &From, const SteeringNews &News, Time Now) {
   RegionPlan Regions = planOf(News.Regions_, Now);
   LookupPlan Lookups = planOf(News.Lookups_, Now);
-  RegionLoads::Report Report{Now, {}};
+  RegionLoads::Report Report{Now, {}, News.Slots_};
+  if (!(News.Slots_ >= 0))
+    throw Error("steering.news", From.str(), "negative number of slots");
   for (const PlanCopy::Part &Part : News.Sending_) {
     if (!(Part.Share_ >= 0))
       throw Error("steering.news", From.str(), "negative rate");
--- a/lagoonpoint/src/Steering/VmSteering.h
+++ b/lagoonpoint/src/Steering/VmSteering.h
@@ -19,8 +19,9 @@
   LookupPlanCopy Lookups_;
   std::vector<PlanCopy::Part> Sending_; ///< requests a second by region
   std::vector<ServiceId> Serving_;      ///< it has upstreams for these
-  bool IsStarted_ = false;              ///< false: it asks for plans
-  MSGPACK_DEFINE(Regions_, Lookups_, Sending_, Serving_, IsStarted_)
+  double Slots_ = 0;       ///< that it holds at upstreams which take work
+  bool IsStarted_ = false; ///< false: it asks for plans
+  MSGPACK_DEFINE(Regions_, Lookups_, Sending_, Serving_, Slots_, IsStarted_)
 };
 
 /// \class VmSteering
@@ -58,11 +59,12 @@
 /// Moves the plans. Call it about twice a second.
 /// \ingroup Steering
 /// \param Ready VMs in contact, this one included
-/// \param Serving services for which this VM has a usable upstream
+/// \param Slots of each service, see warmSlots(); 0 or absent if none
 /// \returns news to send to all other VMs, when they are due
 std::optional<SteeringNews> tick(VmSteering &S, const Declarations &D,
                                  const std::set<VmId> &Ready,
-                                 const std::set<ServiceId> &Serving, Time Now);
+                                 const std::map<ServiceId, double> &Slots,
+                                 Time Now);
 
 /// Takes in another VM's news.
 /// \ingroup Steering
--- a/test/Steering.cpp
+++ b/test/Steering.cpp
@@ -22,6 +22,8 @@
   std::map<VmId, std::set<VmId>> Reach_; ///< where cut off; else Ready_
   std::set<RegionId> Failed_;            ///< regions without upstreams
   std::map<Flow, VmId> Entry_;           ///< where callers of a flow enter
+  double SlotsEach_ = 6;                 ///< of each service and VM
+  RegionId Halved_;                      ///< lost half of its upstreams
   Random Source_{9};
   Time Now_{1000};
   std::map<std::pair<RegionId, RegionId>, int> Served_; ///< since cleared
@@ -58,11 +60,13 @@
   }
   void tickVm(const VmId &Vm) {
     bool HasUpstreams = !Failed_.count(regionOf(Vm));
-    std::set<ServiceId> Serving;
+    std::map<ServiceId, double> Slots;
     if (HasUpstreams)
-      Serving = {Tellimus, Ringplaan};
+      Slots = {{Tellimus, SlotsEach_}, {Ringplaan, SlotsEach_}};
+    if (HasUpstreams && regionOf(Vm) == Halved_)
+      Slots[Tellimus] = Slots[Ringplaan] = SlotsEach_ / 2;
     auto Reach = Reach_.count(Vm) ? Reach_[Vm] : Ready_;
-    auto News = tick(Vms_[Vm], D_, Reach, Serving, Now_);
+    auto News = tick(Vms_[Vm], D_, Reach, Slots, Now_);
     for (const VmId &To : Ready_)
       if (News && To != Vm)
         Net_.send(Now_, {Vm, To, Channel::Membership, encode(*News)});
@@ -140,9 +144,9 @@
   SECTION("and a VM without any peer starts after a while") {
     VmSteering Alone = startSteering(VmId("pa2"), F.Now_);
     std::set<VmId> Self{VmId("pa2")};
-    tick(Alone, F.D_, Self, {Tellimus}, F.Now_);
+    tick(Alone, F.D_, Self, {{Tellimus, 3}}, F.Now_);
     CHECK(!Alone.IsStarted_);
-    tick(Alone, F.D_, Self, {Tellimus}, F.Now_ + StartWait);
+    tick(Alone, F.D_, Self, {{Tellimus, 3}}, F.Now_ + StartWait);
     CHECK(Alone.IsStarted_);
   }
 }
@@ -178,6 +182,17 @@
   }
 }
 
+TEST_CASE("A region that lost half of its upstreams is filled half as much") {
+  Fleet F;
+  F.D_.Regions_.at(Parnu).Capacity_ = Rate(40); // callers ask for 40/s
+  F.run(Duration::seconds(60));
+  CHECK(F.share("pa1", Parnu, Parnu) == Approx(FillTo).margin(0.05));
+  F.Halved_ = Parnu;
+  F.run(Duration::seconds(60));
+  CHECK(F.share("pa1", Parnu, Parnu) == Approx(FillTo / 2).margin(0.05));
+  CHECK(F.Refused_ < 0.01 * 120 * 120);
+}
+
 TEST_CASE("A region is cut off, and its callers come over later") {
   Fleet F;
   F.run(Duration::seconds(30));
@@ -223,6 +238,7 @@
   SteeringNews Bad;
   Bad.IsStarted_ = true;
   SECTION("a negative rate") { Bad.Sending_ = {{Parnu, -1.0}}; }
+  SECTION("a negative number of slots") { Bad.Slots_ = -1; }
   SECTION("shares that don't sum to 1") {
     Bad.Regions_.Rows_ = {{Tellimus, Parnu, {{Tartu, 0.5}}, {}, 50}};
   }
