--- a/bench/upstreams.cpp
+++ b/bench/upstreams.cpp
@@ -36,7 +36,7 @@
   std::int64_t End_;
   std::int64_t Start_;
   UpstreamId Id_;
-  TryOutcome Outcome_;
+  UpstreamOutcome Outcome_;
 };
 
 struct Figures {
@@ -78,6 +78,7 @@
            Slots,
            400,
            Report,
+           Duration(),
            false,
            Duration::seconds(5)},
           Slots, Now);
@@ -92,8 +93,8 @@
       std::exponential_distribution<double>(1 / Mean)(Source) + 1);
   bool Hangs = IsFaulty && F.Hangs_ && Id == idOf(0);
   if (Hangs || Spent > DeadlineMillis)
-    return {Now + DeadlineMillis, Now, Id, TryOutcome::TimedOut};
-  return {Now + Spent, Now, Id, TryOutcome::Answered};
+    return {Now + DeadlineMillis, Now, Id, UpstreamOutcome::TimedOut};
+  return {Now + Spent, Now, Id, UpstreamOutcome::Answered};
 }
 
 void finishDue(UpstreamGroup &G, std::vector<Running> &All, Figures &Out,
@@ -104,7 +105,7 @@
     finish(G, R.Id_, R.Outcome_, Duration(R.End_ - R.Start_), Time(Now));
     if (Now >= FaultAtMillis) {
       Out.Latencies_.push_back(R.End_ - R.Start_);
-      Out.TimedOut_ += R.Outcome_ == TryOutcome::TimedOut;
+      Out.TimedOut_ += R.Outcome_ == UpstreamOutcome::TimedOut;
     }
     return true;
   });
@@ -182,6 +183,7 @@
            Slots,
            400,
            0.3,
+           Duration(),
            false,
            Duration::seconds(500)},
           Slots, Time(1));
@@ -201,7 +203,7 @@
   });
   measure("upstream of a call, 18 of them, and its end", 1'000'000, [&] {
     Upstream *U = place(G, {Zone, {}, true}, Time(40'000), Source);
-    finish(G, U->Id_, TryOutcome::Answered, Duration(20), Time(40'000));
+    finish(G, U->Id_, UpstreamOutcome::Answered, Duration(20), Time(40'000));
   });
   measure("step of both plans, 2 services, 3 regions", 2'000, [&] {
     Now += 500;
--- a/lagoonpoint/src/Dissemination/Feed.h
+++ b/lagoonpoint/src/Dissemination/Feed.h
@@ -107,7 +107,7 @@
   void takeProof(const FeedBeat &In, Time SentAt);
   void adoptPendingProof();
   void applyDelta(const Delta &Change);
-  void applySnapshot(const Snapshot &State);
+  void applySnapshot(const FeedSnapshot &State);
   void checkDigest(const VmId &From, const FeedBeat &In);
 
   void confirmSelf();
--- a/lagoonpoint/src/Dissemination/FeedMessage.h
+++ b/lagoonpoint/src/Dissemination/FeedMessage.h
@@ -43,7 +43,7 @@
   Duration ProofAge_; ///< since the authority showed the source to be current
   Revision ProofRevision_; ///< that the authority had then
   std::vector<Delta> Deltas_;
-  std::vector<Snapshot> Snapshots_; ///< one at most
+  std::vector<FeedSnapshot> Snapshots_; ///< one at most
 
   MSGPACK_DEFINE(Asker_, SentAt_, Revision_, Digest_, Ready_, Proved_,
                  ProofAge_, ProofRevision_, Deltas_, Snapshots_)
--- a/lagoonpoint/src/Dissemination/FeedReceiving.cpp
+++ b/lagoonpoint/src/Dissemination/FeedReceiving.cpp
@@ -53,7 +53,7 @@
 void Feed::takeBeat(const VmId &From, const FeedBeat &In, Time Now) {
   Revision Before = Store_.revision();
   if (!Voter_) {
-    for (const Snapshot &State : In.Snapshots_)
+    for (const FeedSnapshot &State : In.Snapshots_)
       applySnapshot(State);
     for (const Delta &Change : In.Deltas_)
       applyDelta(Change);
@@ -132,7 +132,7 @@
   History_.add(Change);
 }
 
-void Feed::applySnapshot(const Snapshot &State) {
+void Feed::applySnapshot(const FeedSnapshot &State) {
   Revision Held = Store_.revision();
   bool Repair = WantSnapshot_ && State.Revision_ == Held;
   if (State.Revision_ <= Held && !Repair)
--- a/lagoonpoint/src/Dissemination/FeedStore.h
+++ b/lagoonpoint/src/Dissemination/FeedStore.h
@@ -17,7 +17,7 @@
 };
 
 /// The whole state at one revision.
-struct Snapshot {
+struct FeedSnapshot {
   Revision Revision_;
   std::string Body_;
 
@@ -35,13 +35,13 @@
   virtual Revision revision() const = 0;
   /// \returns a digest of the state; equal for all VMs at one revision.
   virtual std::string digest() const = 0;
-  virtual Snapshot snapshot() const = 0;
+  virtual FeedSnapshot snapshot() const = 0;
   /// Moves from Base_ to To_. A VM with a disk writes it before it serves it.
   /// \throws Error if the body can't be applied; nothing has changed then
   virtual void apply(const Delta &Change) = 0;
   /// Replaces the state.
   /// \throws Error if the body can't be read; nothing has changed then
-  virtual void restore(const Snapshot &State) = 0;
+  virtual void restore(const FeedSnapshot &State) = 0;
 };
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Node/Dispatcher.cpp
+++ b/lagoonpoint/src/Node/Dispatcher.cpp
@@ -106,7 +106,7 @@
   if (S.Waiting_.empty())
     if (auto Target = placeNow(S, Wish))
       return *Target;
-  if (!isUsable(S.Group_, Clock_.now()))
+  if (warmSlots(S.Group_, Clock_.now()) <= 0)
     throw Refusal(RefusalReason::NoUpstream, Ran::No, Step,
                   "no healthy upstream of " + Wish.Service_.str());
   std::uint64_t Ticket = ++S.NextTicket_;
@@ -147,10 +147,10 @@
   serveQueue(S);
 }
 
-bool Dispatcher::usable(const ServiceId &Service) {
+double Dispatcher::slots(const ServiceId &Service) {
   Shard &S = shardOf(Service);
   std::lock_guard Guard(S.Lock_);
-  return isUsable(S.Group_, Clock_.now());
+  return warmSlots(S.Group_, Clock_.now());
 }
 
 std::vector<DispatchRow> Dispatcher::rows() {
--- a/lagoonpoint/src/Node/Dispatcher.h
+++ b/lagoonpoint/src/Node/Dispatcher.h
@@ -51,8 +51,9 @@
   void release(const ServiceId &Service, const UpstreamId &Id,
                UpstreamOutcome Outcome, Duration Spent);
 
-  /// \returns whether an upstream of this zone takes work of the service.
-  bool usable(const ServiceId &Service);
+  /// \returns the slots this VM holds at the service's upstreams that take
+  /// work, warming ones counted in part.
+  double slots(const ServiceId &Service);
   std::vector<DispatchRow> rows();
 
 private:
--- a/lagoonpoint/src/Node/Node.cpp
+++ b/lagoonpoint/src/Node/Node.cpp
@@ -78,7 +78,7 @@
   void tick();
   void takeInForce();
   void learnUpstreams();
-  std::set<ServiceId> servedHere();
+  std::map<ServiceId, double> slotsHere();
   /// Waits until no caller holds a look-up answer that names this VM.
   void waitForCaches();
   bool due(Time &Next, Duration Every);
@@ -175,12 +175,11 @@
                       F->Declared_.Services_.at(Service).SlowStart_);
 }
 
-std::set<ServiceId> Node::Parts::servedHere() {
-  std::set<ServiceId> Served;
+std::map<ServiceId, double> Node::Parts::slotsHere() {
+  std::map<ServiceId, double> Slots;
   for (const auto &[Id, Service] : InForce_.get()->Declared_.Services_)
-    if (Dispatcher_.usable(Id))
-      Served.insert(Id);
-  return Served;
+    Slots[Id] = Dispatcher_.slots(Id);
+  return Slots;
 }
 
 void Node::Parts::tick() {
@@ -195,7 +194,7 @@
     Control_.keepView();
   }
   if (due(NextSteer_, SteerEvery))
-    Steerer_.tick(*Members_.view(), servedHere());
+    Steerer_.tick(*Members_.view(), slotsHere());
 }
 
 Node::Node(const Settings &S) : Parts_(std::make_unique<Parts>(S)) {}
--- a/lagoonpoint/src/Node/Steerer.cpp
+++ b/lagoonpoint/src/Node/Steerer.cpp
@@ -48,7 +48,8 @@
   Blocks_ = std::move(Blocks);
 }
 
-void Steerer::tick(const FleetView &Fleet, const std::set<ServiceId> &Serving) {
+void Steerer::tick(const FleetView &Fleet,
+                   const std::map<ServiceId, double> &Slots) {
   std::vector<VmId> Others;
   std::string News;
   {
@@ -56,7 +57,7 @@
     if (InForce_->Revision_ == Revision())
       return;
     auto Out = lagoonpoint::tick(Steering_, InForce_->Declared_,
-                                 inContact(Fleet), Serving, Clock_.now());
+                                 inContact(Fleet), Slots, Clock_.now());
     if (!Out)
       return;
     News = encode(*Out);
--- a/lagoonpoint/src/Node/Steerer.h
+++ b/lagoonpoint/src/Node/Steerer.h
@@ -21,8 +21,8 @@
   /// Takes in new declarations.
   void setInForce(std::shared_ptr<const InForce> F);
   /// Moves the plans and tells the other VMs; to be called twice a second.
-  /// \param Serving services for which this zone has a usable upstream
-  void tick(const FleetView &Fleet, const std::set<ServiceId> &Serving);
+  /// \param Slots that this VM holds, by service
+  void tick(const FleetView &Fleet, const std::map<ServiceId, double> &Slots);
   void receive(const Envelope &Message);
 
   /// \returns the zone whose callers an address counts among.
--- a/test/UpstreamChoice.cpp
+++ b/test/UpstreamChoice.cpp
@@ -20,8 +20,9 @@
 
   void announce(const std::string &Id, std::optional<double> Load,
                 ZoneId Zone = Here, bool Leaving = false) {
-    UpstreamNews News{UpstreamId(Id), Zone,    {"10.0.0.1", 80},    Slots, 400,
-                      Load,           Leaving, Duration::seconds(5)};
+    UpstreamNews News{UpstreamId(Id), Zone,    {"10.0.0.1", 80},
+                      Slots,          400,     Load,
+                      Duration(),     Leaving, Duration::seconds(5)};
     learn(G_, News, Slots, Now_);
   }
   void announceAll(int Count, std::optional<double> Load = 0.5) {
@@ -104,7 +105,7 @@
     S.announce("u0", 0.1, Here, true);
     S.announce("u0", 0.1);
     CHECK(!S.tryPlace(AnyCall));
-    CHECK(!isUsable(S.G_, S.Now_));
+    CHECK(warmSlots(S.G_, S.Now_) == 0);
     SECTION("until it comes back after its lease") {
       S.pass(Duration::seconds(6));
       S.announce("u0", 0.1);
@@ -153,6 +154,9 @@
     S.announce("cold", 0.0);
   }
   CHECK(warmth(S.at("cold"), S.G_.Rules_, S.Now_) == Approx(0.5));
+  S.announceAll(3);
+  S.announce("cold", 0.0);
+  CHECK(warmSlots(S.G_, S.Now_) > 0.5 * Slots);
 }
 
 TEST_CASE("Reports are trusted as far as they deserve") {
--- a/test/fakes/ControlFleet.h
+++ b/test/fakes/ControlFleet.h
@@ -19,7 +19,7 @@
 public:
   Revision revision() const override { return Revision_; }
   std::string digest() const override { return std::to_string(Hash_); }
-  Snapshot snapshot() const override {
+  FeedSnapshot snapshot() const override {
     return {Revision_, encode(std::pair(Hash_, Withdrawn_))};
   }
   void apply(const Delta &Change) override {
@@ -28,7 +28,7 @@
     if (Change.Body_[0] == '-')
       Withdrawn_.insert(KeyId(Change.Body_.substr(1)));
   }
-  void restore(const Snapshot &State) override {
+  void restore(const FeedSnapshot &State) override {
     auto Read = decode<std::pair<std::uint64_t, std::set<KeyId>>>(
         State.Body_, "store.restore", "");
     Revision_ = State.Revision_;
