Bring changes into force on every VM, and judge keys by proof

Cause: only VMs with a replica saw changes, a withdrawal needed a leader, and floors were taken as settled before all VMs had confirmed a revision. Change: the feed with a cached catalog on the disk, epidemic withdrawals and the freshness lease of keys are wired in; apply waits for confirmations; the leader logs withdrawals that spread without it; floors settle only at the revision that every declared VM reached.

--- a/lagoonpoint/src/Node/CallFront.cpp
+++ b/lagoonpoint/src/Node/CallFront.cpp
@@ -86,9 +86,14 @@
   KeyCheck Check = checkKey(F, C.Key_);
   if (!Check.Key_)
     throw Refusal(RefusalReason::KeyUnknown, Ran::No, Step, "unknown key");
-  if (Check.Withdrawn_)
+  KeyVerdict Verdict = Control_.keyVerdict(*Check.Key_);
+  if (Check.Withdrawn_ || Verdict == KeyVerdict::Withdrawn)
     throw Refusal(RefusalReason::KeyWithdrawn, Ran::No, Step,
                   "the key was withdrawn");
+  if (Verdict == KeyVerdict::NotCurrent)
+    throw Refusal(RefusalReason::KeysNotCurrent, Ran::No, Step,
+                  "this VM can't prove that its keys are current",
+                  Duration::seconds(1));
   return Check.Key_->Team_;
 }
 
--- a/lagoonpoint/src/Node/Control.cpp
+++ b/lagoonpoint/src/Node/Control.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Duration ProposeWait = Duration::seconds(3);
+constexpr Duration LogEvery = Duration::seconds(1);
 constexpr Duration ForcePoll = Duration::millis(20);
 
 std::unique_ptr<ReplicaHost> makeHost(const Settings &S, const Clock &C,
@@ -18,12 +19,14 @@
 }
 
 /// \returns where a revision is in force, as the VMs reported it.
-ForceReport forceReport(const InForce &F, const FleetView &Fleet, Revision R) {
+ForceReport forceReport(const InForce &F,
+                        const std::map<VmId, Revision> &Confirmations,
+                        Revision R) {
   std::map<ZoneId, bool> Whole;
   ForceReport Report;
   for (const auto &[Id, Vm] : F.Declared_.Vms_) {
-    auto Found = Fleet.Vms_.find(Id);
-    bool Confirmed = Found != Fleet.Vms_.end() && Found->second.Revision_ >= R;
+    auto Found = Confirmations.find(Id);
+    bool Confirmed = Found != Confirmations.end() && Found->second >= R;
     Whole.try_emplace(Vm.Zone_, true);
     Whole[Vm.Zone_] = Whole[Vm.Zone_] && Confirmed;
     if (!Confirmed)
@@ -45,12 +48,13 @@
 
 } // namespace
 
-Control::Control(const Settings &S, const Clock &C, Transport &T,
+Control::Control(const Settings &S, Incarnation I, const Clock &C, Transport &T,
                  InForceCell &Cell, MemberHost &M)
     : Settings_(S), Clock_(C), InForce_(Cell), Members_(M),
+      Feed_(S, I, C, T, Cell, M),
       Host_(makeHost(S, C, T,
                      [this](const Catalog &State, const Change *Cause) {
-                       onCatalog(State, Cause);
+                       Feed_.observe(State, Cause);
                      })),
       Router_(S.Vm_, S.InitialVoters_, Host_.get(), C, T),
       Proposer_("control.propose", Duration::seconds(1), [] {}) {}
@@ -58,6 +62,7 @@
 Control::~Control() { stop(); }
 
 void Control::start() {
+  Feed_.start();
   if (Host_)
     Host_->start();
   Proposer_.start();
@@ -67,22 +72,18 @@
   Proposer_.stop();
   if (Host_)
     Host_->stop();
+  Feed_.stop();
 }
 
 void Control::receive(Envelope Message) {
   if (Message.Channel_ == Channel::Forward)
     Router_.receive(Message);
-  else if (Message.Channel_ == Channel::Replication && Host_)
+  else if (Message.Channel_ != Channel::Replication)
+    Feed_.receive(std::move(Message));
+  else if (Host_)
     Host_->receive(std::move(Message));
 }
 
-void Control::onCatalog(const Catalog &State, const Change *) {
-  auto Next = prepare(State);
-  std::lock_guard Guard(Lock_);
-  Catalog_ = State;
-  InForce_.set(Next);
-}
-
 ChangeReply Control::submit(const Change &C, Duration Wait) {
   return Router_.submit(C, Wait);
 }
@@ -91,6 +92,38 @@
   Proposer_.post([this, C = std::move(C)] { submit(C, ProposeWait); });
 }
 
+void Control::tick() {
+  Feed_.tick(leaderView());
+  keepView();
+  logWithdrawals();
+}
+
+/// The leader logs the withdrawals that reached it by another way.
+void Control::logWithdrawals() {
+  Time Now = Clock_.now();
+  if (Now < NextLogging_)
+    return;
+  NextLogging_ = Now + LogEvery;
+  if (!leaderView().Leading_)
+    return;
+  for (const KeyId &Key : Feed_.unloggedWithdrawals()) {
+    Change C;
+    C.Id_ = ChangeId("withdraw-" + Key.str());
+    C.Kind_ = ChangeKind::WithdrawKey;
+    C.Key_.Id_ = Key;
+    propose(C);
+  }
+}
+
+KeyVerdict Control::keyVerdict(const KeyDecl &Key) const {
+  auto F = InForce_.get();
+  auto Team = F->Declared_.Teams_.find(Key.Team_);
+  Duration CutOffFor;
+  if (Team != F->Declared_.Teams_.end())
+    CutOffFor = Team->second.CutOffKeysFor_;
+  return Feed_.verdict(Key.Id_, CutOffFor);
+}
+
 void Control::keepView() {
   auto F = InForce_.get();
   if (F->Revision_ == Revision())
@@ -108,7 +141,14 @@
 }
 
 ChangeReply Control::withdrawKey(const Change &C, Duration Wait) {
-  return submit(C, Wait);
+  Feed_.withdraw(C.Key_.Id_);
+  try {
+    return submit(C, Wait);
+  } catch (const UnavailableError &) {
+    // It spreads without a leader, and the next leader logs it.
+    return {ChangeVerdict::Accepted, InForce_.get()->Revision_,
+            "withdrawn at this VM and spreading; no leader has logged it yet"};
+  }
 }
 
 ChangeReply Control::grantKey(const Change &C, Duration Wait) {
@@ -132,11 +172,20 @@
   return Host_->addVoter(V.With_);
 }
 
+/// \returns the newest revision that each VM confirmed to this one, by the
+/// feed or by membership.
+std::map<VmId, Revision> Control::confirmations() const {
+  std::map<VmId, Revision> Newest = Feed_.confirmed();
+  for (const auto &[Vm, Member] : Members_.view()->Vms_)
+    Newest[Vm] = std::max(Newest[Vm], Member.Revision_);
+  return Newest;
+}
+
 ForceReport Control::awaitInForce(Revision R, Duration Wait) {
   Time Deadline = Clock_.now() + Wait;
   while (true) {
     auto F = InForce_.get();
-    ForceReport Report = forceReport(*F, *Members_.view(), R);
+    ForceReport Report = forceReport(*F, confirmations(), R);
     if (Report.Unconfirmed_.empty() || Clock_.now() >= Deadline)
       return Report;
     std::this_thread::sleep_for(std::chrono::milliseconds(ForcePoll.count()));
@@ -157,22 +206,23 @@
 }
 
 std::pair<Revision, std::string> Control::declarationsText() const {
-  std::lock_guard Guard(Lock_);
-  return {Catalog_.Revision_, Catalog_.Text_};
+  return Feed_.declarationsText();
 }
 
-std::string Control::whyNotReady() const {
-  if (InForce_.get()->Revision_ == Revision())
-    return "no declarations are in force yet";
-  return "";
-}
+std::string Control::whyNotReady() const { return Feed_.whyNotReady(); }
 
 LeaderView Control::leaderView() const {
-  return Host_ ? Host_->leaderView() : LeaderView();
+  if (Host_)
+    return Host_->leaderView();
+  LeaderView View;
+  View.Voters_ = {Settings_.InitialVoters_.begin(),
+                  Settings_.InitialVoters_.end()};
+  return View;
 }
 
-std::vector<VmStatus> Control::vmRows(const InForce &F,
-                                      const FleetView &Fleet) const {
+std::vector<VmStatus>
+Control::vmRows(const InForce &F, const FleetView &Fleet,
+                const std::map<VmId, Revision> &Confirmed) const {
   std::vector<VmStatus> Rows;
   for (const auto &[Id, Vm] : F.Declared_.Vms_) {
     auto Found = Fleet.Vms_.find(Id);
@@ -181,7 +231,7 @@
     VmStatus Row{Id, Vm.Zone_, "dead", Revision(), ""};
     if (Member) {
       Row.State_ = toString(Member->State_);
-      Row.Revision_ = Member->Revision_;
+      Row.Revision_ = Confirmed.at(Id);
     }
     if (Row.Revision_ < F.Revision_)
       Row.Why_ = whyLagging(Member);
@@ -197,7 +247,7 @@
   Out.WhyNotReady_ = whyNotReady();
   Out.Revision_ = InForce_.get()->Revision_;
   auto Fleet = Members_.view();
-  Out.Vms_ = vmRows(*InForce_.get(), *Fleet);
+  Out.Vms_ = vmRows(*InForce_.get(), *Fleet, confirmations());
   for (const UpstreamRecord &U : Fleet->Upstreams_)
     Out.Upstreams_.push_back({U.Key_.Service_, U.Key_.Upstream_, U.Zone_,
                               "serving", U.Slots_, U.Load_});
--- a/lagoonpoint/src/Node/Control.h
+++ b/lagoonpoint/src/Node/Control.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lagoonpoint/src/Node/ChangeRouter.h"
-#include "lagoonpoint/src/Node/Dispatcher.h"
+#include "lagoonpoint/src/Node/FeedHost.h"
 #include "lagoonpoint/src/Node/InForce.h"
 #include "lagoonpoint/src/Node/MemberHost.h"
 #include "lagoonpoint/src/Node/ViewKeeper.h"
@@ -69,8 +69,8 @@
 /// what operators ask of them. Thread-safe.
 class Control {
 public:
-  Control(const Settings &S, const Clock &C, Transport &T, InForceCell &Cell,
-          MemberHost &M);
+  Control(const Settings &S, Incarnation I, const Clock &C, Transport &T,
+          InForceCell &Cell, MemberHost &M);
   ~Control();
 
   void start();
@@ -97,25 +97,30 @@
   std::string whyNotReady() const;
   LeaderView leaderView() const;
 
-  /// Proposes the zone's next view for once-requests if it is due.
-  void keepView();
+  /// Moves the feed and proposes what is due; to be called every 100 ms.
+  void tick();
+  /// Judges a key that is known and right.
+  KeyVerdict keyVerdict(const KeyDecl &Key) const;
 
 private:
   /// Submits a change without waiting for its verdict.
   void propose(Change C);
-  void onCatalog(const Catalog &State, const Change *Cause);
+  void keepView();
+  void logWithdrawals();
 
-  std::vector<VmStatus> vmRows(const InForce &F, const FleetView &Fleet) const;
+  std::vector<VmStatus> vmRows(const InForce &F, const FleetView &Fleet,
+                               const std::map<VmId, Revision> &Confirmed) const;
+  std::map<VmId, Revision> confirmations() const;
 
   const Settings &Settings_;
   const Clock &Clock_;
   InForceCell &InForce_;
   MemberHost &Members_;
-  mutable std::mutex Lock_;
-  Catalog Catalog_; ///< as in force here
+  FeedHost Feed_;
   std::unique_ptr<ReplicaHost> Host_;
   ChangeRouter Router_;
   ViewKeeper Keeper_;
+  Time NextLogging_;
   Worker Proposer_;
 };
 
--- /dev/null
+++ b/lagoonpoint/src/Node/FeedHost.cpp
@@ -0,0 +1,196 @@
+#include "lagoonpoint/src/Node/FeedHost.h"
+
+#include "lagoonpoint/Log"
+
+#include <algorithm>
+
+namespace lagoonpoint {
+
+namespace {
+
+constexpr Duration IdleTick = Duration::seconds(1);
+
+FeedOptions optionsOf(const Settings &S, Incarnation I, bool Cached) {
+  FeedOptions Options;
+  Options.Self_ = S.Vm_;
+  Options.Zone_ = S.Zone_;
+  Options.Incarnation_ = I;
+  Options.CachedOnDisk_ = Cached;
+  return Options;
+}
+
+std::vector<FeedPeer> feedPeers(const FleetView &Fleet,
+                                const std::set<VmId> &Voters) {
+  std::vector<FeedPeer> Peers;
+  for (const auto &[Vm, Member] : Fleet.Vms_) {
+    FeedPeer Peer{Vm, Member.Zone_};
+    Peer.Alive_ =
+        Member.State_ == VmState::Alive || Member.State_ == VmState::Draining;
+    Peer.Voter_ = Voters.count(Vm) > 0;
+    Peer.Answering_ = Fleet.Answering_.count(Vm) > 0;
+    Peers.push_back(Peer);
+  }
+  return Peers;
+}
+
+} // namespace
+
+FeedHost::FeedHost(const Settings &S, Incarnation I, const Clock &C,
+                   Transport &T, InForceCell &Cell, MemberHost &M)
+    : Settings_(S), Clock_(C), Transport_(T), InForce_(Cell), Members_(M),
+      Store_(S.DataFolder_),
+      Feed_(optionsOf(S, I, Store_.cached()), Store_, C.now()),
+      Withdrawn_({.Self_ = S.Vm_}), Worker_("feed.run", IdleTick, [] {}) {
+  publish();
+}
+
+FeedHost::~FeedHost() { stop(); }
+
+void FeedHost::start() { Worker_.start(); }
+
+void FeedHost::stop() { Worker_.stop(); }
+
+void FeedHost::send(std::vector<Envelope> Messages) {
+  for (Envelope &Message : Messages)
+    Transport_.send(std::move(Message));
+}
+
+void FeedHost::receive(Envelope Message) {
+  if (Message.Channel_ == Channel::Withdrawal) {
+    std::vector<Envelope> Out;
+    {
+      std::lock_guard Guard(KeyLock_);
+      Withdrawn_.receive(Message);
+      Out = Withdrawn_.takeOutbox();
+    }
+    return send(std::move(Out));
+  }
+  Worker_.post([this, M = std::move(Message)] {
+    Feed_.receive(M, Clock_.now());
+    publish();
+    publishStatus();
+    send(Feed_.takeOutbox());
+  });
+}
+
+void FeedHost::observe(const Catalog &State, const Change *Cause) {
+  std::shared_ptr<Change> Copy;
+  if (Cause)
+    Copy = std::make_shared<Change>(*Cause);
+  Worker_.post([this, State, Copy] { takeState(State, Copy.get()); });
+}
+
+void FeedHost::takeState(const Catalog &State, const Change *Cause) {
+  Revision Before = Store_.revision();
+  // A replica that replays its log shows what is in force here already.
+  if (State.Revision_ <= Before)
+    return;
+  Store_.replace(State);
+  bool Next = Cause && State.Revision_ == Before.next();
+  if (Next)
+    Feed_.advanced({Before, State.Revision_, encode(*Cause)}, Clock_.now());
+  else
+    Feed_.replaced(Clock_.now());
+  publish();
+  send(Feed_.takeOutbox());
+}
+
+void FeedHost::tick(const LeaderView &Leader) {
+  Worker_.post([this, Leader] { step(Leader); });
+}
+
+void FeedHost::step(const LeaderView &Leader) {
+  Time Now = Clock_.now();
+  auto Fleet = Members_.view();
+  Contact_ = Fleet->Contact_;
+  Feed_.setPeers(feedPeers(*Fleet, Leader.Voters_), Leader.Leader_, Now);
+  Feed_.setAuthority(Leader.Leading_ && Now < Leader.LeadsUntil_ &&
+                     Store_.revision() >= Leader.Revision_);
+  Feed_.tick(Now);
+  std::vector<Envelope> Out = Feed_.takeOutbox();
+  {
+    std::lock_guard Guard(KeyLock_);
+    std::vector<VmId> Alive;
+    for (const auto &[Vm, Member] : Fleet->Vms_)
+      if (Vm != Settings_.Vm_ && Member.State_ != VmState::Dead)
+        Alive.push_back(Vm);
+    Withdrawn_.setPeers(std::move(Alive));
+    Withdrawn_.tick(Random_, Now);
+    for (Envelope &Message : Withdrawn_.takeOutbox())
+      Out.push_back(std::move(Message));
+  }
+  publish();
+  publishStatus();
+  send(std::move(Out));
+}
+
+/// Puts the store's revision in force for calls.
+void FeedHost::publish() {
+  if (Store_.revision() == Published_)
+    return;
+  Published_ = Store_.revision();
+  InForce_.set(prepare(Store_.catalog()));
+  {
+    std::lock_guard Guard(KeyLock_);
+    Withdrawn_.addLogged(Store_.catalog().Withdrawn_);
+  }
+  std::lock_guard Guard(StatusLock_);
+  Text_ = Store_.catalog().Text_;
+}
+
+void FeedHost::publishStatus() {
+  Time Now = Clock_.now();
+  {
+    std::lock_guard Guard(KeyLock_);
+    Currency_ = Feed_.currency(Contact_, Now);
+  }
+  Readiness Before = Readiness_.exchange(Feed_.readiness());
+  if (Before != Feed_.readiness())
+    log({.Step_ = "feed.ready",
+         .Message_ = toString(Feed_.readiness()),
+         .Revision_ = Store_.revision()});
+  std::lock_guard Guard(StatusLock_);
+  WhyNotReady_ = Feed_.whyNotReady(Now);
+  if (WhyNotReady_.empty() && Store_.revision() == Revision())
+    WhyNotReady_ = "no declarations are in force yet";
+  Confirmed_.clear();
+  for (const auto &[Vm, C] : Feed_.confirmed())
+    Confirmed_[Vm] = C.Revision_;
+}
+
+void FeedHost::withdraw(const KeyId &Key) {
+  std::lock_guard Guard(KeyLock_);
+  Withdrawn_.withdraw(Key);
+}
+
+std::vector<KeyId> FeedHost::unloggedWithdrawals() const {
+  auto F = InForce_.get();
+  std::vector<KeyId> Missing;
+  std::lock_guard Guard(KeyLock_);
+  std::set_difference(Withdrawn_.keys().begin(), Withdrawn_.keys().end(),
+                      F->Withdrawn_.begin(), F->Withdrawn_.end(),
+                      std::back_inserter(Missing));
+  return Missing;
+}
+
+KeyVerdict FeedHost::verdict(const KeyId &Key, Duration CutOffFor) const {
+  std::lock_guard Guard(KeyLock_);
+  return keyVerdict(Currency_, Withdrawn_, Key, CutOffFor, Clock_.now());
+}
+
+std::string FeedHost::whyNotReady() const {
+  std::lock_guard Guard(StatusLock_);
+  return WhyNotReady_;
+}
+
+std::map<VmId, Revision> FeedHost::confirmed() const {
+  std::lock_guard Guard(StatusLock_);
+  return Confirmed_;
+}
+
+std::pair<Revision, std::string> FeedHost::declarationsText() const {
+  std::lock_guard Guard(StatusLock_);
+  return {InForce_.get()->Revision_, Text_};
+}
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Node/FeedHost.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "lagoonpoint/src/Node/CatalogStore.h"
+#include "lagoonpoint/src/Node/InForce.h"
+#include "lagoonpoint/src/Node/MemberHost.h"
+#include "lagoonpoint/src/Node/ReplicaHost.h"
+#include "lagoonpoint/src/Node/Worker.h"
+
+#include <atomic>
+#include <set>
+
+namespace lagoonpoint {
+
+/// \class FeedHost
+/// \ingroup Node
+/// \brief Brings accepted changes into force at this VM and passes them on,
+/// and judges keys.
+///
+/// The feed and its store live on a thread of their own, which alone waits for
+/// the disk. Withdrawn keys have a lock. Thread-safe.
+class FeedHost {
+public:
+  FeedHost(const Settings &S, Incarnation I, const Clock &C, Transport &T,
+           InForceCell &Cell, MemberHost &M);
+  ~FeedHost();
+
+  void start();
+  void stop();
+  void receive(Envelope Message);
+  /// Takes a new state of this VM's replica.
+  /// \param Cause the change that led to it, null for a whole new state
+  void observe(const Catalog &State, const Change *Cause);
+  /// Sends what is due; to be called every 100 ms.
+  void tick(const LeaderView &Leader);
+
+  /// Withdraws a key here at once, then everywhere.
+  void withdraw(const KeyId &Key);
+  /// \returns keys withdrawn here that the declarations in force don't show.
+  std::vector<KeyId> unloggedWithdrawals() const;
+  KeyVerdict verdict(const KeyId &Key, Duration CutOffFor) const;
+
+  /// \returns why this VM may not serve, empty if it may.
+  std::string whyNotReady() const;
+  /// \returns how this VM became ready.
+  Readiness readiness() const { return Readiness_; }
+  /// \returns the revisions in force that VMs confirmed to this one.
+  std::map<VmId, Revision> confirmed() const;
+  std::pair<Revision, std::string> declarationsText() const;
+
+private:
+  void takeState(const Catalog &State, const Change *Cause);
+  void step(const LeaderView &Leader);
+  void publish();
+  void publishStatus();
+  void send(std::vector<Envelope> Messages);
+
+  const Settings &Settings_;
+  const Clock &Clock_;
+  Transport &Transport_;
+  InForceCell &InForce_;
+  MemberHost &Members_;
+  CatalogStore Store_;
+  Feed Feed_;
+  Revision Published_;
+  Contact Contact_ = Contact::Connected;
+
+  mutable std::mutex KeyLock_;
+  WithdrawnKeys Withdrawn_;
+  KeyCurrency Currency_;
+  Random Random_{std::random_device()()};
+
+  mutable std::mutex StatusLock_;
+  std::string WhyNotReady_ = "starting";
+  std::map<VmId, Revision> Confirmed_;
+  std::string Text_;
+  std::atomic<Readiness> Readiness_{Readiness::NotReady};
+  Worker Worker_;
+};
+
+} // namespace lagoonpoint
--- a/lagoonpoint/src/Node/MemberHost.cpp
+++ b/lagoonpoint/src/Node/MemberHost.cpp
@@ -84,6 +84,8 @@
       Next->Vms_[Member.Vm_] = std::move(Member);
     Next->Upstreams_ = Members_.upstreams(Now);
     Next->Contact_ = Members_.contact(Now);
+    for (VmId &Vm : Members_.answeringPeers(Now))
+      Next->Answering_.insert(std::move(Vm));
   });
   std::lock_guard Guard(ViewLock_);
   View_ = std::move(Next);
--- a/lagoonpoint/src/Node/MemberHost.h
+++ b/lagoonpoint/src/Node/MemberHost.h
@@ -19,6 +19,7 @@
   std::map<VmId, MemberView> Vms_;
   std::vector<UpstreamRecord> Upstreams_; ///< usable ones, of all zones
   Contact Contact_ = Contact::Connected;
+  std::set<VmId> Answering_; ///< VMs of this zone that answered lately
 
   /// \returns true if the VM answers and doesn't drain.
   bool ready(const VmId &Vm) const;
--- a/lagoonpoint/src/Node/Node.cpp
+++ b/lagoonpoint/src/Node/Node.cpp
@@ -53,6 +53,19 @@
   return News;
 }
 
+/// \returns the revision that every declared VM, also a silent one, is known to
+/// have reached: none can use an older one any more.
+Revision settledRevision(const InForce &F, const FleetView &Fleet) {
+  Revision Oldest = F.Revision_;
+  for (const auto &[Id, Vm] : F.Declared_.Vms_) {
+    auto Found = Fleet.Vms_.find(Id);
+    if (Found == Fleet.Vms_.end())
+      return Revision();
+    Oldest = std::min(Oldest, Found->second.Revision_);
+  }
+  return Oldest;
+}
+
 } // namespace
 
 struct Node::Parts {
@@ -65,7 +78,8 @@
         Limits_(S.Vm_, Incarnation_, Clock_, Peers_),
         Members_(S, Incarnation_, Clock_, Peers_),
         Once_(S, Incarnation_, Clock_, Peers_), Steerer_(S, Clock_, Peers_),
-        Dispatcher_(Clock_), Control_(S, Clock_, Peers_, InForce_, Members_),
+        Dispatcher_(Clock_),
+        Control_(S, Incarnation_, Clock_, Peers_, InForce_, Members_),
         Services_{S,        Clock_,   Limits_,  Dispatcher_, Once_,
                   Steerer_, Members_, Retries_, Metrics_},
         Calls_(Services_, InForce_, Control_), Announces_(InForce_, Members_),
@@ -184,14 +198,14 @@
 
 void Node::Parts::tick() {
   takeInForce();
-  Limits_.settle(Applied_);
   Limits_.setLeader(Control_.leaderView());
   Limits_.tick();
   Once_.tick();
   if (due(NextMembers_, MembersEvery)) {
     Members_.tick();
     learnUpstreams();
-    Control_.keepView();
+    Limits_.settle(settledRevision(*InForce_.get(), *Members_.view()));
+    Control_.tick();
   }
   if (due(NextSteer_, SteerEvery))
     Steerer_.tick(*Members_.view(), slotsHere());
--- a/lagoonpoint/src/Node/ReplicaHost.cpp
+++ b/lagoonpoint/src/Node/ReplicaHost.cpp
@@ -162,6 +162,10 @@
   View_.Leader_ = Status.Leader_;
   View_.Term_ = Status.Term_;
   View_.Leading_ = Replica_->isLeader() && Replica_->leaseValid(Now);
+  View_.Revision_ = Catalog_.Revision_;
+  View_.Voters_.clear();
+  for (const Voter &V : Status.Config_.Voters_)
+    View_.Voters_.insert(V.Vm_);
   View_.LeadsUntil_ = leaseEnd(Replica_->state(), Now).value_or(Time());
 }
 
--- a/lagoonpoint/src/Node/ReplicaHost.h
+++ b/lagoonpoint/src/Node/ReplicaHost.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 
 namespace lagoonpoint {
 
@@ -25,6 +26,8 @@
   Term Term_;
   bool Leading_ = false; ///< this VM leads
   Time LeadsUntil_;      ///< no other VM can lead before; while leading
+  Revision Revision_;    ///< committed here
+  std::set<VmId> Voters_;
 };
 
 /// \class ReplicaHost
