--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -180,14 +180,16 @@
 }
 
 /// Sends one round to one target.
-void runRound(const Options &O, const std::string &Target, Result &Out) {
+/// \param Pid process whose CPU time is counted, or 0
+void runRound(const Options &O, const std::string &Target, int Pid,
+              Result &Out) {
   long Count = O.MaxRequests_;
   if (O.Rate_ > 0)
     Count = std::min(Count, static_cast<long>(O.Rate_ * O.Seconds_));
   std::atomic<long> Next{0};
   std::vector<Result> Parts(O.Connections_);
   std::vector<std::thread> Threads;
-  double Cpu = cpuSeconds(O.Pid_);
+  double Cpu = cpuSeconds(Pid);
   auto Begin = SteadyClock::now();
   for (Result &Part : Parts)
     Threads.emplace_back([&] { sendDue(O, Target, Next, Count, Begin, Part); });
@@ -195,7 +197,7 @@
     T.join();
   Out.Seconds_ +=
       std::chrono::duration<double>(SteadyClock::now() - Begin).count();
-  Out.CpuSeconds_ += cpuSeconds(O.Pid_) - Cpu;
+  Out.CpuSeconds_ += cpuSeconds(Pid) - Cpu;
   for (const Result &Part : Parts)
     Out.add(Part);
 }
@@ -255,9 +257,9 @@
   Result Vm;
   for (unsigned Round = 0; Round < O.Rounds_; ++Round) {
     if (!O.Direct_.empty())
-      runRound(O, O.Direct_, Direct);
+      runRound(O, O.Direct_, 0, Direct);
     if (!O.Vm_.empty())
-      runRound(O, O.Vm_, Vm);
+      runRound(O, O.Vm_, O.Pid_, Vm);
   }
   if (!O.Direct_.empty())
     print("direct", Direct);
