Keep a thread on its connection for the next request

Cause: a quarter of the listener's time went into handing each request from the poller to a thread (perf: _raw_spin_unlock_irqrestore 12.9 %, finish_task_switch 12.9 %). Change: after an answer a thread waits up to 20 ms for the next request of the same connection, if no other waits and at most half of the threads do so; a busy connection goes to the end of the queue when others wait.

--- a/lagoonpoint/src/Http/util/Listener.cpp
+++ b/lagoonpoint/src/Http/util/Listener.cpp
@@ -17,6 +17,22 @@
 constexpr Duration SweepEvery = Duration::millis(100);
 constexpr Duration StopSweepEvery = Duration::millis(20);
 constexpr Duration ClosingFor = Duration::seconds(1);
+constexpr Duration LingerFor = Duration::millis(20);
+
+/// Counts the threads that wait for a connection's next request.
+class Lingering {
+public:
+  explicit Lingering(std::atomic<unsigned> &Count)
+      : Count_(Count), Own_(Count.fetch_add(1) + 1) {}
+  ~Lingering() { Count_.fetch_sub(1); }
+  Lingering(const Lingering &) = delete;
+  Lingering &operator=(const Lingering &) = delete;
+  unsigned count() const { return Own_; }
+
+private:
+  std::atomic<unsigned> &Count_;
+  unsigned Own_;
+};
 
 Poco::Timespan timespanOf(Duration D) {
   return Poco::Timespan(D.count() * Poco::Timespan::MILLISECONDS);
@@ -198,6 +214,7 @@
   {
     std::lock_guard Lock(QueueLock_);
     Queue_.push_back(std::move(C));
+    ++Queued_;
   }
   QueueFilled_.notify_one();
 }
@@ -212,6 +229,7 @@
         return;
       C = std::move(Queue_.front());
       Queue_.pop_front();
+      --Queued_;
       Serving_.insert(C.get());
     }
     handle(std::move(C));
@@ -219,9 +237,9 @@
 }
 
 void Listener::handle(Owned C) {
-  bool Keep = false;
+  Next Then = Next::Close;
   try {
-    Keep = C->Closing_ ? discard(*C) : serveArrived(*C);
+    Then = C->Closing_ ? discard(*C) : serveArrived(*C);
   } catch (const std::exception &E) {
     logError(Error("http.connection", C->ClientAddress_, E.what()));
   }
@@ -229,40 +247,60 @@
     std::lock_guard Lock(QueueLock_);
     Serving_.erase(C.get());
   }
-  if (Keep)
+  if (Then == Next::Park)
     return park(std::move(C));
+  if (Then == Next::Requeue)
+    return enqueue(std::move(C));
   C.reset();
   --Open_;
 }
 
-// Reads and serves until nothing more has arrived. Returns false if the
-// connection is closed.
-bool Listener::serveArrived(Connection &C) {
+// Reads and serves until nothing more arrives or others wait.
+Listener::Next Listener::serveArrived(Connection &C) {
+  bool Served = false;
   for (;;) {
     std::size_t Length = headLength(C.Wire_.buffered());
     bool TooLong = C.Wire_.buffered().size() > Options_.MaxHeadBytes_;
     if (Length != std::string_view::npos || TooLong) {
-      bool Usable = serveBuffered(C, Length);
-      C.HeadBegan_.reset();
-      C.Arrived_ = Clock_.now();
-      if (!Usable) {
+      if (Served && Queued_ > 0)
+        return Next::Requeue;
+      Served = true;
+      if (!serveBuffered(C, Length)) {
         drop(C);
         return discard(C);
       }
+      C.HeadBegan_.reset();
+      C.Arrived_ = Clock_.now();
       continue;
     }
     WireEnd Read = C.Wire_.fillNow();
-    if (Read != WireEnd::Ready)
-      return Read == WireEnd::TimedOut;
+    if (Read == WireEnd::TimedOut && Served && linger(C))
+      continue;
+    if (Read == WireEnd::TimedOut)
+      return Next::Park;
+    if (Read == WireEnd::Closed)
+      return Next::Close;
     if (!C.HeadBegan_)
       C.HeadBegan_ = C.Arrived_;
   }
 }
 
-// Returns false if the peer has closed.
-bool Listener::discard(Connection &C) {
+// Waits a little for the next request, which saves handing the connection to
+// the poller and on to another thread. Half of the threads never wait here.
+bool Listener::linger(Connection &C) {
+  Lingering Counted(Lingering_);
+  bool Spare = Counted.count() <= Options_.Threads_ / 2 && Queued_ == 0;
+  if (stopping() || !Spare)
+    return false;
+  WireEnd End = C.Wire_.waitReadable(Until(Clock_, Clock_.now() + LingerFor));
+  C.Arrived_ = Clock_.now();
+  return End == WireEnd::Ready;
+}
+
+Listener::Next Listener::discard(Connection &C) {
   C.Wire_.consume(C.Wire_.buffered().size());
-  return C.Wire_.fillNow() != WireEnd::Closed;
+  bool Closed = C.Wire_.fillNow() == WireEnd::Closed;
+  return Closed ? Next::Close : Next::Park;
 }
 
 // Serves the request whose head is buffered, or refuses a head that is too
--- a/lagoonpoint/src/Http/util/Listener.h
+++ b/lagoonpoint/src/Http/util/Listener.h
@@ -76,6 +76,9 @@
 private:
   using Owned = std::unique_ptr<Connection>;
 
+  /// What becomes of a connection that a thread leaves.
+  enum class Next { Park, Requeue, Close };
+
   void pollLoop();
   void workLoop();
   void acceptAll();
@@ -86,8 +89,9 @@
   void enqueue(Owned C);
   void park(Owned C);
   void handle(Owned C);
-  bool serveArrived(Connection &C);
-  bool discard(Connection &C);
+  Next serveArrived(Connection &C);
+  bool linger(Connection &C);
+  Next discard(Connection &C);
   bool serveBuffered(Connection &C, std::size_t Length);
   void drop(Connection &C);
   void sweep();
@@ -115,7 +119,9 @@
   std::condition_variable QueueFilled_;
   std::deque<Owned> Queue_;
   std::set<Connection *> Serving_;
-  std::atomic<std::size_t> Open_{0}; ///< connections in whatever state
+  std::atomic<std::size_t> Queued_{0}; ///< size of Queue_
+  std::atomic<unsigned> Lingering_{0}; ///< threads waiting for one connection
+  std::atomic<std::size_t> Open_{0};   ///< connections in whatever state
 };
 
 } // namespace lagoonpoint::internal
--- a/lagoonpoint/src/Http/util/Wire.cpp
+++ b/lagoonpoint/src/Http/util/Wire.cpp
@@ -63,6 +63,10 @@
   }
 }
 
+WireEnd Wire::waitReadable(const Until &Limit) const {
+  return wait(POLLIN, Limit, {});
+}
+
 WireEnd Wire::fill(const Until &Limit, Watch Other) {
   for (;;) {
     WireEnd Waited = wait(POLLIN, Limit, Other);
--- a/lagoonpoint/src/Http/util/Wire.h
+++ b/lagoonpoint/src/Http/util/Wire.h
@@ -64,6 +64,8 @@
 
   /// Reads what has arrived; TimedOut if nothing has.
   WireEnd fillNow();
+  /// Waits for bytes or the end of the stream, and reads nothing.
+  WireEnd waitReadable(const Until &Limit) const;
   /// Waits for bytes and reads them.
   WireEnd fill(const Until &Limit, Watch Other = {});
   /// Writes all bytes.
--- a/test/CallerServer.cpp
+++ b/test/CallerServer.cpp
@@ -248,6 +248,28 @@
     CHECK_THAT(Caller.readAll(), StartsWith("HTTP/1.1 400 "));
     CHECK(Rig.Port_.reports().empty());
   }
+  SECTION("a busy connection leaves room for others") {
+    Rig.Settings_.CallerThreads_ = GENERATE(1U, 2U);
+    unsigned short Port = Rig.start();
+    std::string One =
+        "GET /v1/lookup?service=tags HTTP/1.1\r\nHost: vm\r\n\r\n";
+    std::atomic<bool> Ended{false};
+    std::vector<std::thread> Busy;
+    for (int Number = 0; Number < 4; ++Number)
+      Busy.emplace_back([&] {
+        RawSocket Caller(Port);
+        while (!Ended && Caller.send(One + One))
+          Caller.readMessage();
+      });
+    RawSocket Caller(Port);
+    for (int Count = 0; Count < 20; ++Count) {
+      Caller.send(One);
+      CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 200 "));
+    }
+    Ended = true;
+    for (std::thread &T : Busy)
+      T.join();
+  }
   SECTION("idle connections give way to new ones") {
     Rig.Settings_.MaxCallerConnections_ = 2;
     unsigned short Port = Rig.start();
