Parse heads without new streams and copies

Cause: parsing the two heads of a call took a quarter of the VM's time (perf on the binary at 10,000 calls/s: parseRequestHead 13.7 %, parseAnswerHead 12.3 %), much of it making an input stream and copying POCO's messages. Change: one stream a thread reads head after head; heads are filled in place. Figures: callgrind over 2,000 calls, whole program: 108.8 million instructions before, 94.7 million after.

--- a/lagoonpoint/src/Http/util/HeadParser.cpp
+++ b/lagoonpoint/src/Http/util/HeadParser.cpp
@@ -3,10 +3,11 @@
 #include "lagoonpoint/src/Http/util/PathCheck.h"
 
 #include <Poco/Exception.h>
-#include <Poco/MemoryStream.h>
 #include <Poco/String.h>
 
 #include <algorithm>
+#include <istream>
+#include <streambuf>
 #include <string>
 
 namespace lagoonpoint::internal {
@@ -158,10 +159,22 @@
   Head.ExpectContinue_ = true;
 }
 
+/// Lets one stream read text after text: making a stream costs more than
+/// parsing a head.
+class TextBuffer : public std::streambuf {
+public:
+  void set(std::string_view Text) {
+    char *Begin = const_cast<char *>(Text.data());
+    setg(Begin, Begin, Begin + Text.size());
+  }
+};
+
 template <class Message> void parse(Message &Out, std::string_view Head) {
+  thread_local TextBuffer Buffer;
+  thread_local std::istream In(&Buffer);
+  Buffer.set(Head);
+  In.clear();
   try {
-    Poco::MemoryInputStream In(Head.data(),
-                               static_cast<std::streamsize>(Head.size()));
     Out.read(In);
   } catch (const Poco::Exception &E) {
     throw Malformed{"malformed head: " + E.displayText()};
@@ -177,40 +190,35 @@
   return End + 4;
 }
 
-RequestHead parseRequestHead(std::string_view Head) {
+void parseRequestHead(std::string_view Head, RequestHead &Out) {
   try {
     std::string_view Rest = Head;
     checkRequestLine(takeLine(Rest));
     checkFields(Rest);
-    RequestHead Out;
     parse(Out.Request_, Head);
     checkHost(Out.Request_);
     checkExpect(Out);
     Out.Body_ = framingOf(Out.Request_);
     Out.KeepAlive_ = keepAliveOf(Out.Request_);
-    return Out;
   } catch (const Malformed &M) {
     throw Refusal(RefusalReason::BadRequest, Ran::No, "http.head", M.Why_);
   }
 }
 
-AnswerHead parseAnswerHead(std::string_view Head, bool ToHead,
-                           const std::string &Peer) {
+void parseAnswerHead(std::string_view Head, bool ToHead,
+                     const std::string &Peer, AnswerHead &Out) {
   try {
     std::string_view Rest = Head;
     checkStatusLine(takeLine(Rest));
     checkFields(Rest);
-    AnswerHead Out;
     parse(Out.Response_, Head);
     int Status = Out.Response_.getStatus();
     bool Bodiless = ToHead || Status < 200 || Status == 204 || Status == 304;
     Framing Declared = framingOf(Out.Response_);
     if (!Bodiless && Declared.Kind_ == FramingKind::None)
       throw Malformed{"answer without Content-Length or chunked encoding"};
-    if (!Bodiless)
-      Out.Body_ = Declared;
+    Out.Body_ = Bodiless ? Framing() : Declared;
     Out.KeepAlive_ = keepAliveOf(Out.Response_);
-    return Out;
   } catch (const Malformed &M) {
     throw Error("http.answer", Peer, M.Why_);
   }
--- a/lagoonpoint/src/Http/util/HeadParser.h
+++ b/lagoonpoint/src/Http/util/HeadParser.h
@@ -40,15 +40,16 @@
 
 /// Checks every byte of a request's head, then lets POCO parse it.
 /// \ingroup Http
+/// \param[out] Out new; filled in place, since POCO's messages can't be moved
 /// \throws Refusal BadRequest for anything that two parsers could read
 /// differently: bare LF, folded lines, space before a colon, repeated or
 /// contradicting framing, dot segments or needless escapes in the path
-RequestHead parseRequestHead(std::string_view Head);
+void parseRequestHead(std::string_view Head, RequestHead &Out);
 
 /// The same for an upstream's answer.
 /// \param ToHead the request's method was HEAD, so that no body follows
 /// \throws Error naming \p Peer
-AnswerHead parseAnswerHead(std::string_view Head, bool ToHead,
-                           const std::string &Peer);
+void parseAnswerHead(std::string_view Head, bool ToHead,
+                     const std::string &Peer, AnswerHead &Out);
 
 } // namespace lagoonpoint::internal
--- a/lagoonpoint/src/Http/util/Listener.cpp
+++ b/lagoonpoint/src/Http/util/Listener.cpp
@@ -310,7 +310,8 @@
     if (Length > Options_.MaxHeadBytes_)
       throw Refusal(RefusalReason::TooLarge, Ran::No, "http.head",
                     "request head is longer than the limit");
-    RequestHead Head = parseRequestHead(C.Wire_.buffered().substr(0, Length));
+    RequestHead Head;
+    parseRequestHead(C.Wire_.buffered().substr(0, Length), Head);
     C.Wire_.consume(Length);
     return Serve_(C, Head);
   } catch (const Refusal &R) {
--- a/lagoonpoint/src/Http/util/ProxyCall.cpp
+++ b/lagoonpoint/src/Http/util/ProxyCall.cpp
@@ -152,7 +152,7 @@
   T.RanBefore_ = MayHaveRun_;
   bool Whole = false;
   if (open(T) && send(T) && receiveHead(T)) {
-    BodyReader Reader(*T.Wire_, T.Head_.Body_);
+    BodyReader Reader(*T.Wire_, T.Head_->Body_);
     if (receiveBody(T, Reader, Whole)) {
       Reusable = Whole ? finishWhole(T) : relay(T, Reader);
       return true;
@@ -267,14 +267,15 @@
 
 bool ProxyCall::parseHead(Try &T, std::size_t Length, bool &Interim) {
   try {
-    T.Head_ = parseAnswerHead(T.Wire_->buffered().substr(0, Length), toHead(),
-                              toString(T.To_.Address_));
+    T.Head_.emplace();
+    parseAnswerHead(T.Wire_->buffered().substr(0, Length), toHead(),
+                    toString(T.To_.Address_), *T.Head_);
   } catch (const Error &) {
     return fail(T, TryEnd::Broken);
   }
   T.Wire_->consume(Length);
   T.Report_.BytesReceived_ += static_cast<std::int64_t>(Length);
-  T.Report_.Status_ = T.Head_.Response_.getStatus();
+  T.Report_.Status_ = T.Head_->Response_.getStatus();
   if (T.Report_.Status_ == 101)
     return fail(T, TryEnd::Broken);
   Interim = T.Report_.Status_ < 200;
@@ -310,8 +311,8 @@
   }
   if (!Whole && isOnce())
     return fail(T, TryEnd::Broken);
-  bool Shed =
-      T.Report_.Status_ == 503 && T.Head_.Response_.get(NotRunField, "") == "1";
+  bool Shed = T.Report_.Status_ == 503 &&
+              T.Head_->Response_.get(NotRunField, "") == "1";
   if (Whole && Shed && (T.To_.Vm_.empty() || !isOnce())) {
     releaseWire(T);
     MayHaveRun_ = T.RanBefore_;
@@ -324,15 +325,15 @@
   releaseWire(T);
   T.Report_.End_ = TryEnd::Answered;
   if (isOnce() && T.To_.Vm_.empty()) {
-    Fields Kept = answerFields(T.Head_.Response_, Call_.Request_);
+    Fields Kept = answerFields(T.Head_->Response_, Call_.Request_);
     Kept.pop_back();
     Ticket_->keep({T.Report_.Status_, Kept, T.Body_});
   }
   report(T);
   bool KeepAlive = keepAlive();
-  Fields F = answerFields(T.Head_.Response_, Call_.Request_);
+  Fields F = answerFields(T.Head_->Response_, Call_.Request_);
   std::string Text = answerHead(T, F, KeepAlive);
-  bool Bodiless = T.Head_.Body_.Kind_ == FramingKind::None;
+  bool Bodiless = T.Head_->Body_.Kind_ == FramingKind::None;
   if (!Bodiless)
     Text += "Content-Length: " + std::to_string(T.Body_.size()) + "\r\n";
   Text += "\r\n";
@@ -344,8 +345,8 @@
 std::string ProxyCall::answerHead(const Try &T, const Fields &F,
                                   bool KeepAlive) const {
   std::string Text = headText(T.Report_.Status_, F, KeepAlive);
-  const Poco::Net::HTTPResponse &Response = T.Head_.Response_;
-  bool Bodiless = T.Head_.Body_.Kind_ == FramingKind::None;
+  const Poco::Net::HTTPResponse &Response = T.Head_->Response_;
+  bool Bodiless = T.Head_->Body_.Kind_ == FramingKind::None;
   if (Bodiless && T.Report_.Status_ != 204 && Response.has("Content-Length"))
     Text += "Content-Length: " + Response.get("Content-Length") + "\r\n";
   return Text;
@@ -354,11 +355,11 @@
 // Passes on an answer that is too long or too slow to be held back. If it is
 // cut, the caller's connection is reset: no body can look whole.
 bool ProxyCall::relay(Try &T, BodyReader &Reader) {
-  const Framing &Body = T.Head_.Body_;
+  const Framing &Body = T.Head_->Body_;
   bool Http11 = Head_.Request_.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1;
   bool Chunked = Body.Kind_ == FramingKind::Chunked && Http11;
   bool KeepAlive = keepAlive() && Http11;
-  Fields F = answerFields(T.Head_.Response_, Call_.Request_);
+  Fields F = answerFields(T.Head_->Response_, Call_.Request_);
   std::string Text = answerHead(T, F, KeepAlive);
   if (Body.Kind_ == FramingKind::Length)
     Text += "Content-Length: " + std::to_string(Body.Length_) + "\r\n";
@@ -438,7 +439,7 @@
 
 // Gives the connection back for reuse if its exchange is over on both sides.
 void ProxyCall::releaseWire(Try &T) {
-  bool Clean = T.SentAll_ && T.Head_.KeepAlive_ && T.Wire_->buffered().empty();
+  bool Clean = T.SentAll_ && T.Head_->KeepAlive_ && T.Wire_->buffered().empty();
   if (Clean)
     Context_.Pool_.give(T.To_.Address_, std::move(T.Wire_));
   T.Wire_.reset();
--- a/lagoonpoint/src/Http/util/ProxyCall.h
+++ b/lagoonpoint/src/Http/util/ProxyCall.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lagoonpoint::internal {
@@ -50,7 +51,7 @@
     CallTarget To_;
     std::unique_ptr<Wire> Wire_;
     TryReport Report_;
-    AnswerHead Head_;
+    std::optional<AnswerHead> Head_;
     std::string Body_;       ///< as far as it is held back
     bool SentAll_ = false;   ///< whole request was sent
     bool RanBefore_ = false; ///< an earlier try may have run the request
