--- a/lagoonpoint/src/Dissemination/FeedTree.cpp
+++ b/lagoonpoint/src/Dissemination/FeedTree.cpp
@@ -42,6 +42,9 @@
   }
 }
 
+/// Sources to try in all; those at the end hold no more than others do.
+constexpr std::size_t MaxSources = 16;
+
 /// Adds those a filter takes, beginning at a place that differs by VM.
 void addSpread(std::vector<VmId> &Out, const std::vector<FeedPeer> &Peers,
                const VmId &Self,
@@ -52,7 +55,7 @@
       Taken.push_back(P.Vm_);
   std::size_t Start =
       Taken.empty() ? 0 : std::hash<std::string>()(Self.str()) % Taken.size();
-  for (std::size_t At = 0; At < Taken.size(); ++At)
+  for (std::size_t At = 0; At < Taken.size() && Out.size() < MaxSources; ++At)
     addOnce(Out, Taken[(Start + At) % Taken.size()], Self);
 }
 
--- a/test/WithdrawnKeys.cpp
+++ b/test/WithdrawnKeys.cpp
@@ -5,7 +5,6 @@
 
 using namespace lagoonpoint;
 using fakes::ControlFleet;
-using fakes::ControlVm;
 using fakes::Fate;
 
 namespace {
--- a/test/fakes/ControlFleet.h
+++ b/test/fakes/ControlFleet.h
@@ -157,6 +157,7 @@
   }
 
   static constexpr Duration Step = Duration::millis(100);
+  static constexpr Duration PeersEvery = Duration::millis(500);
   VmZones Declared_;
   std::vector<VmId> Voters_;
   std::map<VmId, std::unique_ptr<ControlVm>> Vms_;
@@ -227,6 +228,19 @@
     Disks_[Vm] = V.Store_;
     V.Members_.setRevision(V.Store_.revision());
     V.Members_.tick(Now_);
+    if (Now_.count() % PeersEvery.count() == 0)
+      setPeers(V);
+    V.Feed_.setAuthority(Vm == Leader_);
+    V.Feed_.tick(Now_);
+    if (Logged_)
+      V.Withdrawn_.addLogged(V.Store_.Withdrawn_);
+    if (Epidemic_)
+      V.Withdrawn_.tick(Dice_, Now_);
+    send(V.Members_.takeOutbox());
+    send(V.Feed_.takeOutbox());
+    send(V.Withdrawn_.takeOutbox());
+  }
+  void setPeers(ControlVm &V) {
     std::vector<VmId> Near = V.Members_.answeringPeers(Now_);
     std::vector<FeedPeer> Peers;
     std::vector<VmId> Alive;
@@ -238,16 +252,7 @@
         Alive.push_back(M.Vm_);
     }
     V.Feed_.setPeers(std::move(Peers), Leader_, Now_);
-    V.Feed_.setAuthority(Vm == Leader_);
-    V.Feed_.tick(Now_);
     V.Withdrawn_.setPeers(std::move(Alive));
-    if (Logged_)
-      V.Withdrawn_.addLogged(V.Store_.Withdrawn_);
-    if (Epidemic_)
-      V.Withdrawn_.tick(Dice_, Now_);
-    send(V.Members_.takeOutbox());
-    send(V.Feed_.takeOutbox());
-    send(V.Withdrawn_.takeOutbox());
   }
   void send(std::vector<Envelope> Messages) {
     for (Envelope &Message : Messages)
