Batch news between VMs that can wait

Cause: refreshed upstreams and zone reports were flooded at once along all neighbours; of 10540 bytes/s a VM sent at 873 VMs, 9908 were membership. Change: such news go out once a second, to three neighbours that change; only the next three are pinged; a second bridge reports half as often; digests of states travel as 8 bytes. Bounds of zones and leases follow in the options, and the tests that named the old ones now take them from there. Zone digests are compared with whoever pings, not only with those pinged: in large zones nobody compared them.

--- a/lagoonpoint/src/Dissemination/Feed.cpp
+++ b/lagoonpoint/src/Dissemination/Feed.cpp
@@ -1,5 +1,7 @@
 #include "lagoonpoint/src/Dissemination/Feed.h"
 
+#include "lagoonpoint/src/Membership/util/StableHash.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -125,7 +127,7 @@
   Out.Incarnation_ = Options_.Incarnation_;
   Out.SentAt_ = Now - Time();
   Out.Revision_ = Store_.revision();
-  Out.Digest_ = Store_.digest();
+  Out.Digest_ = shortDigest();
   Out.Follows_ = Follows;
   Out.WantSnapshot_ = Follows && WantSnapshot_;
   if (To == Source_) {
@@ -185,10 +187,14 @@
   F.Sent_ = Store_.revision();
 }
 
+std::uint64_t Feed::shortDigest() const {
+  return StableHash().add(Store_.digest()).value();
+}
+
 FeedBeat Feed::beat(Time Now) const {
   FeedBeat Out;
   Out.Revision_ = Store_.revision();
-  Out.Digest_ = Store_.digest();
+  Out.Digest_ = shortDigest();
   Out.Ready_ = Ready_ != Readiness::NotReady;
   Out.Proved_ = Proof_.has_value();
   if (Proof_) {
--- a/lagoonpoint/src/Dissemination/Feed.h
+++ b/lagoonpoint/src/Dissemination/Feed.h
@@ -99,6 +99,7 @@
   void probePreferred(Time Now);
   void pushToFollowers(Time Now);
   void addNews(FeedBeat &Out, Follower &F, Revision From, bool Whole, Time Now);
+  std::uint64_t shortDigest() const;
   FeedBeat beat(Time Now) const;
 
   void takePull(const VmId &From, const FeedPull &In, Time Now);
--- a/lagoonpoint/src/Dissemination/FeedMessage.h
+++ b/lagoonpoint/src/Dissemination/FeedMessage.h
@@ -23,7 +23,7 @@
   Incarnation Incarnation_;
   Duration SentAt_; ///< on the asker's clock; repeated in the answer
   Revision Revision_;
-  std::string Digest_;
+  std::uint64_t Digest_ = 0;
   bool Follows_ = false;      ///< wants deltas pushed
   bool WantSnapshot_ = false; ///< its state is wrong
   std::vector<Confirmation> Confirmed_;
@@ -37,7 +37,7 @@
   Incarnation Asker_; ///< of the pull; 0 in a push
   Duration SentAt_;   ///< of the pull
   Revision Revision_; ///< in force at the source
-  std::string Digest_;
+  std::uint64_t Digest_ = 0;
   bool Ready_ = false; ///< the source may serve
   bool Proved_ = false;
   Duration ProofAge_; ///< since the authority showed the source to be current
--- a/lagoonpoint/src/Dissemination/FeedReceiving.cpp
+++ b/lagoonpoint/src/Dissemination/FeedReceiving.cpp
@@ -153,7 +153,7 @@
 void Feed::checkDigest(const VmId &From, const FeedBeat &In) {
   if (From != Source_ || In.Revision_ != Store_.revision() || Voter_)
     return;
-  WantSnapshot_ = In.Digest_ != Store_.digest();
+  WantSnapshot_ = In.Digest_ != shortDigest();
 }
 
 void Feed::confirmSelf() {
--- a/lagoonpoint/src/Membership/Members.cpp
+++ b/lagoonpoint/src/Membership/Members.cpp
@@ -39,6 +39,7 @@
   std::erase_if(Records_, Gone);
   std::erase_if(SuspectSince_, Gone);
   std::erase_if(DeclaredSince_, Gone);
+  std::erase_if(Mismatches_, Gone);
   std::erase_if(MemberNews_, [&](const VmId &Vm) { return !declared(Vm); });
   for (const auto &[Vm, Zone] : Declared_)
     DeclaredSince_.emplace(Vm, Now);
@@ -158,7 +159,7 @@
 
 std::vector<VmId> Members::answeringPeers(Time Now) const {
   std::vector<VmId> Peers;
-  for (const auto &[Vm, P] : Neighbours_)
+  for (const auto &[Vm, P] : Probes_)
     if (P.EverAnswered_ && Now - P.Answered_ <= Options_.ContactWindow_)
       Peers.push_back(Vm);
   return Peers;
--- a/lagoonpoint/src/Membership/Members.h
+++ b/lagoonpoint/src/Membership/Members.h
@@ -90,7 +90,6 @@
     Time Since_;    ///< when it became a neighbour
     Time Answered_; ///< when it last answered
     bool EverAnswered_ = false;
-    int Mismatches_ = 0; ///< pings in a row whose digest differs from ours
   };
   struct ZoneState {
     std::map<VmId, std::uint64_t> Counters_; ///< of reports, by their maker
@@ -123,6 +122,7 @@
   VmId bridgeTarget(const ZoneId &Zone, std::size_t Rank, Time Now);
   void refreshUpstreams(Time Now);
   void flushNews(Time Now);
+  void flushBatch(Time Now);
   void flushToZone(Time Now);
   void flushToOtherZones(Time Now);
 
@@ -134,6 +134,8 @@
   void noteAnswer(const MembershipMessage &In, Time Now);
   void compareDigest(const MembershipMessage &In, Time Now);
   MembershipMessage message(MessageKind Kind, Time Now) const;
+  void addUpstreams(MembershipMessage &Out, const std::set<UpstreamKey> &Keys,
+                    Time Now) const;
   void addZone(MembershipMessage &Out, const ZoneId &Zone, Time Now) const;
   void post(const VmId &To, const MembershipMessage &Out);
 
@@ -142,14 +144,17 @@
   std::map<VmId, MemberRecord> Records_; ///< declared VMs heard of, and self
   std::map<VmId, Time> SuspectSince_;
   std::map<VmId, Time> DeclaredSince_;
-  std::map<VmId, Probe> Neighbours_;
+  std::vector<VmId> Neighbours_;
+  std::map<VmId, Probe> Probes_; ///< of the neighbours that are pinged
+  /// Pings in a row whose digest differed from ours, by their sender.
+  std::map<VmId, int> Mismatches_;
   std::map<ZoneId, ZoneState> Zones_; ///< other zones
   UpstreamTable Upstreams_;
 
   std::set<VmId> MemberNews_;
-  std::set<UpstreamKey> ChangedNews_;   ///< for all zones
-  std::set<UpstreamKey> RefreshedNews_; ///< for this zone
-  std::map<ZoneId, ZoneReport> ReportNews_;
+  std::set<UpstreamKey> ChangedNews_;       ///< for all zones
+  std::set<UpstreamKey> RefreshedNews_;     ///< for this zone; can wait
+  std::map<ZoneId, ZoneReport> ReportNews_; ///< can wait
   std::set<UpstreamKey> RefreshDue_; ///< announced here, nothing new but load
   std::vector<Envelope> Outbox_;
 
@@ -165,6 +170,8 @@
   Time NextPing_;
   Time NextReport_;
   Time NextRefresh_;
+  Time NextBatch_;
+  std::uint64_t BatchRound_ = 0;
   std::uint64_t ReportCounter_ = 0;
   std::uint64_t AbsentCursor_ = 0;
   std::uint64_t MemberChanges_ = 0;
--- a/lagoonpoint/src/Membership/MembersReceiving.cpp
+++ b/lagoonpoint/src/Membership/MembersReceiving.cpp
@@ -75,8 +75,8 @@
   if (OnlyRevision)
     return;
   setState(Mine, In.State_, Now);
-  auto Probed = Neighbours_.find(In.Vm_);
-  if (Probed != Neighbours_.end() && In.State_ < VmState::Suspect)
+  auto Probed = Probes_.find(In.Vm_);
+  if (Probed != Probes_.end() && In.State_ < VmState::Suspect)
     Probed->second.Since_ = Now;
 }
 
@@ -128,7 +128,8 @@
     renewZone(Upstreams_, Report.Zone_, Options_.UpstreamLease_, Now);
     return;
   }
-  if (++State.Mismatches_[Sender] < MismatchesToAsk)
+  bool FirstHand = zoneOf(Sender) == Report.Zone_;
+  if (++State.Mismatches_[Sender] < MismatchesToAsk && !FirstHand)
     return;
   State.Mismatches_.erase(Sender);
   MembershipMessage Out = message(MessageKind::News, Now);
@@ -143,8 +144,8 @@
   bool Ours = In.Pinger_ == Records_[Options_.Self_].Incarnation_ &&
               PingedAt >= Started_ && PingedAt <= Now;
   const VmId &From = In.Sender_.Vm_;
-  auto Probed = Neighbours_.find(From);
-  if (Ours && Probed != Neighbours_.end()) {
+  auto Probed = Probes_.find(From);
+  if (Ours && Probed != Probes_.end()) {
     Probe &P = Probed->second;
     P.Answered_ = P.EverAnswered_ ? std::max(P.Answered_, PingedAt) : PingedAt;
     P.EverAnswered_ = true;
@@ -158,11 +159,9 @@
 }
 
 void Members::compareDigest(const MembershipMessage &In, Time Now) {
-  auto Probed = Neighbours_.find(In.Sender_.Vm_);
-  bool SameZone = zoneOf(In.Sender_.Vm_) == Options_.Zone_;
-  if (!SameZone || Probed == Neighbours_.end())
+  if (zoneOf(In.Sender_.Vm_) != Options_.Zone_)
     return;
-  int &Mismatches = Probed->second.Mismatches_;
+  int &Mismatches = Mismatches_[In.Sender_.Vm_];
   if (In.Digest_ == digestOfZone(Options_.Zone_, Now)) {
     Mismatches = 0;
     return;
--- a/lagoonpoint/src/Membership/MembersSending.cpp
+++ b/lagoonpoint/src/Membership/MembersSending.cpp
@@ -53,19 +53,20 @@
 }
 
 void Members::refreshNeighbours(Time Now) {
+  Neighbours_ = neighbours(ring(Now), Options_.Self_);
   std::map<VmId, Probe> Kept;
-  for (const VmId &Vm : neighbours(ring(Now), Options_.Self_)) {
-    auto It = Neighbours_.find(Vm);
+  for (const VmId &Vm : pinged(Neighbours_)) {
+    auto It = Probes_.find(Vm);
     Probe Fresh;
     Fresh.Since_ = Now;
-    Kept.emplace(Vm, It == Neighbours_.end() ? Fresh : It->second);
+    Kept.emplace(Vm, It == Probes_.end() ? Fresh : It->second);
   }
-  Neighbours_ = std::move(Kept);
+  Probes_ = std::move(Kept);
 }
 
 void Members::pingNeighbours(Time Now) {
   NextPing_ = Now + Options_.PingEvery_;
-  for (const auto &[Vm, P] : Neighbours_)
+  for (const auto &[Vm, P] : Probes_)
     ping(Vm, Now);
   pingAbsent(Now);
 }
@@ -88,7 +89,7 @@
 }
 
 void Members::suspectSilent(Time Now) {
-  for (const auto &[Vm, P] : Neighbours_) {
+  for (const auto &[Vm, P] : Probes_) {
     auto It = Records_.find(Vm);
     if (It == Records_.end() || It->second.State_ >= VmState::Suspect)
       continue;
@@ -147,8 +148,9 @@
 }
 
 void Members::reportToZones(Time Now) {
-  NextReport_ = Now + Options_.ReportEvery_;
   std::size_t Rank = bridgeRank();
+  // The second bridge stands by: it reports half as often.
+  NextReport_ = Now + Options_.ReportEvery_ * (Rank == 0 ? 1 : 2);
   if (Rank >= BridgesPerZone)
     return;
   ReportCounter_ = std::max(ReportCounter_ + 1, Options_.Incarnation_.value());
@@ -168,32 +170,45 @@
 }
 
 void Members::flushNews(Time Now) {
-  bool Any = !MemberNews_.empty() || !ChangedNews_.empty() ||
-             !RefreshedNews_.empty() || !ReportNews_.empty();
-  if (!Any)
-    return;
-  flushToZone(Now);
-  flushToOtherZones(Now);
-  MemberNews_.clear();
-  ChangedNews_.clear();
-  RefreshedNews_.clear();
-  ReportNews_.clear();
+  if (!MemberNews_.empty() || !ChangedNews_.empty()) {
+    flushToZone(Now);
+    flushToOtherZones(Now);
+    MemberNews_.clear();
+    ChangedNews_.clear();
+  }
+  if (Now >= NextBatch_)
+    flushBatch(Now);
 }
 
 void Members::flushToZone(Time Now) {
   MembershipMessage Out = message(MessageKind::News, Now);
   for (const VmId &Vm : MemberNews_)
     Out.Members_.push_back(Records_.at(Vm));
-  std::set<UpstreamKey> Keys = ChangedNews_;
-  Keys.insert(RefreshedNews_.begin(), RefreshedNews_.end());
+  addUpstreams(Out, ChangedNews_, Now);
+  for (const VmId &Vm : Neighbours_)
+    post(Vm, Out);
+}
+
+void Members::flushBatch(Time Now) {
+  NextBatch_ = Now + Options_.BatchEvery_;
+  if (RefreshedNews_.empty() && ReportNews_.empty())
+    return;
+  MembershipMessage Out = message(MessageKind::News, Now);
+  addUpstreams(Out, RefreshedNews_, Now);
+  for (const auto &[Zone, Report] : ReportNews_)
+    Out.Reports_.push_back(Report);
+  for (const VmId &Vm : batchTargets(Neighbours_, BatchRound_++))
+    post(Vm, Out);
+  RefreshedNews_.clear();
+  ReportNews_.clear();
+}
+
+void Members::addUpstreams(MembershipMessage &Out,
+                           const std::set<UpstreamKey> &Keys, Time Now) const {
   for (const UpstreamKey &Key : Keys)
     if (auto It = Upstreams_.Entries_.find(Key);
         It != Upstreams_.Entries_.end())
       Out.Upstreams_.push_back(recordAt(It->second, Now));
-  for (const auto &[Zone, Report] : ReportNews_)
-    Out.Reports_.push_back(Report);
-  for (const auto &[Vm, P] : Neighbours_)
-    post(Vm, Out);
 }
 
 void Members::flushToOtherZones(Time Now) {
--- a/lagoonpoint/src/Membership/Topology.cpp
+++ b/lagoonpoint/src/Membership/Topology.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Rings up to this size are fully connected.
-constexpr std::size_t SmallRing = 5;
+constexpr std::size_t SmallRing = 4;
 
 } // namespace
 
@@ -24,4 +24,23 @@
   return Chosen;
 }
 
+std::vector<VmId> pinged(const std::vector<VmId> &Neighbours) {
+  if (Neighbours.size() < SmallRing)
+    return Neighbours;
+  return {Neighbours.begin(), Neighbours.begin() + PingedNeighbours};
+}
+
+std::vector<VmId> batchTargets(const std::vector<VmId> &Neighbours,
+                               std::uint64_t Round) {
+  if (Neighbours.size() < SmallRing)
+    return Neighbours;
+  std::size_t Others = Neighbours.size() - 1;
+  std::size_t First = Round % Others;
+  std::size_t Second = (Round + 1 + Round / Others % (Others - 1)) % Others;
+  std::vector<VmId> Out{Neighbours[0], Neighbours[1 + First]};
+  if (Second != First)
+    Out.push_back(Neighbours[1 + Second]);
+  return Out;
+}
+
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Membership/Topology.h
+++ b/lagoonpoint/src/Membership/Topology.h
@@ -17,6 +17,19 @@
 /// \param Ring sorted; need not contain \p Self
 std::vector<VmId> neighbours(const std::vector<VmId> &Ring, const VmId &Self);
 
+/// Neighbours that a VM pings in a large ring: its next ones.
+constexpr std::size_t PingedNeighbours = 3;
+
+/// \returns those to ping among the neighbours of a VM, as neighbours() gave
+/// them: all of a small ring, else the next PingedNeighbours.
+std::vector<VmId> pinged(const std::vector<VmId> &Neighbours);
+
+/// \returns those that get news that can wait: all of a small ring, else the
+/// next one and two that change with \p Round, which keeps the bytes low and
+/// still reaches everyone within a few rounds.
+std::vector<VmId> batchTargets(const std::vector<VmId> &Neighbours,
+                               std::uint64_t Round);
+
 /// VMs of a zone that exchange reports with other zones, at most.
 constexpr std::size_t BridgesPerZone = 2;
 
--- a/test/Dissemination.cpp
+++ b/test/Dissemination.cpp
@@ -148,6 +148,77 @@
   }
 }
 
+TEST_CASE("A feed told by a peer of its zone") {
+  const VmId Self("b"), Peer("a");
+  Time Now(1000);
+  fakes::FakeStore Store;
+  Store.apply({Revision(0), Revision(3), "abc"});
+  FeedOptions Options;
+  Options.Self_ = Self;
+  Options.Zone_ = ZoneId("z1");
+  Options.Incarnation_ = Incarnation(7);
+  Feed F(Options, Store, Now);
+  F.setPeers({{Self, Options.Zone_, true, false, false},
+              {Peer, Options.Zone_, true, false, true}},
+             VmId(), Now);
+  FeedBeat Beat;
+  Beat.Asker_ = Options.Incarnation_;
+  Beat.Ready_ = true;
+  Beat.Revision_ = Revision(3);
+  auto Tell = [&] {
+    Beat.SentAt_ = Now - Time();
+    F.receive({Peer, Self, Channel::Dissemination, "\2" + encode(Beat)}, Now);
+    F.tick(Now);
+  };
+
+  SECTION("that holds no more is ready, after it waited for the voters") {
+    Tell();
+    CHECK(F.readiness() == Readiness::NotReady);
+    Now = Now + Options.ProofWait_;
+    Tell();
+    CHECK(F.readiness() == Readiness::ByZonePeers);
+  }
+  SECTION("that holds more is not ready") {
+    Beat.Revision_ = Revision(4);
+    Now = Now + Options.ProofWait_;
+    Tell();
+    CHECK(F.readiness() == Readiness::NotReady);
+  }
+  SECTION("an older state keeps its own") {
+    fakes::FakeStore Older;
+    Older.apply({Revision(0), Revision(2), "ab"});
+    Beat.Snapshots_ = {Older.snapshot()};
+    Beat.Deltas_ = {{Revision(2), Revision(3), "c"}};
+    Tell();
+    CHECK(Store.revision() == Revision(3));
+    CHECK(F.snapshotsTaken() == 0);
+  }
+  SECTION("a body it can't read keeps its own and counts it") {
+    Beat.Snapshots_ = {{Revision(9), "garbage"}};
+    Tell();
+    CHECK(Store.revision() == Revision(3));
+    CHECK(F.refusedBodies() == 1);
+  }
+  SECTION("a proof of a revision that it lacks is not current") {
+    Beat.Proved_ = true;
+    Beat.ProofRevision_ = Revision(4);
+    Tell();
+    CHECK_FALSE(F.currency(Contact::Connected, Now).ProvedAt_);
+    Beat.Deltas_ = {{Revision(3), Revision(4), "d"}};
+    Tell();
+    CHECK(F.currency(Contact::Connected, Now).ProvedAt_ == Now);
+  }
+  SECTION("a proof counts from when it was asked for, less its age") {
+    Beat.Proved_ = true;
+    Beat.ProofAge_ = Duration::millis(300);
+    Beat.SentAt_ = Now - Time();
+    F.receive({Peer, Self, Channel::Dissemination, "\2" + encode(Beat)},
+              Now + Second);
+    CHECK(F.currency(Contact::Connected, Now + Second).ProvedAt_ ==
+          Now - Duration::millis(300));
+  }
+}
+
 TEST_CASE("A malformed message to a feed is refused with its sender") {
   ControlFleet Fleet(1, 2);
   std::string Body = GENERATE(std::string(), std::string("\1garbage"),
--- a/test/Membership.cpp
+++ b/test/Membership.cpp
@@ -12,6 +12,7 @@
 
 const ServiceId Service("tellimus");
 const Duration Second = Duration::seconds(1);
+const MembershipOptions Pace;
 
 UpstreamOffer offer(const std::string &Name, bool Leaving = false) {
   UpstreamOffer O;
@@ -84,11 +85,11 @@
       Fleet.Net_.cut(Vm, VmId("z1a"));
     }
     Fleet.cutZone("z2");
-    Fleet.run(Second * 6);
+    Fleet.run(Pace.ZoneSuspectAfter_ + Second);
     CHECK(Fleet.at("z1a").contact(Fleet.Now_) == Contact::Alone);
     CHECK(Fleet.at("z1b").contact(Fleet.Now_) == Contact::Connected);
     CHECK(Fleet.at("z2a").contact(Fleet.Now_) == Contact::ZoneCutOff);
-    Fleet.run(Second * 4);
+    Fleet.run(Pace.ZoneDeadAfter_ - Pace.ZoneSuspectAfter_);
     CHECK(says(Fleet, "z2a", VmState::Dead)(Fleet.at("z3a")));
     Fleet.Net_.healAll();
     CHECK(allAlive(Fleet));
@@ -140,7 +141,9 @@
       CHECK(sees(Fleet, 1)(M));
   }
   SECTION("and is gone when it doesn't") {
-    CHECK(Fleet.until(sees(Fleet, 0), Second * 25));
+    // Its own zone's lease, and then that of the others, runs out.
+    CHECK(Fleet.until(sees(Fleet, 0),
+                      Pace.UpstreamLease_ * 2 + Pace.ReportEvery_));
   }
   SECTION("and is gone everywhere within 3 s when it leaves") {
     Fleet.announce("z1b", offer("u1", true));
@@ -209,6 +212,35 @@
   CHECK(usable(Issuer.Entries_.begin()->second, Now));
 }
 
+TEST_CASE("A copy of a record of another zone") {
+  UpstreamTable Table;
+  UpstreamRecord R;
+  R.Key_ = {Service, UpstreamId("u1")};
+  R.Version_ = {1, VmId("a")};
+  R.Lease_ = Second * 2;
+  mergeUpstream(Table, R, Time(1000));
+  Time Expired(4000);
+  const UpstreamEntry &Entry = Table.Entries_.begin()->second;
+  REQUIRE_FALSE(usable(Entry, Expired));
+
+  SECTION("renews a lease that ran out here only") {
+    R.Lease_ = Second * 9;
+    extendLease(Table, R, Second * 5, Expired);
+    CHECK(usable(Entry, Expired));
+  }
+  SECTION("renews nothing when it is about to run out itself") {
+    R.Lease_ = Second * 4;
+    extendLease(Table, R, Second * 5, Expired);
+    CHECK_FALSE(usable(Entry, Expired));
+  }
+  SECTION("of an older version renews nothing") {
+    R.Version_.Counter_ = 0;
+    R.Lease_ = Second * 9;
+    extendLease(Table, R, Second * 5, Expired);
+    CHECK_FALSE(usable(Entry, Expired));
+  }
+}
+
 TEST_CASE("Long runs of random faults") {
   auto Seed = GENERATE(range(1, 41));
   Random Dice(Seed);
--- a/test/WithdrawnKeys.cpp
+++ b/test/WithdrawnKeys.cpp
@@ -101,6 +101,29 @@
   }
 }
 
+TEST_CASE("A withdrawal is passed on at once, for a few rounds") {
+  WithdrawalOptions Options{.Self_ = VmId("a")};
+  WithdrawnKeys Keys(Options);
+  Keys.setPeers({VmId("a"), VmId("b"), VmId("c"), VmId("d"), VmId("e")});
+  Random Dice(1);
+  Time Now(5000);
+  Keys.tick(Dice, Now);
+  Keys.takeOutbox();
+  Keys.withdraw(Key);
+  Keys.withdraw(Key);
+  std::size_t Told = 0;
+  for (int Step = 0; Step < 9; ++Step) {
+    Keys.tick(Dice, Now);
+    std::vector<Envelope> Out = Keys.takeOutbox();
+    Told += Out.size();
+    CHECK((Step > 0 || Out.size() == Options.Fanout_));
+    for (const Envelope &E : Out)
+      CHECK(E.To_ != Options.Self_);
+    Now = Now + Duration::millis(100);
+  }
+  CHECK(Told == Options.Fanout_ * Options.Rounds_);
+}
+
 TEST_CASE("Sets of withdrawn keys that differ are compared in parts") {
   WithdrawnKeys A({.Self_ = VmId("a")}), B({.Self_ = VmId("b")});
   A.setPeers({VmId("b")});
