Prove once-requests under a fault matrix

Cause: two VMs that claimed one key at a time released it both, for ever; a refusal could say that a key had not run where this VM could not know. Change: of two claims the home VM's, then the lower VM id's, goes first; "not run" is said only by a member that has been in all views since the key's issue and saw no other claim. test/OnceFaults.cpp: each message x 4 fates, restarts, pairs, cuts, 200 random runs.

--- a/lagoonpoint/src/Once/OnceClaims.cpp
+++ b/lagoonpoint/src/Once/OnceClaims.cpp
@@ -34,7 +34,7 @@
   if (R.State_ != OnceState::Claimed || !R.Claimer_)
     return;
   if (!isMember()) {
-    release(Text, R, notRunBecause(RefusalReason::OnceHomeUnreachable), Now);
+    release(Text, R, mayHaveRun(RefusalReason::OnceHomeUnreachable), Now);
     return;
   }
   const OnceView &View = *homeView();
@@ -54,6 +54,18 @@
   Ended_.push_back(Run);
 }
 
+bool OnceTable::remembers(const OnceKey &Key) const {
+  const OnceView *View = homeView();
+  return isMember() && memberOf(*View, Self_)->Since_ <= Key.Epoch_;
+}
+
+OnceDecision OnceTable::notClaimed(const OnceRecord &R,
+                                   RefusalReason Reason) const {
+  // Nobody can have dispatched the key without this VM's confirmation.
+  bool SurelyNot = remembers(R.Key_) && !R.Contested_;
+  return SurelyNot ? notRunBecause(Reason) : mayHaveRun(Reason);
+}
+
 void OnceTable::release(const std::string &Text, OnceRecord &R,
                         OnceDecision How, Time Now) {
   R.State_ = OnceState::Free;
@@ -82,6 +94,24 @@
   Out_[To].Outcomes_.push_back(std::move(O));
 }
 
+bool OnceTable::goesBefore(const VmId &A, const VmId &B,
+                           const std::string &Text) const {
+  const OnceView *View = homeView();
+  VmId Home = View ? homeVm(*View, Text) : VmId();
+  if (A == Home || B == Home)
+    return A == Home;
+  return A < B;
+}
+
+void OnceTable::yieldClaim(const std::string &Text, OnceRecord &R) {
+  OnceOutcome Free{Text, R.Digest_, R.Claim_, OnceState::Free, false, {}};
+  for (const OnceMember &Each : homeView()->Members_)
+    if (Each.Vm_ != Self_)
+      Out_[Each.Vm_].Outcomes_.push_back(Free);
+  R.Waiters_.push_back(*R.Claimer_);
+  R.Claimer_.reset();
+}
+
 std::optional<OnceVerdict> OnceTable::judge(const OnceClaim &C) {
   std::optional<OnceKey> Key = parseOnceKey(C.Key_);
   if (!Key || Key->Zone_ != Zone_ || expired(*Key))
@@ -142,6 +172,10 @@
     grantIfWhole(A.Key_, R, Now);
     return;
   case OnceVerdict::Taken: {
+    R.Contested_ = true;
+    // A claim that goes after this one is about to be released.
+    if (A.Holder_ != Self_ && goesBefore(Self_, A.Holder_, A.Key_))
+      return;
     bool Pass = R.Claimer_ && R.Claimer_->MayForward_ && A.Holder_ != Self_;
     release(A.Key_, R,
             Pass ? forwardTo(A.Holder_)
@@ -153,7 +187,7 @@
     release(A.Key_, R, mayHaveRun(RefusalReason::OnceKeyExpired), Now);
     return;
   case OnceVerdict::Full:
-    release(A.Key_, R, notRunBecause(RefusalReason::QueueFull), Now);
+    release(A.Key_, R, notClaimed(R, RefusalReason::QueueFull), Now);
     return;
   }
 }
@@ -187,9 +221,9 @@
     endWaiters(*R, storedAnswer(O.Answer_));
     keep(O.Key_, *R, O.Answer_);
   }
-  endWaiters(*R, O.State_ == OnceState::Free
-                     ? notRunBecause(RefusalReason::OnceInProgress)
-                     : mayHaveRun(RefusalReason::OnceUnknown));
+  endWaiters(*R, mayHaveRun(O.State_ == OnceState::Free
+                                ? RefusalReason::OnceInProgress
+                                : RefusalReason::OnceUnknown));
 }
 
 void OnceTable::onOutcomeAck(const VmId &From, const OnceOutcomeAck &A) {
@@ -200,7 +234,7 @@
 
 bool OnceTable::tickRecord(const std::string &Text, OnceRecord &R, Time Now) {
   if (R.Claimer_ && R.Claimer_->Until_ <= Now)
-    release(Text, R, notRunBecause(RefusalReason::OnceHomeUnreachable), Now);
+    release(Text, R, notClaimed(R, RefusalReason::OnceHomeUnreachable), Now);
   std::erase_if(R.Waiters_, [&](const OnceWaiter &W) {
     if (W.Until_ > Now)
       return false;
--- a/lagoonpoint/src/Once/OnceRecord.h
+++ b/lagoonpoint/src/Once/OnceRecord.h
@@ -29,8 +29,9 @@
 
   // The rest is used by the claim's owner.
   std::set<std::pair<VmId, Incarnation>> Held_; ///< members that confirmed
-  std::optional<OnceWaiter> Claimer_;           ///< call that will run it
-  std::vector<OnceWaiter> Waiters_;             ///< resends meanwhile
+  bool Contested_ = false;            ///< some member held another claim
+  std::optional<OnceWaiter> Claimer_; ///< call that will run it
+  std::vector<OnceWaiter> Waiters_;   ///< resends meanwhile
   std::set<VmId> Untold_; ///< members that don't have the outcome yet
   Time NextSend_;
   Time StopTelling_;
--- a/lagoonpoint/src/Once/OnceTable.cpp
+++ b/lagoonpoint/src/Once/OnceTable.cpp
@@ -90,16 +90,18 @@
                               bool Forwarded, Time Now) {
   forgetExpired(Now);
   std::optional<OnceKey> Key = parseOnceKey(Text);
-  if (!Key || Key->IssuedMillis_ > unixMillis(Now) + MaxAheadMillis)
+  if (!Key)
     return notRunBecause(RefusalReason::OnceKeyMissing);
+  if (Key->IssuedMillis_ > unixMillis(Now) + MaxAheadMillis)
+    return mayHaveRun(RefusalReason::OnceKeyMissing);
   if (expired(*Key))
     return mayHaveRun(RefusalReason::OnceKeyExpired);
   auto View = Views_.find(Key->Zone_);
   if (View == Views_.end() || View->second.Members_.empty())
-    return notRunBecause(RefusalReason::OnceHomeUnreachable);
+    return mayHaveRun(RefusalReason::OnceHomeUnreachable);
   VmId Home = homeVm(View->second, Text);
   if (Key->Zone_ != Zone_ || !isMember())
-    return Forwarded ? notRunBecause(RefusalReason::OnceHomeUnreachable)
+    return Forwarded ? mayHaveRun(RefusalReason::OnceHomeUnreachable)
                      : forwardTo(Home);
 
   OnceWaiter Caller{++NextTicket_, Deadline, !Forwarded};
@@ -108,7 +110,7 @@
   if (Known && Found->second.State_ != OnceState::Free)
     return onKnown(Text, Found->second, Digest, Caller, Now);
   if (Key->Epoch_ > View->second.Epoch_)
-    return notRunBecause(RefusalReason::OnceHomeUnreachable);
+    return mayHaveRun(RefusalReason::OnceHomeUnreachable);
   if (Key->Epoch_ < rememberedSince(View->second))
     return mayHaveRun(RefusalReason::OnceUnknown);
   bool ClaimedHere = Known && Found->second.Claim_.Owner_ == Self_;
@@ -116,7 +118,8 @@
     return forwardTo(Home);
   OnceRecord *R = Known ? &Found->second : insert(Text, *Key);
   if (!R)
-    return notRunBecause(RefusalReason::QueueFull);
+    return remembers(*Key) ? notRunBecause(RefusalReason::QueueFull)
+                           : mayHaveRun(RefusalReason::QueueFull);
   return startClaim(Text, *R, Digest, Caller, Now);
 }
 
@@ -153,6 +156,7 @@
   R.Claim_ = {Self_, Incarnation_, ++NextAttempt_};
   R.Digest_ = Digest;
   R.Held_.clear();
+  R.Contested_ = false;
   R.Untold_.clear();
   R.Claimer_ = Caller;
   R.Claimer_->Until_ = std::min(Caller.Until_, Now + Limits_.ClaimFor_);
@@ -234,9 +238,7 @@
   while (!ByIssue_.empty() && ByIssue_.begin()->first <= ForgottenUpTo_) {
     auto Found = Records_.find(ByIssue_.begin()->second);
     OnceRecord &R = Found->second;
-    bool Ran = R.State_ != OnceState::Claimed || R.Claim_.Owner_ != Self_;
-    RefusalReason Reason = RefusalReason::OnceKeyExpired;
-    endWaiters(R, Ran ? mayHaveRun(Reason) : notRunBecause(Reason));
+    endWaiters(R, mayHaveRun(RefusalReason::OnceKeyExpired));
     dropAnswer(R);
     Active_.erase(Found->first);
     Records_.erase(Found);
--- a/lagoonpoint/src/Once/OnceTable.h
+++ b/lagoonpoint/src/Once/OnceTable.h
@@ -111,6 +111,10 @@
                        const OnceWaiter &Caller);
   void sendClaims(const std::string &Text, OnceRecord &R, Time Now);
   void grantIfWhole(const std::string &Text, OnceRecord &R, Time Now);
+  /// \returns true if this VM has been a member since before the key's issue.
+  bool remembers(const OnceKey &Key) const;
+  /// Refuses a call whose claim was not confirmed by all members.
+  OnceDecision notClaimed(const OnceRecord &R, RefusalReason Reason) const;
   void release(const std::string &Text, OnceRecord &R, OnceDecision How,
                Time Now);
   void finish(const std::string &Text, OnceState State,
@@ -122,6 +126,9 @@
   void dropAnswer(OnceRecord &R);
   OnceRecord *insert(const std::string &Text, const OnceKey &Key);
 
+  /// \returns true if A's claim wins over one of B at the same time.
+  bool goesBefore(const VmId &A, const VmId &B, const std::string &Text) const;
+  void yieldClaim(const std::string &Text, OnceRecord &R);
   std::optional<OnceVerdict> judge(const OnceClaim &C);
   void onClaim(const VmId &From, const OnceClaim &C);
   void onAck(const VmId &From, const OnceAck &A, Time Now);
--- /dev/null
+++ b/test/OnceFaults.cpp
@@ -0,0 +1,236 @@
+#include "fakes/OnceZone.h"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+using namespace lagoonpoint;
+using namespace lagoonpoint::fakes;
+
+namespace {
+
+const std::string Suffix = "transfer";
+
+Fate lost() { return {.Lost_ = true}; }
+Fate late() { return {.Delay_ = Duration::millis(700)}; }
+Fate doubled() { return {.Copies_ = 2, .Delay_ = Duration::millis(90)}; }
+Fate overtaken() { return {.Delay_ = Duration::millis(7)}; }
+
+/// One key, called and resent at every VM, before and after a change of view.
+struct Story {
+  using Strike = std::function<void(OnceZone &, std::int64_t Millis)>;
+
+  OnceZone Zone_{3};
+  std::string Key_ = Zone_.key(Suffix);
+  Strike Strike_ = [](OnceZone &, std::int64_t) {};
+
+  void play() {
+    for (std::int64_t At = 0; At < 1600; ++At) {
+      Strike_(Zone_, At);
+      if (At % 40 == 0)
+        callEverywhere(At % 80 == 0);
+      if (At == 400 || At == 900)
+        Zone_.decideView();
+      if (At == 410 || At == 910)
+        Zone_.learnView(VmId("vm0"));
+      if (At == 450 || At == 950)
+        for (const VmId &Vm : Zone_.vms())
+          Zone_.learnView(Vm);
+      if (At % 100 == 77 && Zone_.running().count(Key_))
+        Zone_.finish(Key_);
+      Zone_.run(Duration::millis(1));
+    }
+  }
+
+private:
+  void callEverywhere(bool Forwarded) {
+    for (const VmId &Vm : Zone_.vms())
+      if (Zone_.up(Vm))
+        Zone_.call(Vm, Key_, "body", Forwarded);
+  }
+};
+
+Story::Strike restartAt(VmId Vm, std::int64_t At, std::int64_t For) {
+  return [=](OnceZone &Zone, std::int64_t Millis) {
+    if (Millis == At)
+      Zone.crash(Vm);
+    if (Millis == At + For)
+      Zone.start(Vm);
+  };
+}
+
+std::uint64_t messagesOfStory() {
+  Story S;
+  S.play();
+  CHECK(S.Zone_.runs(S.Key_) == 1);
+  return S.Zone_.network().sent();
+}
+
+/// Many keys; messages, processes, links and views disturbed at random.
+class Chaos {
+public:
+  explicit Chaos(std::uint64_t Seed) : Random_(Seed) {
+    Zone_.network().setHook([this](std::uint64_t, const Envelope &) {
+      if (drawn(100) < 10)
+        return lost();
+      Fate F{.Delay_ = Duration::millis(1 + drawn(4))};
+      if (drawn(100) < 20)
+        F.Delay_ = Duration::millis(drawn(2000));
+      F.Copies_ = drawn(100) < 15 ? 2 : 1;
+      return F;
+    });
+  }
+
+  void run(int Steps) {
+    for (int I = 0; I < Steps; ++I) {
+      strike();
+      Zone_.run(Duration::millis(5));
+    }
+  }
+
+  int worst() const {
+    int Most = 0;
+    for (const auto &[Key, Runs] : Zone_.allRuns())
+      Most = std::max(Most, Runs);
+    return Most;
+  }
+  int falseNotRun() const { return Zone_.falseNotRun(); }
+  std::size_t ran() const { return Zone_.allRuns().size(); }
+
+private:
+  std::uint64_t drawn(std::uint64_t Below) { return Random_() % Below; }
+  VmId anyVm() { return VmId("vm" + std::to_string(drawn(3))); }
+
+  void strike() {
+    if (Keys_.empty() || drawn(8) == 0)
+      Keys_.push_back(Zone_.key(std::to_string(Keys_.size())));
+    VmId Vm = anyVm();
+    std::size_t Recent = std::min<std::size_t>(Keys_.size(), 12);
+    const std::string &Key = Keys_[Keys_.size() - 1 - drawn(Recent)];
+    if (Zone_.up(Vm))
+      Zone_.call(Vm, Key, "body", drawn(2));
+    if (!Zone_.running().empty() && drawn(4) == 0)
+      Zone_.finish(Zone_.running().begin()->first);
+    switch (drawn(50)) {
+    case 0:
+      return Zone_.crash(anyVm());
+    case 1:
+    case 2:
+      if (!Zone_.up(Vm))
+        Zone_.start(Vm);
+      return;
+    case 3:
+      return Zone_.restart(Vm);
+    case 4:
+      return Zone_.network().cut(anyVm(), anyVm());
+    case 5:
+    case 6:
+      return Zone_.network().healAll();
+    case 7:
+      // A VM may be left out of the view while it lives on.
+      return Zone_.decideView({anyVm()});
+    case 8:
+      return Zone_.decideView();
+    case 9:
+    case 10:
+    case 11:
+      return Zone_.learnView(anyVm());
+    default:
+      return;
+    }
+  }
+
+  Random Random_;
+  OnceZone Zone_{3};
+  std::vector<std::string> Keys_;
+};
+
+} // namespace
+
+TEST_CASE("A key is dispatched at most once") {
+  std::uint64_t Before = invariantViolations();
+  std::uint64_t Messages = messagesOfStory();
+  REQUIRE(Messages > 8);
+
+  SECTION("whichever message is lost, late, doubled or overtaken") {
+    for (auto What : {lost, late, doubled, overtaken})
+      for (std::uint64_t At = 0; At < Messages; ++At) {
+        Story S;
+        S.Zone_.network().setHook([&](std::uint64_t Number, const Envelope &) {
+          return Number == At ? What() : Fate();
+        });
+        S.play();
+        INFO("message " << At);
+        CHECK(S.Zone_.runs(S.Key_) <= 1);
+        CHECK(S.Zone_.falseNotRun() == 0);
+      }
+  }
+  SECTION("whichever VM is restarted, and when") {
+    for (const char *Vm : {"vm0", "vm1", "vm2"})
+      for (std::int64_t At = 0; At < 1000; At += At < 20 ? 1 : 13)
+        for (std::int64_t For : {0, 30, 600}) {
+          Story S;
+          S.Strike_ = restartAt(VmId(Vm), At, For);
+          S.play();
+          INFO(Vm << " at " << At << " for " << For);
+          CHECK(S.Zone_.runs(S.Key_) <= 1);
+          CHECK(S.Zone_.falseNotRun() == 0);
+          CHECK(S.Zone_.falseNotRun() == 0);
+        }
+  }
+  SECTION("when two VMs are restarted one after the other") {
+    Random Draw(3);
+    for (int I = 0; I < 400; ++I) {
+      Story S;
+      auto First = restartAt(VmId("vm" + std::to_string(Draw() % 3)),
+                             Draw() % 900, Draw() % 60);
+      auto Second = restartAt(VmId("vm" + std::to_string(Draw() % 3)),
+                              Draw() % 900, Draw() % 60);
+      S.Strike_ = [&](OnceZone &Zone, std::int64_t Millis) {
+        First(Zone, Millis);
+        Second(Zone, Millis);
+      };
+      S.play();
+      INFO("pair " << I);
+      CHECK(S.Zone_.runs(S.Key_) <= 1);
+      CHECK(S.Zone_.falseNotRun() == 0);
+    }
+  }
+  SECTION("when any VM is cut off and others go on") {
+    for (const char *Vm : {"vm0", "vm1", "vm2"})
+      for (std::int64_t At = 0; At < 1000; At += At < 20 ? 1 : 37) {
+        Story S;
+        S.Strike_ = [&](OnceZone &Zone, std::int64_t Millis) {
+          for (const VmId &Other : Zone.vms()) {
+            if (Millis == At)
+              Zone.network().cut(VmId(Vm), Other);
+            if (Millis == At && At % 2)
+              Zone.network().cut(Other, VmId(Vm));
+          }
+          if (Millis == At + 500)
+            Zone.network().healAll();
+        };
+        S.play();
+        INFO(Vm << " at " << At);
+        CHECK(S.Zone_.runs(S.Key_) <= 1);
+        CHECK(S.Zone_.falseNotRun() == 0);
+      }
+  }
+  CHECK(invariantViolations() == Before);
+}
+
+TEST_CASE("Keys are dispatched at most once under random faults") {
+  std::uint64_t Before = invariantViolations();
+  std::size_t Ran = 0;
+  for (std::uint64_t Seed = 1; Seed <= 200; ++Seed) {
+    Chaos C(Seed);
+    C.run(2000);
+    INFO("seed " << Seed);
+    CHECK(C.worst() <= 1);
+    CHECK(C.falseNotRun() == 0);
+    Ran += C.ran();
+  }
+  // Some key runs in each run: a second dispatch would show.
+  CHECK(Ran > 200);
+  CHECK(invariantViolations() == Before);
+}
--- a/test/fakes/OnceZone.h
+++ b/test/fakes/OnceZone.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -92,6 +93,7 @@
                     bool Forwarded = false) {
     OnceDecision D = Tables_.at(Vm)->begin(
         Key, Digest, Now_ + Duration::seconds(5), Forwarded, Now_);
+    checkRefusal(Key, Digest, D);
     if (D.Step_ == OnceStep::Wait)
       Keys_[{Vm, D.Ticket_}] = Key;
     flush(Vm);
@@ -115,6 +117,7 @@
   void notRun(const std::string &Key) {
     VmId Vm = Running_.at(Key);
     Running_.erase(Key);
+    MayHaveRun_.erase(Key);
     Tables_.at(Vm)->notRun(Key, Now_);
     flush(Vm);
   }
@@ -141,16 +144,28 @@
     }
   }
 
+  /// \returns how many refusals said wrongly that a key had not run.
+  int falseNotRun() const { return FalseNotRun_; }
+
 private:
+  void checkRefusal(const std::string &Key, const std::string &Digest,
+                    const OnceDecision &D) {
+    if (D.Step_ == OnceStep::Refuse && D.Ran_ == Ran::No && Digest == "body" &&
+        MayHaveRun_.count(Key))
+      ++FalseNotRun_;
+  }
+
   void flush(const VmId &Vm) {
     OnceTable &T = *Tables_.at(Vm);
     for (const OnceDecision &D : T.takeEnded()) {
       Ended_[{Vm, D.Ticket_}] = D;
+      checkRefusal(Keys_.at({Vm, D.Ticket_}), "body", D);
       if (D.Step_ != OnceStep::Run)
         continue;
       const std::string &Key = Keys_.at({Vm, D.Ticket_});
       ++Runs_[Key];
       Running_[Key] = Vm;
+      MayHaveRun_.insert(Key);
     }
     for (Envelope &E : T.takeOutbox())
       Net_.send(Now_, std::move(E));
@@ -166,6 +181,8 @@
   std::map<std::pair<VmId, std::uint64_t>, std::string> Keys_;
   std::map<std::pair<VmId, std::uint64_t>, OnceDecision> Ended_;
   std::map<std::string, int> Runs_;
+  std::set<std::string> MayHaveRun_;
+  int FalseNotRun_ = 0;
   std::map<std::string, VmId> Running_;
 };
 
