Ask a silent voter how far it is instead of resending

Cause: each heartbeat repeated the entries or the piece that a VM had not answered; a lost voter cost the leader's link a batch every 200 ms. Change: while the newest entries or piece are unanswered, heartbeats carry none. Conclusion: one round trip more after a loss, and no load by the dead.

--- a/bench/replication.cpp
+++ b/bench/replication.cpp
@@ -146,6 +146,25 @@
                   Behind.Replica_->state().Log_.baseIndex().value()));
 }
 
+/// What a leader sends while one voter is gone and many bytes wait for it.
+void measureUnreachable() {
+  constexpr std::int64_t Seconds = 60;
+  ReplicaCluster C(3, 3, 1);
+  C.Limits_ = ReplicationLimits();
+  prepare(C);
+  ClusterNode &Lost = C.node(C.leader()->Id_ == VmId("a") ? "b" : "a");
+  C.crash(Lost, false, Duration::seconds(360'000));
+  Change Large = withdrawal("large");
+  Large.Text_ = std::string(200'000, 'x');
+  C.submit(Large);
+  C.runUntil([&] { return C.allAnswered(); }, Duration::seconds(10));
+  C.run(Duration::seconds(1));
+  std::uint64_t Before = C.Net_.bytes();
+  C.run(Duration::seconds(Seconds));
+  std::printf("one voter gone, 200000 bytes wait for it: %.0f bytes/s sent\n",
+              static_cast<double>(C.Net_.bytes() - Before) / Seconds);
+}
+
 void measureIdle(std::size_t Voters) {
   constexpr std::int64_t Seconds = 600;
   ReplicaCluster C(Voters, Voters, 1);
@@ -176,6 +195,7 @@
     measureCommits(Duration::millis(Sync));
   for (int Changes : {10, 100, 1000, 5000})
     measureCatchUp(Changes);
+  measureUnreachable();
   measureIdle(3);
   measureIdle(5);
   return 0;
--- a/lagoonpoint/src/Replication/ReplicaState.h
+++ b/lagoonpoint/src/Replication/ReplicaState.h
@@ -23,8 +23,9 @@
   DiskId Disk_;    ///< as the peer reported last
   LogIndex CommitSent_;
   std::optional<Time> AckedAt_; ///< when the newest answered message was sent
-  Time SentAt_;
-  bool InFlight_ = false;
+  Time SentAt_;                 ///< newest message
+  Time EntriesSentAt_;          ///< newest message with entries or a piece
+  bool InFlight_ = false;       ///< that one isn't answered yet
   std::uint64_t SnapshotOffset_ = 0;
 };
 
--- a/lagoonpoint/src/Replication/util/Leader.cpp
+++ b/lagoonpoint/src/Replication/util/Leader.cpp
@@ -18,7 +18,8 @@
   Request.PrevIndex_ = LogIndex(P.Next_.value() - 1);
   Request.PrevTerm_ = *S.Log_.termAt(Request.PrevIndex_);
   Request.Commit_ = S.Commit_;
-  Request.Entries_ = S.Log_.slice(P.Next_, S.Options_.Limits_.BatchBytes_);
+  if (!P.InFlight_)
+    Request.Entries_ = S.Log_.slice(P.Next_, S.Options_.Limits_.BatchBytes_);
   Request.Sent_ = Now.count();
   P.CommitSent_ = S.Commit_;
   Out.Messages_.push_back({To, std::move(Request)});
@@ -40,14 +41,18 @@
   Out.Messages_.push_back({To, std::move(Piece)});
 }
 
+/// Sends what the peer lacks; while the last of that is unanswered, only asks
+/// how far the peer is, so that an unreachable VM costs little.
 void sendTo(ReplicaState &S, const VmId &To, PeerProgress &P, Time Now,
             ReplicaOutput &Out) {
   if (P.Next_ <= S.Log_.baseIndex())
     sendPiece(S, To, P, Now, Out);
   else
     sendEntries(S, To, P, Now, Out);
-  P.InFlight_ = true;
   P.SentAt_ = Now;
+  if (!P.InFlight_)
+    P.EntriesSentAt_ = Now;
+  P.InFlight_ = true;
 }
 
 bool hasNews(const ReplicaState &S, const PeerProgress &P) {
@@ -88,7 +93,7 @@
     P.Match_ = LogIndex();
     P.SnapshotOffset_ = 0;
   }
-  if (Time(Sent) >= P.SentAt_)
+  if (Time(Sent) >= P.EntriesSentAt_)
     P.InFlight_ = false;
   P.AckedAt_ = std::max(P.AckedAt_.value_or(Time(Sent)), Time(Sent));
   return &P;
