Bound the log by bytes too

Cause: 256 entries of large declarations would hold gigabytes. Conclusion: a voter's memory follows the size of its state.

--- a/lagoonpoint/src/Replication/Step.cpp
+++ b/lagoonpoint/src/Replication/Step.cpp
@@ -97,11 +97,15 @@
 }
 
 bool wantsSnapshot(const ReplicaState &S) {
+  const ReplicationLimits &Limits = S.Options_.Limits_;
   std::uint64_t Kept = S.Commit_.value() - S.Log_.baseIndex().value();
-  std::size_t Every = S.Options_.Limits_.SnapshotEvery_;
-  if (Kept < Every)
-    return false;
-  return Kept >= 2 * Every || isReadyToCompact(S, S.Commit_);
+  std::size_t Bytes = S.Log_.bytes();
+  if (Kept >= 2 * Limits.SnapshotEvery_ ||
+      (Kept > 0 && Bytes >= 2 * Limits.SnapshotLogBytes_))
+    return true;
+  bool Enough = Kept >= Limits.SnapshotEvery_ ||
+                (Kept > 0 && Bytes >= Limits.SnapshotLogBytes_);
+  return Enough && isReadyToCompact(S, S.Commit_);
 }
 
 std::optional<Time> leaseEnd(const ReplicaState &S, Time Now) {
--- a/lagoonpoint/src/Replication/Types.h
+++ b/lagoonpoint/src/Replication/Types.h
@@ -113,8 +113,9 @@
   std::size_t BatchBytes_ = 256 << 10; ///< of entries in one message
   std::size_t PieceBytes_ = 256 << 10; ///< of a snapshot in one message
   std::size_t Uncommitted_ = 1024;     ///< entries, then proposals are refused
-  std::size_t SnapshotEvery_ = 256;    ///< entries kept before a snapshot
-  std::uint64_t SnapshotBytes_ = 1 << 30; ///< largest snapshot accepted
+  std::size_t SnapshotEvery_ = 256;    ///< entries kept before a snapshot ...
+  std::size_t SnapshotLogBytes_ = 4 << 20; ///< ... or bytes in them
+  std::uint64_t SnapshotBytes_ = 1 << 30;  ///< largest snapshot accepted
 };
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Replication/util/Log.cpp
+++ b/lagoonpoint/src/Replication/util/Log.cpp
@@ -10,10 +10,12 @@
 
 Log::Log(Snapshot Base, std::vector<LogEntry> Entries)
     : Base_(std::move(Base)), Entries_(Entries.begin(), Entries.end()) {
-  for (std::size_t Place = 0; Place < Entries_.size(); ++Place)
-    LAGOONPOINT_ASSERT(Entries_[Place].Index_.value() ==
-                           baseIndex().value() + 1 + Place,
-                       "replication.log");
+  LogIndex Expected = baseIndex();
+  for (const LogEntry &E : Entries_) {
+    Expected = Expected.next();
+    LAGOONPOINT_ASSERT(E.Index_ == Expected, "replication.log");
+    Bytes_ += E.Bytes_.size();
+  }
   findConfig();
 }
 
@@ -69,6 +71,7 @@
   LAGOONPOINT_ASSERT(E.Index_ == lastIndex().next(), "replication.log");
   LAGOONPOINT_ASSERT(E.Term_ >= lastTerm(), "replication.log");
   Entries_.push_back(E);
+  Bytes_ += E.Bytes_.size();
   if (E.Kind_ != EntryKind::Config)
     return;
   Config_ = configOf(E);
@@ -77,8 +80,10 @@
 
 void Log::truncateFrom(LogIndex First) {
   LAGOONPOINT_ASSERT(First > baseIndex(), "replication.log");
-  while (lastIndex() >= First)
+  while (lastIndex() >= First) {
+    Bytes_ -= Entries_.back().Bytes_.size();
     Entries_.pop_back();
+  }
   findConfig();
 }
 
--- a/lagoonpoint/src/Replication/util/Log.h
+++ b/lagoonpoint/src/Replication/util/Log.h
@@ -18,7 +18,8 @@
   LogIndex baseIndex() const { return Base_.Meta_.Index_; }
   LogIndex lastIndex() const;
   Term lastTerm() const;
-  std::size_t size() const { return Entries_.size(); }
+  /// \returns the bytes that the entries carry.
+  std::size_t bytes() const { return Bytes_; }
   /// \returns the configuration in the newest Config entry.
   const VoterConfig &config() const { return Config_; }
   /// \returns where that configuration stands.
@@ -51,6 +52,7 @@
 
   Snapshot Base_;
   std::deque<LogEntry> Entries_;
+  std::size_t Bytes_ = 0;
   VoterConfig Config_;
   LogIndex ConfigIndex_;
 };
