Print the fault matrix by fault and operation

Change: a table of faults by operations; a row stops after five failures; durable entries are noted by VM and disk. Conclusion: the table can be put into the docs as it is.

--- a/test/ReplicationFaults.cpp
+++ b/test/ReplicationFaults.cpp
@@ -2,7 +2,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <chrono>
 #include <cstdio>
 
 using namespace lagoonpoint;
@@ -84,10 +83,15 @@
   std::vector<Event::Kind> Events_;
 };
 
-/// Counts of one row of the matrix.
+/// One cell of the matrix.
+struct Cell {
+  std::uint64_t Cases_ = 0;
+  std::uint64_t Failed_ = 0;
+};
+
+/// One row of the matrix; pairs stand under Fault::None.
 struct Row {
-  std::uint64_t Single_ = 0;
-  std::uint64_t Pairs_ = 0;
+  std::map<Fault, Cell> Cells_;
   std::uint64_t Observed_ = 0;
   std::vector<std::string> Failures_;
 };
@@ -104,8 +108,12 @@
   Case C(O, Strikes);
   std::string Wrong = C.run();
   R.Observed_ += C.observed();
-  if (!Wrong.empty())
-    R.Failures_.push_back(O.Name_ + toString(Strikes) + ": " + Wrong);
+  Cell &Place = R.Cells_[Strikes.size() == 1 ? Strikes[0].Fault_ : Fault::None];
+  ++Place.Cases_;
+  if (Wrong.empty())
+    return;
+  ++Place.Failed_;
+  R.Failures_.push_back(O.Name_ + toString(Strikes) + ": " + Wrong);
 }
 
 Strike randomStrike(const std::vector<Event::Kind> &Events, Random &Source) {
@@ -129,33 +137,54 @@
       if (hasFailedEnough(R))
         return R;
       runCase(O, {{Number, F}}, R);
-      ++R.Single_;
     }
   Random Source(Seed);
-  for (; R.Pairs_ < Pairs && !hasFailedEnough(R); ++R.Pairs_)
+  for (std::uint64_t Pair = 0; Pair < Pairs && !hasFailedEnough(R); ++Pair)
     runCase(O, {randomStrike(Events, Source), randomStrike(Events, Source)}, R);
   return R;
 }
 
+std::string cellText(const Row &R, Fault F) {
+  auto Found = R.Cells_.find(F);
+  if (Found == R.Cells_.end())
+    return "-";
+  const Cell &C = Found->second;
+  std::string Cases = std::to_string(C.Cases_);
+  return C.Failed_ ? std::to_string(C.Failed_) + "/" + Cases + " FAILED"
+                   : Cases;
+}
+
+void printMatrix(const std::vector<Operation> &Operations,
+                 const std::vector<Row> &Rows) {
+  std::printf("| fault |");
+  for (const Operation &O : Operations)
+    std::printf(" %s |", O.Name_.c_str());
+  std::printf("\n|---|");
+  for (std::size_t N = 0; N < Operations.size(); ++N)
+    std::printf("--:|");
+  for (int F = 0; F <= static_cast<int>(Fault::DiskSlow); ++F) {
+    Fault Struck = static_cast<Fault>(F);
+    std::printf("\n| %s |", Struck == Fault::None ? "pairs" : toString(Struck));
+    for (const Row &R : Rows)
+      std::printf(" %s |", cellText(R, Struck).c_str());
+  }
+  std::printf("\n");
+}
+
 } // namespace
 
 TEST_CASE("Every fault at every event of every operation") {
   constexpr std::uint64_t PairsEach = 300;
-  std::printf("%-28s %8s %8s %10s %8s %8s\n", "operation", "single", "pairs",
-              "checks", "failed", "seconds");
-  for (const Operation &O : allOperations()) {
-    auto Start = std::chrono::steady_clock::now();
-    Row R = runOperation(O, PairsEach);
-    std::chrono::duration<double> Took =
-        std::chrono::steady_clock::now() - Start;
-    std::printf("%-28s %8llu %8llu %10llu %8zu %8.1f\n", O.Name_.c_str(),
-                static_cast<unsigned long long>(R.Single_),
-                static_cast<unsigned long long>(R.Pairs_),
-                static_cast<unsigned long long>(R.Observed_),
-                R.Failures_.size(), Took.count());
-    std::fflush(stdout);
-    for (const std::string &Failure : R.Failures_)
+  std::vector<Operation> Operations = allOperations();
+  std::vector<Row> Rows;
+  std::uint64_t Checks = 0;
+  for (const Operation &O : Operations) {
+    Rows.push_back(runOperation(O, PairsEach));
+    Checks += Rows.back().Observed_;
+    for (const std::string &Failure : Rows.back().Failures_)
       UNSCOPED_INFO(Failure);
-    REQUIRE(R.Failures_.empty());
+    REQUIRE(Rows.back().Failures_.empty());
   }
+  printMatrix(Operations, Rows);
+  std::printf("%llu checks\n", static_cast<unsigned long long>(Checks));
 }
--- a/test/fakes/ReplicaChecks.h
+++ b/test/fakes/ReplicaChecks.h
@@ -159,14 +159,14 @@
 
   /// What a leader commits is on the disks of a quorum of its voters.
   void observeCommit(const ClusterNode &N, const ReplicaState &S) {
-    Durable_[N.Id_] = S.Durable_;
+    Durable_[{N.Id_, S.Disk_}] = S.Durable_;
     if (S.Role_ != ReplicaRole::Leader || S.Commit_ <= Highest_)
       return;
     Highest_ = S.Commit_;
     const VoterConfig &Config = S.Log_.config();
-    auto Holding = std::count_if(
-        Config.Voters_.begin(), Config.Voters_.end(),
-        [&](const Voter &V) { return Durable_[V.Vm_] >= S.Commit_; });
+    auto Holding =
+        std::count_if(Config.Voters_.begin(), Config.Voters_.end(),
+                      [&](const Voter &V) { return Durable_[V] >= S.Commit_; });
     expect(static_cast<std::size_t>(Holding) >= Config.quorum(), N,
            "committed before a quorum held it");
   }
@@ -188,7 +188,7 @@
   std::map<std::pair<LogIndex, Term>, std::pair<Term, std::string>> Entries_;
   std::map<LogIndex, CommittedItem> Committed_;
   std::map<VmId, LogIndex> Applied_;
-  std::map<VmId, LogIndex> Durable_;
+  std::map<Voter, LogIndex> Durable_; ///< of each disk, also of lost ones
   std::map<ChangeId, ChangeReply> Verdicts_;
   std::map<Revision, ChangeId> Winners_;
   LogIndex Highest_;
