--- a/lagoonpoint/src/Node/Control.cpp
+++ b/lagoonpoint/src/Node/Control.cpp
@@ -1,5 +1,7 @@
 #include "lagoonpoint/src/Node/Control.h"
 
+#include "lagoonpoint/Log"
+
 #include <chrono>
 #include <thread>
 
@@ -9,6 +11,8 @@
 
 constexpr Duration ProposeWait = Duration::seconds(3);
 constexpr Duration LogEvery = Duration::seconds(1);
+constexpr Duration ReplaceLimit = Duration::seconds(120);
+constexpr Duration ReplacePoll = Duration::millis(200);
 constexpr Duration ForcePoll = Duration::millis(20);
 
 std::unique_ptr<ReplicaHost> makeHost(const Settings &S, const Clock &C,
@@ -163,13 +167,44 @@
 
 std::string Control::changeVoter(const VoterChange &V, Duration) {
   if (!Host_)
-    return "this VM has no replica; ask the leader, VM " +
-           leaderView().Leader_.str();
+    return "this VM has no replica; ask the leader";
   if (V.Action_ == "add")
     return Host_->addVoter(V.Vm_);
   if (V.Action_ == "remove")
     return Host_->removeVoter(V.Vm_);
-  return Host_->addVoter(V.With_);
+  return replaceVoter(V);
+}
+
+/// Adds the new voter before it removes the old one; a VM that came back with
+/// another disk has to be removed first.
+std::string Control::replaceVoter(const VoterChange &V) {
+  bool SameVm = V.Vm_ == V.With_;
+  std::string Refused =
+      SameVm ? Host_->removeVoter(V.Vm_) : Host_->addVoter(V.With_);
+  if (Refused.empty())
+    Proposer_.post([this, V, SameVm] { finishReplacing(V, SameVm); });
+  return Refused;
+}
+
+void Control::finishReplacing(const VoterChange &V, bool SameVm) {
+  Time Deadline = Clock_.now() + ReplaceLimit;
+  std::string Refused = "not tried";
+  while (!Refused.empty() && Clock_.now() < Deadline) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(ReplacePoll.count()));
+    if (!leaderView().Leading_)
+      break;
+    bool NewVotes = leaderView().Voters_.count(V.With_) > 0;
+    if (SameVm)
+      Refused = Host_->addVoter(V.With_);
+    else if (NewVotes)
+      Refused = Host_->removeVoter(V.Vm_);
+  }
+  if (!Refused.empty())
+    log({.Level_ = LogLevel::Warning,
+         .Step_ = "control.replace",
+         .Message_ =
+             "the voter was not replaced; repeat the command: " + Refused,
+         .Peer_ = V.With_.str()});
 }
 
 /// \returns the newest revision that each VM confirmed to this one, by the
--- a/lagoonpoint/src/Node/Control.h
+++ b/lagoonpoint/src/Node/Control.h
@@ -107,6 +107,8 @@
   void propose(Change C);
   void keepView();
   void logWithdrawals();
+  std::string replaceVoter(const VoterChange &V);
+  void finishReplacing(const VoterChange &V, bool SameVm);
 
   std::vector<VmStatus> vmRows(const InForce &F, const FleetView &Fleet,
                                const std::map<VmId, Revision> &Confirmed) const;
