--- a/bench/upstreams.cpp
+++ b/bench/upstreams.cpp
@@ -212,6 +212,34 @@
   });
 }
 
+/// Bytes of one VM's regular news and of its answer to a VM that starts.
+void measureNews() {
+  Declarations D = fakes::declarationsOf("tussock-ridge");
+  std::set<VmId> Ready;
+  for (const auto &[Id, Vm] : D.Vms_)
+    Ready.insert(Id);
+  std::map<ServiceId, double> Slots;
+  for (const auto &[Service, S] : D.Services_)
+    Slots[Service] = 9;
+  Time Now(1);
+  VmSteering S = startSteering(VmId("w1"), Now);
+  Now = Now + StartWait;
+  tick(S, D, Ready, Slots, Now);
+  for (const auto &[Service, Decl] : D.Services_)
+    for (int I = 0; I < 1000; ++I)
+      countCall(S.Meter_, {Service, RegionId("waikato")});
+  S.Meter_.CountedOut_[RegionId("waikato")] = 2000;
+  Now = Now + PlanEvery;
+  auto Regular = tick(S, D, Ready, Slots, Now);
+  SteeringNews Hello;
+  hear(S, VmId("w2"), Hello, Now);
+  auto Whole = tick(S, D, Ready, Slots, Now + Duration::seconds(1));
+  std::printf("news\n  regular, 2 flows carried %zu bytes every %.0f s to each "
+              "VM; whole plan %zu bytes on request\n",
+              encode(*Regular).size(), PlanEvery.inSeconds(),
+              encode(*Whole).size());
+}
+
 } // namespace
 
 int main() {
@@ -225,4 +253,5 @@
     print("trust", play(F, Policy::Trust));
   }
   measureDecisions();
+  measureNews();
 }
--- a/test/Steering.cpp
+++ b/test/Steering.cpp
@@ -239,6 +239,17 @@
   CHECK(To(F.Ready_, F.Now_).empty());
 }
 
+TEST_CASE("A region whose news stop is not reckoned with") {
+  Fleet F;
+  F.run(Duration::seconds(10));
+  ServicePlace There{Tellimus, Parnu};
+  CHECK(F.Vms_[VmId("tr1")].View_.Usable_.count(There) == 1);
+  for (const char *Vm : {"pa1", "pa2"})
+    F.Net_.cut(VmId(Vm), VmId("tr1"));
+  F.run(Duration::seconds(20));
+  CHECK(F.Vms_[VmId("tr1")].View_.Usable_.count(There) == 0);
+}
+
 TEST_CASE("Regular news hold just what the sender carries") {
   Fleet F;
   F.run(Duration::seconds(30));
@@ -248,6 +259,9 @@
   CHECK(News->Regions_.Rows_.size() == 1);
   CHECK(News->Lookups_.Rows_.empty());
   CHECK(encode(*News).size() < 250);
+  VmSteering Late = startSteering(VmId("pa2"), F.Now_);
+  hear(Late, VmId("pa1"), *News, F.Now_);
+  CHECK(!Late.IsStarted_);
 }
 
 TEST_CASE("Malformed news change nothing") {
