Count a region's slots whether they are warm or not

Cause: a VM that restarts warms up all its upstreams; the others took its cold slots for a loss of capacity and would have moved traffic away for 30 s. Change: VMs report the slots they hold, cold or warm; the slow start and the shift's cap pace what is sent to cold ones. The effect on traffic wasn't measured. Conclusion: a restart is not a loss of capacity.

--- a/lagoonpoint/src/Node/Dispatcher.cpp
+++ b/lagoonpoint/src/Node/Dispatcher.cpp
@@ -106,7 +106,7 @@
   if (S.Waiting_.empty())
     if (auto Target = placeNow(S, Wish))
       return *Target;
-  if (warmSlots(S.Group_, Clock_.now()) <= 0)
+  if (heldSlots(S.Group_, Clock_.now()) <= 0)
     throw Refusal(RefusalReason::NoUpstream, Ran::No, Step,
                   "no healthy upstream of " + Wish.Service_.str());
   std::uint64_t Ticket = ++S.NextTicket_;
@@ -150,7 +150,7 @@
 double Dispatcher::slots(const ServiceId &Service) {
   Shard &S = shardOf(Service);
   std::lock_guard Guard(S.Lock_);
-  return warmSlots(S.Group_, Clock_.now());
+  return heldSlots(S.Group_, Clock_.now());
 }
 
 std::vector<DispatchRow> Dispatcher::rows() {
--- a/lagoonpoint/src/Node/Dispatcher.h
+++ b/lagoonpoint/src/Node/Dispatcher.h
@@ -52,7 +52,7 @@
                UpstreamOutcome Outcome, Duration Spent);
 
   /// \returns the slots this VM holds at the service's upstreams that take
-  /// work, warming ones counted in part.
+  /// work.
   double slots(const ServiceId &Service);
   std::vector<DispatchRow> rows();
 
--- a/lagoonpoint/src/Steering/UpstreamChoice.cpp
+++ b/lagoonpoint/src/Steering/UpstreamChoice.cpp
@@ -211,11 +211,11 @@
       });
 }
 
-double warmSlots(const UpstreamGroup &G, Time Now) {
+double heldSlots(const UpstreamGroup &G, Time Now) {
   double Sum = 0;
   for (const Upstream &U : G.Upstreams_)
     if (takesWork(U, Now) && U.Phase_ != UpstreamPhase::Ejected)
-      Sum += U.HeldSlots_ * warmth(U, G.Rules_, Now);
+      Sum += U.HeldSlots_;
   return Sum;
 }
 
--- a/lagoonpoint/src/Steering/UpstreamChoice.h
+++ b/lagoonpoint/src/Steering/UpstreamChoice.h
@@ -92,10 +92,9 @@
 /// \ingroup Steering
 bool hasFreeSlot(const UpstreamGroup &G, Time Now);
 
-/// \returns the slots this VM holds at upstreams that take work, warming ones
-/// counted in part.
+/// \returns the slots this VM holds at upstreams that take work, free or not.
 /// \ingroup Steering
-double warmSlots(const UpstreamGroup &G, Time Now);
+double heldSlots(const UpstreamGroup &G, Time Now);
 
 /// \returns the load to reckon with: the report, drawn towards AssumedLoad_ as
 /// it grows old, and never below what this VM itself has there.
--- a/lagoonpoint/src/Steering/VmSteering.h
+++ b/lagoonpoint/src/Steering/VmSteering.h
@@ -63,7 +63,7 @@
 /// Moves the plans. Call it about twice a second.
 /// \ingroup Steering
 /// \param Ready VMs in contact, this one included
-/// \param Slots of each service, see warmSlots(); 0 or absent if none
+/// \param Slots of each service, see heldSlots(); 0 or absent if none
 /// \returns news to send to all other VMs, when they are due
 std::optional<SteeringNews> tick(VmSteering &S, const Declarations &D,
                                  const std::set<VmId> &Ready,
