Leave the slots of a silent VM alone for five seconds

Cause: the entry VM divided upstreams' slots over the VMs that were in contact at the moment: one late heartbeat, or a start before the first, and two VMs used the same slots. Change: slotSharers() counts declared VMs until they were silent for 5 s.

--- a/lagoonpoint/src/Node/Node.cpp
+++ b/lagoonpoint/src/Node/Node.cpp
@@ -107,6 +107,7 @@
   OnceHost Once_;
   Steerer Steerer_;
   Dispatcher Dispatcher_;
+  SlotSharers Sharers_;
   RetryBudgets Retries_;
   MetricRegistry Metrics_;
   Control Control_;
@@ -180,10 +181,9 @@
   for (const UpstreamRecord &U : Fleet->Upstreams_)
     if (U.Zone_ == Settings_.Zone_ && ByService.count(U.Key_.Service_))
       ByService[U.Key_.Service_].push_back(newsOf(U));
-  std::set<VmId> Sharers{Settings_.Vm_};
-  for (const auto &[Id, Vm] : F->Declared_.Vms_)
-    if (Vm.Entry_ && Vm.Zone_ == Settings_.Zone_ && Fleet->ready(Id))
-      Sharers.insert(Id);
+  std::set<VmId> Sharers =
+      slotSharers(Sharers_, F->Declared_, Settings_.Zone_, Fleet->readyVms(),
+                  Settings_.Vm_, Clock_.now());
   for (const auto &[Service, News] : ByService)
     Dispatcher_.learn(Service, News, Sharers, Settings_.Vm_,
                       F->Declared_.Services_.at(Service).SlowStart_);
--- a/test/UpstreamChoice.cpp
+++ b/test/UpstreamChoice.cpp
@@ -1,3 +1,4 @@
+#include "fakes/Firms.h"
 #include "lagoonpoint/Steering"
 
 #include <catch2/catch.hpp>
@@ -286,6 +287,29 @@
   CHECK(divideSlots(UpstreamId("u"), Slots, Vms, VmId("afar")) == 0);
 }
 
+TEST_CASE("The slots of a silent VM are left alone for a while") {
+  Declarations D = fakes::declarationsOf("kaasik");
+  SlotSharers State;
+  const VmId Self("ta1"), Other("ta2");
+  std::set<VmId> All{Self, Other, VmId("ta3")};
+  auto Sharers = [&](const std::set<VmId> &Ready, int Second) {
+    return slotSharers(State, D, ZoneId("tallinn-a"), Ready, Self,
+                       Time(0) + Duration::seconds(Second));
+  };
+  std::set<VmId> Both{Self, Other}, Alone{Self};
+  CHECK(Sharers(All, 0) == Both); // ta3 is of another zone
+  CHECK(Sharers(Alone, 4) == Both);
+  CHECK(Sharers(Alone, 5) == Alone);
+  CHECK(Sharers(All, 6) == Both);
+  CHECK(Sharers({}, 10) == Both);
+
+  SECTION("also before it was ever heard from") {
+    State = SlotSharers();
+    CHECK(Sharers(Alone, 20) == Both);
+    CHECK(Sharers(Alone, 25) == Alone);
+  }
+}
+
 TEST_CASE("Long random runs keep every bound") {
   for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
     INFO("seed " << Seed);
