--- a/test/RegionChoice.cpp
+++ b/test/RegionChoice.cpp
@@ -82,6 +82,10 @@
   BlockTable Table = buildBlockTable(D.Blocks_);
   CHECK(homeZoneOf(Table, D, "100.64.3.4") == ZoneId("waikato-a"));
   CHECK(homeZoneOf(Table, D, "100.64.100.4") == ZoneId("canterbury-a"));
+  CHECK(homeZoneOf(Table, D, "8.8.8.8") == ZoneId("canterbury-a"));
+  std::erase_if(D.Blocks_,
+                [](const BlockDecl &B) { return B.Cidr_ == "0.0.0.0/0"; });
+  Table = buildBlockTable(D.Blocks_);
   std::set<ZoneId> Picked;
   for (int I = 0; I < 100; ++I) {
     std::string Unknown = "8.8.8." + std::to_string(I);
