--- a/test/UpstreamChoice.cpp
+++ b/test/UpstreamChoice.cpp
@@ -1,3 +1,4 @@
+#include "fakes/Firms.h"
 #include "lagoonpoint/Steering"
 
 #include <catch2/catch.hpp>
@@ -105,7 +106,7 @@
     S.announce("u0", 0.1, Here, true);
     S.announce("u0", 0.1);
     CHECK(!S.tryPlace(AnyCall));
-    CHECK(warmSlots(S.G_, S.Now_) == 0);
+    CHECK(heldSlots(S.G_, S.Now_) == 0);
     SECTION("until it comes back after its lease") {
       S.pass(Duration::seconds(6));
       S.announce("u0", 0.1);
@@ -156,7 +157,7 @@
   CHECK(warmth(S.at("cold"), S.G_.Rules_, S.Now_) == Approx(0.5));
   S.announceAll(3);
   S.announce("cold", 0.0);
-  CHECK(warmSlots(S.G_, S.Now_) > 0.5 * Slots);
+  CHECK(heldSlots(S.G_, S.Now_) == 4 * Slots);
 }
 
 TEST_CASE("Reports are trusted as far as they deserve") {
@@ -286,6 +287,29 @@
   CHECK(divideSlots(UpstreamId("u"), Slots, Vms, VmId("afar")) == 0);
 }
 
+TEST_CASE("The slots of a silent VM are left alone for a while") {
+  Declarations D = fakes::declarationsOf("kaasik");
+  SlotSharers State;
+  const VmId Self("ta1"), Other("ta2");
+  std::set<VmId> All{Self, Other, VmId("ta3")};
+  auto Sharers = [&](const std::set<VmId> &Ready, int Second) {
+    return slotSharers(State, D, ZoneId("tallinn-a"), Ready, Self,
+                       Time(0) + Duration::seconds(Second));
+  };
+  std::set<VmId> Both{Self, Other}, Alone{Self};
+  CHECK(Sharers(All, 0) == Both); // ta3 is of another zone
+  CHECK(Sharers(Alone, 4) == Both);
+  CHECK(Sharers(Alone, 5) == Alone);
+  CHECK(Sharers(All, 6) == Both);
+  CHECK(Sharers({}, 10) == Both);
+
+  SECTION("also before it was ever heard from") {
+    State = SlotSharers();
+    CHECK(Sharers(Alone, 20) == Both);
+    CHECK(Sharers(Alone, 25) == Alone);
+  }
+}
+
 TEST_CASE("Long random runs keep every bound") {
   for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
     INFO("seed " << Seed);
