Keep one team's slow calls from taking every thread

Cause: a call holds a thread while it waits for its upstream; one team's calls to a hanging upstream could hold all that calls may use, and other teams were refused. Change: CallSlots: an eighth of the threads serves look-ups only; once three quarters of the rest are held, a team that holds half of them gets no more. Figures: 8 threads, 8 hanging calls of one team: 5 are passed on, 3 refused as not run, and another team's call and a look-up are answered. Conclusion: the price is that a team alone on a VM can use three quarters of the slots.

--- a/lagoonpoint/src/Http/CallerServer.cpp
+++ b/lagoonpoint/src/Http/CallerServer.cpp
@@ -7,8 +7,6 @@
 #include <Poco/Exception.h>
 #include <Poco/URI.h>
 
-#include <algorithm>
-#include <atomic>
 #include <cstdio>
 
 namespace lagoonpoint {
@@ -20,10 +18,6 @@
 constexpr const char *LookupPath = "/v1/lookup";
 constexpr std::size_t MaxDrainedBytes = 64 * 1024;
 constexpr Duration AnswerLimit = Duration::seconds(10);
-constexpr Duration RetryWhenBusy = Duration::millis(100);
-
-// Part of the threads that only look-ups may use.
-constexpr unsigned LookupShare = 8;
 
 std::string pathOf(const std::string &Target) {
   return Target.substr(0, Target.find('?'));
@@ -87,24 +81,6 @@
           S.DrainLimit_};
 }
 
-/// Counts a call for as long as it is being passed on.
-class InFlight {
-public:
-  InFlight(std::atomic<unsigned> &Count, unsigned Limit) : Count_(Count) {
-    if (Count_.fetch_add(1) < Limit)
-      return;
-    Count_.fetch_sub(1);
-    throw Refusal(RefusalReason::QueueFull, Ran::No, "http.call",
-                  "this VM passes on as many calls as it can", RetryWhenBusy);
-  }
-  ~InFlight() { Count_.fetch_sub(1); }
-  InFlight(const InFlight &) = delete;
-  InFlight &operator=(const InFlight &) = delete;
-
-private:
-  std::atomic<unsigned> &Count_;
-};
-
 void logFailure(const Call &C, const std::exception &E) {
   LogLine Line;
   Line.Level_ = LogLevel::Error;
@@ -119,6 +95,7 @@
 struct CallerServer::Impl {
   Impl(CallerPort &Port, const Settings &S, const Clock &C)
       : Port_(Port), Settings_(S), Clock_(C), Pool_(C),
+        Slots_(S.CallerThreads_),
         Listener_(
             optionsOf(S), C,
             [this](Connection &Conn, RequestHead &Head) {
@@ -147,7 +124,7 @@
   const Settings &Settings_;
   const Clock &Clock_;
   UpstreamPool Pool_;
-  std::atomic<unsigned> Passing_{0};
+  CallSlots Slots_;
   Listener Listener_;
 };
 
@@ -184,10 +161,9 @@
 
 bool CallerServer::Impl::pass(Connection &Conn, RequestHead &Head,
                               BodyReader &Body, Call &C) {
-  unsigned Threads = Settings_.CallerThreads_;
-  InFlight Counted(Passing_, std::max(1U, Threads - Threads / LookupShare));
+  CallSlots::Held Slot(Slots_);
   ProxyContext Context{Port_, Settings_, Clock_, Pool_, Listener_};
-  ProxyCall Passed(Context, Conn, Head, Body, C);
+  ProxyCall Passed(Context, Conn, Head, Body, C, Slot);
   // Neither the port nor an error knows what this call's tries have sent.
   auto Truth = [&](Ran Said) {
     return Passed.mayHaveRun() ? Ran::Unknown : Said;
--- a/lagoonpoint/src/Http/util/ProxyCall.cpp
+++ b/lagoonpoint/src/Http/util/ProxyCall.cpp
@@ -59,8 +59,10 @@
 } // namespace
 
 ProxyCall::ProxyCall(const ProxyContext &Context, Connection &Caller,
-                     const RequestHead &Head, BodyReader &Body, Call &C)
-    : Context_(Context), Caller_(Caller), Head_(Head), Body_(Body), Call_(C) {}
+                     const RequestHead &Head, BodyReader &Body, Call &C,
+                     CallSlots::Held &Slot)
+    : Context_(Context), Caller_(Caller), Head_(Head), Body_(Body), Call_(C),
+      Slot_(Slot) {}
 
 bool ProxyCall::run() {
   checkLength();
@@ -71,6 +73,7 @@
     Call_.BodyDigest_ = bodyDigest();
   }
   Ticket_ = Context_.Port_.admit(Call_);
+  Slot_.assign(Ticket_->team());
   if (!isOnce()) {
     continueExpected();
     readAhead(HeldRequestBytes);
--- a/lagoonpoint/src/Http/util/ProxyCall.h
+++ b/lagoonpoint/src/Http/util/ProxyCall.h
@@ -4,6 +4,7 @@
 #include "lagoonpoint/src/Http/CallerPort.h"
 #include "lagoonpoint/src/Http/util/Answers.h"
 #include "lagoonpoint/src/Http/util/BodyReader.h"
+#include "lagoonpoint/src/Http/util/CallSlots.h"
 #include "lagoonpoint/src/Http/util/UpstreamPool.h"
 
 #include <chrono>
@@ -34,8 +35,10 @@
 class ProxyCall {
 public:
   /// \param Body the request's body, not yet read
+  /// \param Slot held for this call
   ProxyCall(const ProxyContext &Context, Connection &Caller,
-            const RequestHead &Head, BodyReader &Body, Call &C);
+            const RequestHead &Head, BodyReader &Body, Call &C,
+            CallSlots::Held &Slot);
 
   /// \returns true if the caller's connection can be used again
   /// \throws Refusal while nothing of an answer has gone to the caller
@@ -99,6 +102,7 @@
   const RequestHead &Head_;
   BodyReader &Body_;
   Call &Call_;
+  CallSlots::Held &Slot_;
   RouteDecl Route_;
   std::unique_ptr<CallTicket> Ticket_;
   std::string Held_; ///< of the request's body, read ahead
--- a/test/CallerServer.cpp
+++ b/test/CallerServer.cpp
@@ -270,6 +270,35 @@
     for (std::thread &T : Busy)
       T.join();
   }
+  SECTION("one team's slow calls don't shut out others or look-ups") {
+    std::atomic<bool> Ended{false};
+    ScriptedUpstream Upstream([&](RawSocket &S) {
+      bool Slow = S.readMessage().find("/slow") != std::string::npos;
+      while (Slow && !Ended)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      S.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    Rig.Settings_.CallerThreads_ = 8;
+    unsigned short Port = Rig.start(Upstream.address());
+    std::vector<RawSocket> Slow;
+    for (int Number = 0; Number < 8; ++Number) {
+      Slow.emplace_back(Port);
+      Slow.back().send("GET /slow HTTP/1.1\r\nHost: vm\r\n"
+                       "X-Api-Key: large.s\r\n\r\n");
+    }
+    while (Upstream.connections() < 5)
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    RawSocket Small(Port);
+    Small.send(Get + "X-Api-Key: small.s\r\n\r\n");
+    CHECK_THAT(Small.readMessage(), StartsWith("HTTP/1.1 200 "));
+    Small.send("GET /v1/lookup?service=tags HTTP/1.1\r\nHost: vm\r\n\r\n");
+    CHECK_THAT(Small.readMessage(), StartsWith("HTTP/1.1 200 "));
+    Ended = true;
+    int Refused = 0;
+    for (RawSocket &Caller : Slow)
+      Refused += Caller.readMessage().starts_with("HTTP/1.1 503 ");
+    CHECK(Refused == 3);
+  }
   SECTION("idle connections give way to new ones") {
     Rig.Settings_.MaxCallerConnections_ = 2;
     unsigned short Port = Rig.start();
--- a/test/ProxyFaults.cpp
+++ b/test/ProxyFaults.cpp
@@ -467,6 +467,7 @@
     }
   });
   fakes::CallerRig Rig;
+  Rig.Settings_.CallerThreads_ = 16; // one team may hold ten slots of these
   unsigned short Port = Rig.start(Upstream.address());
   std::atomic<int> Whole{0};
   std::atomic<int> Other{0};
