Measure the time to stop a withdrawn key, and mend a gap at the lapse

Cause: when a zone's proofs lapsed, its VMs refused keyed calls for up to half a second, until they had asked each other again; some safety rules had no test that failed without them. Change: a peer's proof is kept with its time and judged when a key is; tests for late answers, a leaving announcement through a VM that lags, a made-up listener's proof, and answers to an earlier process.

--- a/bench/control_plane.cpp
+++ b/bench/control_plane.cpp
@@ -25,6 +25,7 @@
 /// the message's authentication, its acknowledgement. See `wire`.
 constexpr double WireOverhead = 57;
 const KeyId Key("k1");
+constexpr Duration Watched = Duration::seconds(20);
 
 struct Traffic {
   double Messages_ = 0;
@@ -142,31 +143,46 @@
               Took ? static_cast<long long>(Took->count()) : -1);
 }
 
-/// \returns how long some VM still takes a key that is withdrawn.
-long long timeToStop(ControlFleet &Fleet, bool Logged, bool Epidemic,
-                     bool CutOne) {
-  Fleet.Logged_ = Logged;
-  Fleet.Epidemic_ = Epidemic;
+/// What is wrong while a key is withdrawn.
+enum class Fault { None, VmCutOff, NoQuorum };
+
+void bringAbout(ControlFleet &Fleet, Fault What) {
   VmId Last = Fleet.Vms_.rbegin()->first;
-  if (CutOne)
+  if (What == Fault::VmCutOff)
     for (const auto &[Vm, Zone] : Fleet.Declared_) {
       Fleet.cut(Vm, Last);
       Fleet.cut(Last, Vm);
     }
+  if (What == Fault::NoQuorum)
+    for (std::size_t At = 0; At <= Fleet.Voters_.size() / 2; ++At)
+      Fleet.crash(Fleet.Voters_[At]);
+}
+
+bool anyTakes(const ControlFleet &Fleet) {
+  return std::any_of(Fleet.Vms_.begin(), Fleet.Vms_.end(), [&](const auto &E) {
+    return Fleet.verdict(E.first, Key, Duration::seconds(3600)) ==
+           KeyVerdict::Ok;
+  });
+}
+
+/// \returns when a VM last took a key after its withdrawal, or -1 if one
+/// still does at the end of what is watched.
+long long timeToStop(ControlFleet &Fleet, bool Logged, bool Epidemic) {
+  Fleet.Logged_ = Logged;
+  Fleet.Epidemic_ = Epidemic;
+  Fleet.run(ControlFleet::Step);
   if (Epidemic)
     Fleet.Vms_.begin()->second->Withdrawn_.withdraw(Key);
   if (Logged)
     Fleet.propose("-k1");
-  auto Took = Fleet.until(
-      [&] {
-        return std::none_of(
-            Fleet.Vms_.begin(), Fleet.Vms_.end(), [&](const auto &E) {
-              return Fleet.verdict(E.first, Key, Duration::seconds(3600)) ==
-                     KeyVerdict::Ok;
-            });
-      },
-      Duration::seconds(60));
-  return Took ? static_cast<long long>(Took->count()) : -1;
+  Time From = Fleet.Now_;
+  Time Last = From;
+  while (Fleet.Now_ - From < Watched) {
+    Fleet.run(ControlFleet::Step);
+    if (anyTakes(Fleet))
+      Last = Fleet.Now_;
+  }
+  return Last == Fleet.Now_ ? -1 : (Last - From).count();
 }
 
 int measure(int Vms, int Zones, int Upstreams, int Seconds) {
@@ -184,18 +200,24 @@
 }
 
 int measureStop(int Vms, int Zones) {
-  for (bool CutOne : {false, true})
-    for (int Way = 1; Way <= 3; ++Way) {
-      ControlFleet Fleet(Zones, Vms / Zones);
+  const char *Faults[] = {"no fault", "one VM cut off", "no quorum"};
+  const char *Ways[] = {"log and lease", "epidemic", "both"};
+  for (Fault What : {Fault::None, Fault::VmCutOff, Fault::NoQuorum})
+    for (int Way = 0; Way < 3; ++Way) {
+      FeedOptions Options;
+      if (Way == 1)
+        Options.KeyLease_ = Duration::seconds(86400); // as if there were none
+      ControlFleet Fleet(Zones, Vms / Zones, Options);
       Meter M;
       M.attach(Fleet, Duration::millis(40));
       Fleet.run(Duration::seconds(8));
       Fleet.propose("first");
       Fleet.run(Duration::seconds(8));
-      const char *Names[] = {"", "log and lease", "epidemic", "both"};
-      std::printf("VMs %zu, %s, %s: last VM stops after ms %lld\n",
-                  Fleet.Vms_.size(), CutOne ? "one VM cut off" : "no fault",
-                  Names[Way], timeToStop(Fleet, Way != 2, Way != 1, CutOne));
+      bringAbout(Fleet, What);
+      bool Logged = Way != 1;
+      std::printf("VMs %d, %s, %s: last taken after ms %lld\n", Vms,
+                  Faults[static_cast<int>(What)], Ways[Way],
+                  timeToStop(Fleet, Logged, Way != 0));
     }
   return 0;
 }
--- a/lagoonpoint/src/Dissemination/Feed.cpp
+++ b/lagoonpoint/src/Dissemination/Feed.cpp
@@ -260,14 +260,19 @@
   Out.Lease_ = Options_.KeyLease_;
   Out.Contact_ = Reach;
   Out.ZoneLapsed_ =
-      std::all_of(Answering_.begin(), Answering_.end(), [&](const VmId &Vm) {
-        auto It = Answers_.find(Vm);
-        return It != Answers_.end() && !It->second.Proved_ &&
-               Now - It->second.AskedAt_ <= AnswerCounts;
-      });
+      std::all_of(Answering_.begin(), Answering_.end(),
+                  [&](const VmId &Vm) { return hasLapsed(Vm, Now); });
   return Out;
 }
 
+bool Feed::hasLapsed(const VmId &Peer, Time Now) const {
+  auto It = Answers_.find(Peer);
+  if (It == Answers_.end() || Now - It->second.AskedAt_ > AnswerCounts)
+    return false;
+  const std::optional<Time> &ProvedAt = It->second.ProvedAt_;
+  return !ProvedAt || Now - *ProvedAt >= Options_.KeyLease_;
+}
+
 template <class Message>
 void Feed::post(const VmId &To, FeedKind Kind, const Message &M) {
   std::string Body(1, static_cast<char>(Kind));
--- a/lagoonpoint/src/Dissemination/Feed.h
+++ b/lagoonpoint/src/Dissemination/Feed.h
@@ -87,7 +87,7 @@
     Time AskedAt_;
     Revision Revision_;
     bool Ready_ = false;
-    bool Proved_ = false; ///< by a proof that had not lapsed
+    std::optional<Time> ProvedAt_; ///< its last proof, on this VM's clock
   };
 
   void chooseSource(Time Now);
@@ -116,6 +116,7 @@
   void judgeReadiness(Time Now);
   bool peersHoldNoMore(Time Now, bool &AnyReady) const;
   bool proofHolds(Time Now) const;
+  bool hasLapsed(const VmId &Peer, Time Now) const;
   template <class Message>
   void post(const VmId &To, FeedKind Kind, const Message &M);
 
--- a/lagoonpoint/src/Dissemination/FeedReceiving.cpp
+++ b/lagoonpoint/src/Dissemination/FeedReceiving.cpp
@@ -79,8 +79,11 @@
   takeProof(In, SentAt);
   bool Proved = In.Proved_ && In.ProofAge_ < Options_.KeyLease_;
   PeerAnswer &Last = Answers_[From];
-  if (SentAt >= Last.AskedAt_)
-    Last = {SentAt, In.Revision_, In.Ready_, Proved};
+  if (SentAt >= Last.AskedAt_) {
+    Last = {SentAt, In.Revision_, In.Ready_, std::nullopt};
+    if (In.Proved_)
+      Last.ProvedAt_ = SentAt - In.ProofAge_;
+  }
   if (From == Source_) {
     SourceHeard_ = Now;
     for (const Confirmation &C : InPulls_[SentAt]) {
--- a/test/Dissemination.cpp
+++ b/test/Dissemination.cpp
@@ -208,6 +208,12 @@
     Tell();
     CHECK(F.currency(Contact::Connected, Now).ProvedAt_ == Now);
   }
+  SECTION("an answer to an earlier process of this VM proves nothing") {
+    Beat.Proved_ = true;
+    Beat.Asker_ = Incarnation(6);
+    Tell();
+    CHECK_FALSE(F.currency(Contact::Connected, Now).ProvedAt_);
+  }
   SECTION("a proof counts from when it was asked for, less its age") {
     Beat.Proved_ = true;
     Beat.ProofAge_ = Duration::millis(300);
--- a/test/Membership.cpp
+++ b/test/Membership.cpp
@@ -212,6 +212,50 @@
   CHECK(usable(Issuer.Entries_.begin()->second, Now));
 }
 
+TEST_CASE("An upstream leaves through a VM that lags behind") {
+  UpstreamTable Behind, Ahead;
+  Time Now(1000);
+  UpstreamRecord R;
+  R.Key_ = {Service, UpstreamId("u1")};
+  R.Lease_ = Second * 10;
+  auto Issue = [&](UpstreamTable &By, const char *Vm, bool Leaving) {
+    UpstreamRecord Out =
+        issueUpstream(By, R, Leaving, VmId(Vm), Incarnation(5));
+    mergeUpstream(By, Out, Now);
+    return Out;
+  };
+  UpstreamRecord First = Issue(Behind, "a", false);
+  mergeUpstream(Ahead, First, Now);
+  UpstreamRecord Second = Issue(Ahead, "b", false);
+  UpstreamRecord Third = Issue(Ahead, "b", false);
+  UpstreamRecord Left = Issue(Behind, "a", true);
+  REQUIRE(Left.Version_ < Third.Version_);
+
+  std::vector<UpstreamRecord> Records{First, Second, Third, Left};
+  std::vector<int> Order{0, 1, 2, 3};
+  do {
+    UpstreamTable Table;
+    bool Knows = false;
+    for (int At : Order) {
+      mergeUpstream(Table, Records[At], Now);
+      Knows |= At == 3;
+      CHECK(usable(Table.Entries_.begin()->second, Now) != Knows);
+    }
+  } while (std::next_permutation(Order.begin(), Order.end()));
+}
+
+TEST_CASE("An answer that comes late is no contact") {
+  MemberFleet Fleet(2, 2);
+  REQUIRE(allAlive(Fleet));
+  Fleet.Net_.setHook([](std::uint64_t, const Envelope &E) {
+    bool Late = E.To_ == VmId("z1a");
+    return Fate{.Delay_ =
+                    Late ? Pace.ContactWindow_ + Second : Duration::millis(1)};
+  });
+  Fleet.run(Second * 15);
+  CHECK(Fleet.at("z1a").contact(Fleet.Now_) == Contact::Alone);
+}
+
 TEST_CASE("A copy of a record of another zone") {
   UpstreamTable Table;
   UpstreamRecord R;
--- a/test/Peer.cpp
+++ b/test/Peer.cpp
@@ -3,6 +3,7 @@
 #include "lagoonpoint/src/Peer/Http2Sender.h"
 
 #include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <catch2/catch.hpp>
 
@@ -228,6 +229,17 @@
     CHECK(Stranger.got() == 0);
     CHECK(One.Transport_.counters().MessagesSent_ == 0);
   }
+  SECTION("that listens and answers with a proof it made up is left") {
+    Poco::Net::ServerSocket Listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+    One.Transport_.setPeers({{B, {"127.0.0.1", Listener.address().port()}}});
+    One.send(B, "hello");
+    auto Socket = Listener.acceptConnection();
+    write(Socket, std::string(internal::NonceBytes, 'n'));
+    readExactly(Socket, internal::NonceBytes + 32);
+    write(Socket, std::string(32, 'p'));
+    CHECK(readAll(Socket).empty());
+    CHECK(eventually([&] { return One.sawError("wrong proof"); }));
+  }
   SECTION("gets only the nonce, whatever it sends") {
     Random Dice(7);
     for (std::size_t Size : {64, 65, 1000, 5000}) {
--- a/test/WithdrawnKeys.cpp
+++ b/test/WithdrawnKeys.cpp
@@ -171,8 +171,10 @@
   ControlFleet Fleet(3, 3);
   startUp(Fleet);
   Fleet.cutZone(ZoneId("z2"));
+  Fleet.EachStep_ = [&] {
+    CHECK(Fleet.verdict(VmId("z2-001"), Key, Hour) == KeyVerdict::Ok);
+  };
   Fleet.run(Second * 20);
-  CHECK(Fleet.verdict(VmId("z2-001"), Key, Hour) == KeyVerdict::Ok);
   CHECK(Fleet.verdict(VmId("z2-001"), Key, Second * 10) ==
         KeyVerdict::NotCurrent);
   CHECK(Fleet.verdict(VmId("z1-001"), Key, Second * 10) == KeyVerdict::Ok);
--- a/test/fakes/ControlFleet.h
+++ b/test/fakes/ControlFleet.h
@@ -59,7 +59,8 @@
 /// reaches a majority leads, a while after its predecessor's lease ended.
 class ControlFleet {
 public:
-  ControlFleet(int Zones, int VmsPerZone) {
+  ControlFleet(int Zones, int VmsPerZone, FeedOptions Options = {})
+      : FeedOptions_(std::move(Options)) {
     for (int Zone = 1; Zone <= Zones; ++Zone)
       for (int Vm = 0; Vm < VmsPerZone; ++Vm) {
         ZoneId In("z" + std::to_string(Zone));
