Check that a restarted voter keeps its promise to the leader

Cause: a mutant that forgot the promise at a restart passed all checks: fake VMs always took longer to start than a lease lasts. Change: a directed test with a voter that restarts every 300 ms; fake VMs start after 0 to 2 s. Conclusion: the lease rests on this promise, so it is tested by itself.

--- a/test/Replication.cpp
+++ b/test/Replication.cpp
@@ -150,6 +150,25 @@
   }
 }
 
+TEST_CASE("A voter that restarts often keeps its promise to the leader") {
+  ReplicaGroup Group(Trio, Trio);
+  Group.run(Settle);
+  VmId Leader = leaderOf(Group);
+  VmId Restarting = Leader == VmId("a") ? VmId("b") : VmId("a");
+  VmId CutOff = Leader == VmId("c") ? VmId("b") : VmId("c");
+  Group.Net_.cut(Leader, CutOff);
+  Group.Net_.cut(CutOff, Leader);
+
+  SECTION("though another VM asks for its vote") {
+    constexpr int Restarts = 60;
+    for (int N = 0; N < Restarts; ++N) {
+      Group.start(Restarting);
+      Group.run(Duration::millis(300));
+      REQUIRE(leaderOf(Group) == Leader);
+    }
+  }
+}
+
 TEST_CASE("A reconfiguration is refused") {
   ReplicaGroup Group(Trio, {VmId("a"), VmId("b"), VmId("c"), VmId("d")});
   Group.run(Settle);
--- a/test/fakes/ReplicaCluster.h
+++ b/test/fakes/ReplicaCluster.h
@@ -21,7 +21,6 @@
 class ReplicaCluster {
 public:
   static constexpr Duration HealAfter = Duration::millis(3000);
-  static constexpr Duration RestartAfter = Duration::millis(1500);
 
   /// Nodes start with the first step.
   /// \param Voters of \p Size nodes named a, b, c, ...; the others are spare
@@ -120,7 +119,14 @@
     return Leader->Replica_->leaseValid(localTime(*Leader));
   }
 
-  void crash(ClusterNode &N, bool LosePower, Duration Until = RestartAfter) {
+  /// Ends a VM's process; it starts again after a short while.
+  void crash(ClusterNode &N, bool LosePower) {
+    constexpr std::uint64_t Longest = 2000; // milliseconds
+    auto Millis = static_cast<std::int64_t>(Random_() % Longest);
+    crash(N, LosePower, Duration::millis(Millis));
+  }
+
+  void crash(ClusterNode &N, bool LosePower, Duration Until) {
     N.Replica_.reset();
     N.Storage_.reset();
     N.Queue_.clear();
