--- a/test/ReplicationRandom.cpp
+++ b/test/ReplicationRandom.cpp
@@ -24,3 +24,29 @@
     CHECK(Changes > Seeds * 10);
   }
 }
+
+TEST_CASE("Clock rates at the stated limit give no two leases") {
+  constexpr std::uint64_t Seeds = 40;
+  constexpr double Slow = 0.952;
+  constexpr double Fast = 1.047;
+  std::uint64_t SlowLeaders = 0;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    ReplicaCluster C(3, 3, Seed);
+    C.Delay_ = Duration::millis(1);
+    C.Step_ = Duration::millis(2);
+    C.node("a").Rate_ = Slow;
+    C.node("b").Rate_ = Fast;
+    C.node("c").Rate_ = Fast;
+    for (int Isolations = 0; Isolations < 10; ++Isolations) {
+      settle(C, 0);
+      if (C.leader() == nullptr)
+        continue;
+      SlowLeaders += C.leader()->Rate_ == Slow;
+      C.isolate(C.leader()->Id_);
+      C.run(Duration::seconds(4));
+    }
+    INFO("seed " << Seed);
+    REQUIRE(C.Checks_.report() == "");
+  }
+  CHECK(SlowLeaders > Seeds);
+}
--- a/test/fakes/RandomRun.h
+++ b/test/fakes/RandomRun.h
@@ -51,16 +51,38 @@
   std::uint64_t changes() const { return Cluster_.Changes_.size(); }
 
   /// \returns the last faults and actions, one a line.
-  std::string trace() const {
+  std::string trace() {
     std::string Text;
     for (const std::string &Line : Trace_)
       Text += Line + "\n";
-    return Text + Cluster_.describe();
+    return Text + describe();
   }
 
 private:
   static constexpr std::size_t TraceLines = 30;
 
+  std::string describe() {
+    std::ostringstream Out;
+    for (const auto &[Id, N] : Cluster_.nodes()) {
+      Out << Id << ": ";
+      if (!N.isUp()) {
+        Out << "down\n";
+        continue;
+      }
+      ReplicaStatus S = N.Replica_->status(Cluster_.localTime(N));
+      Out << toString(S.Role_) << " term " << S.Term_ << " commit " << S.Commit_
+          << " last " << S.LastIndex_ << " snapshot " << S.SnapshotIndex_
+          << " voters";
+      for (const Voter &V : S.Config_.Voters_)
+        Out << " " << V.Vm_;
+      Out << " learners";
+      for (const VmId &Vm : S.Config_.Learners_)
+        Out << " " << Vm;
+      Out << " " << S.Fault_ << "\n";
+    }
+    return Out.str();
+  }
+
   bool chance(std::uint64_t OneIn) { return Random_() % OneIn == 0; }
 
   void note(const std::string &What) {
--- a/test/fakes/ReplicaCluster.h
+++ b/test/fakes/ReplicaCluster.h
@@ -6,7 +6,6 @@
 #include "fakes/ReplicaChecks.h"
 
 #include <optional>
-#include <sstream>
 
 namespace lagoonpoint::fakes {
 
@@ -137,29 +136,6 @@
       N.Disk_.losePower(Random_() % 40);
   }
 
-  /// \returns a line on each node, for a failed run.
-  std::string describe() const {
-    std::ostringstream Out;
-    for (const auto &[Id, N] : Nodes_) {
-      Out << Id << ": ";
-      if (!N.isUp()) {
-        Out << "down\n";
-        continue;
-      }
-      ReplicaStatus S = N.Replica_->status(localTime(N));
-      Out << toString(S.Role_) << " term " << S.Term_ << " commit " << S.Commit_
-          << " last " << S.LastIndex_ << " snapshot " << S.SnapshotIndex_
-          << " voters";
-      for (const Voter &V : S.Config_.Voters_)
-        Out << " " << V.Vm_;
-      Out << " learners";
-      for (const VmId &Vm : S.Config_.Learners_)
-        Out << " " << Vm;
-      Out << " " << S.Fault_ << "\n";
-    }
-    return Out.str();
-  }
-
   /// Takes a VM's disk away for an empty one.
   void wipe(ClusterNode &N) {
     crash(N, false);
