--- a/test/fakes/ReplicaCluster.h
+++ b/test/fakes/ReplicaCluster.h
@@ -6,7 +6,6 @@
 #include "fakes/ReplicaChecks.h"
 
 #include <optional>
-#include <sstream>
 
 namespace lagoonpoint::fakes {
 
@@ -21,7 +20,6 @@
 class ReplicaCluster {
 public:
   static constexpr Duration HealAfter = Duration::millis(3000);
-  static constexpr Duration RestartAfter = Duration::millis(1500);
 
   /// Nodes start with the first step.
   /// \param Voters of \p Size nodes named a, b, c, ...; the others are spare
@@ -120,7 +118,14 @@
     return Leader->Replica_->leaseValid(localTime(*Leader));
   }
 
-  void crash(ClusterNode &N, bool LosePower, Duration Until = RestartAfter) {
+  /// Ends a VM's process; it starts again after a short while.
+  void crash(ClusterNode &N, bool LosePower) {
+    constexpr std::uint64_t Longest = 2000; // milliseconds
+    auto Millis = static_cast<std::int64_t>(Random_() % Longest);
+    crash(N, LosePower, Duration::millis(Millis));
+  }
+
+  void crash(ClusterNode &N, bool LosePower, Duration Until) {
     N.Replica_.reset();
     N.Storage_.reset();
     N.Queue_.clear();
@@ -131,29 +136,6 @@
       N.Disk_.losePower(Random_() % 40);
   }
 
-  /// \returns a line on each node, for a failed run.
-  std::string describe() const {
-    std::ostringstream Out;
-    for (const auto &[Id, N] : Nodes_) {
-      Out << Id << ": ";
-      if (!N.isUp()) {
-        Out << "down\n";
-        continue;
-      }
-      ReplicaStatus S = N.Replica_->status(localTime(N));
-      Out << toString(S.Role_) << " term " << S.Term_ << " commit " << S.Commit_
-          << " last " << S.LastIndex_ << " snapshot " << S.SnapshotIndex_
-          << " voters";
-      for (const Voter &V : S.Config_.Voters_)
-        Out << " " << V.Vm_;
-      Out << " learners";
-      for (const VmId &Vm : S.Config_.Learners_)
-        Out << " " << Vm;
-      Out << " " << S.Fault_ << "\n";
-    }
-    return Out.str();
-  }
-
   /// Takes a VM's disk away for an empty one.
   void wipe(ClusterNode &N) {
     crash(N, false);
