--- a/lagoonpoint/src/Http/CallerServer.cpp
+++ b/lagoonpoint/src/Http/CallerServer.cpp
@@ -16,6 +16,7 @@
 using namespace internal;
 
 constexpr const char *LookupPath = "/v1/lookup";
+constexpr const char *NoTeam = "none"; ///< label of calls refused unseen
 constexpr std::size_t MaxDrainedBytes = 64 * 1024;
 constexpr Duration AnswerLimit = Duration::seconds(10);
 
@@ -75,10 +76,10 @@
   return Body + "]}\n";
 }
 
-ListenerOptions optionsOf(const Settings &S) {
+ListenerOptions optionsOf(const Settings &S, MetricRegistry *Metrics) {
   return {S.Callers_,        S.CallerThreads_, S.MaxCallerConnections_,
           S.MaxHeaderBytes_, S.HeaderTimeout_, S.IdleTimeout_,
-          S.DrainLimit_};
+          S.DrainLimit_,     "callers",        Metrics};
 }
 
 void logFailure(const Call &C, const std::exception &E) {
@@ -93,15 +94,17 @@
 } // namespace
 
 struct CallerServer::Impl {
-  Impl(CallerPort &Port, const Settings &S, const Clock &C)
-      : Port_(Port), Settings_(S), Clock_(C), Pool_(C),
+  Impl(CallerPort &Port, const Settings &S, const Clock &C,
+       MetricRegistry *Metrics)
+      : Port_(Port), Settings_(S), Clock_(C), Metrics_(Metrics), Pool_(C),
         Slots_(S.CallerThreads_),
         Listener_(
-            optionsOf(S), C,
+            optionsOf(S, Metrics), C,
             [this](Connection &Conn, RequestHead &Head) {
               return serve(Conn, Head);
             },
             [this](Connection &Conn, const Refusal &R) {
+              countOwn(R);
               writeAnswer(Conn.Wire_, refusalAnswer(R, makeRequestId()),
                           {.KeepAlive_ = false}, answerLimit());
             }) {}
@@ -113,6 +116,7 @@
   bool refuse(Connection &Conn, const RequestHead &Head, BodyReader &Body,
               const Refusal &R, const RequestId &Id);
   bool drained(BodyReader &Body);
+  void countOwn(const Refusal &R);
   bool stayOpen(const RequestHead &Head) {
     return Head.KeepAlive_ && !Port_.draining() && !Listener_.stopping();
   }
@@ -123,6 +127,7 @@
   CallerPort &Port_;
   const Settings &Settings_;
   const Clock &Clock_;
+  MetricRegistry *Metrics_;
   UpstreamPool Pool_;
   CallSlots Slots_;
   Listener Listener_;
@@ -188,6 +193,7 @@
 bool CallerServer::Impl::refuse(Connection &Conn, const RequestHead &Head,
                                 BodyReader &Body, const Refusal &R,
                                 const RequestId &Id) {
+  countOwn(R);
   bool Malformed = R.reason() == RefusalReason::BadRequest;
   bool KeepAlive = stayOpen(Head) && !Malformed && drained(Body);
   AnswerStyle Style{KeepAlive, Head.Request_.getMethod() == "HEAD"};
@@ -197,6 +203,14 @@
          KeepAlive;
 }
 
+// The port counts its own refusals, and those that follow a failed try.
+void CallerServer::Impl::countOwn(const Refusal &R) {
+  bool Own = R.step().starts_with("http.") && R.step() != FailedTryStep;
+  if (Metrics_ && Own)
+    Metrics_->add(Metric::Refusals,
+                  {NoTeam, toString(R.reason()), toString(R.ran())});
+}
+
 // Drops what has arrived of a refused request's body; false if that isn't all.
 bool CallerServer::Impl::drained(BodyReader &Body) {
   std::size_t Bytes = 0;
@@ -211,8 +225,9 @@
   return false;
 }
 
-CallerServer::CallerServer(CallerPort &Port, const Settings &S, const Clock &C)
-    : Impl_(std::make_unique<Impl>(Port, S, C)) {}
+CallerServer::CallerServer(CallerPort &Port, const Settings &S, const Clock &C,
+                           MetricRegistry *Metrics)
+    : Impl_(std::make_unique<Impl>(Port, S, C, Metrics)) {}
 
 CallerServer::~CallerServer() = default;
 
--- a/lagoonpoint/src/Http/CallerServer.h
+++ b/lagoonpoint/src/Http/CallerServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lagoonpoint/Config"
+#include "lagoonpoint/Metrics"
 #include "lagoonpoint/src/Http/CallerPort.h"
 
 #include <memory>
@@ -15,8 +16,10 @@
 /// and everything else is passed to the upstream that the port chooses.
 class CallerServer {
 public:
-  /// \param Port outlives the server, as do \p S and \p C
-  CallerServer(CallerPort &Port, const Settings &S, const Clock &C);
+  /// \param Port outlives the server, as do the others
+  /// \param Metrics where connections and own refusals are counted, or null
+  CallerServer(CallerPort &Port, const Settings &S, const Clock &C,
+               MetricRegistry *Metrics = nullptr);
   ~CallerServer();
 
   /// \throws Error if the address can't be listened on
--- a/lagoonpoint/src/Http/OperatorServer.cpp
+++ b/lagoonpoint/src/Http/OperatorServer.cpp
@@ -69,8 +69,9 @@
 } // namespace
 
 struct OperatorServer::Impl {
-  Impl(OperatorPort &Port, const Settings &S, const Clock &C)
-      : Service_(S.Operators_, S, C,
+  Impl(OperatorPort &Port, const Settings &S, const Clock &C,
+       MetricRegistry *Metrics)
+      : Service_(S.Operators_, S, C, "operators", Metrics,
                  [&Port, &S](const BufferedRequest &Request) {
                    return handle(Port, S, Request);
                  }) {}
@@ -79,8 +80,8 @@
 };
 
 OperatorServer::OperatorServer(OperatorPort &Port, const Settings &S,
-                               const Clock &C)
-    : Impl_(std::make_unique<Impl>(Port, S, C)) {}
+                               const Clock &C, MetricRegistry *Metrics)
+    : Impl_(std::make_unique<Impl>(Port, S, C, Metrics)) {}
 
 OperatorServer::~OperatorServer() = default;
 
--- a/lagoonpoint/src/Http/OperatorServer.h
+++ b/lagoonpoint/src/Http/OperatorServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lagoonpoint/Config"
+#include "lagoonpoint/Metrics"
 #include "lagoonpoint/src/Http/OperatorPort.h"
 
 #include <memory>
@@ -13,8 +14,10 @@
 /// `/metrics` and `/healthz` without.
 class OperatorServer {
 public:
-  /// \param Port outlives the server, as do \p S and \p C
-  OperatorServer(OperatorPort &Port, const Settings &S, const Clock &C);
+  /// \param Port outlives the server, as do the others
+  /// \param Metrics where connections and own refusals are counted, or null
+  OperatorServer(OperatorPort &Port, const Settings &S, const Clock &C,
+                 MetricRegistry *Metrics = nullptr);
   ~OperatorServer();
 
   /// \throws Error if the address can't be listened on
--- a/lagoonpoint/src/Http/UpstreamServer.cpp
+++ b/lagoonpoint/src/Http/UpstreamServer.cpp
@@ -125,8 +125,9 @@
 } // namespace
 
 struct UpstreamServer::Impl {
-  Impl(UpstreamPort &Port, const Settings &S, const Clock &C)
-      : Service_(S.Upstreams_, S, C,
+  Impl(UpstreamPort &Port, const Settings &S, const Clock &C,
+       MetricRegistry *Metrics)
+      : Service_(S.Upstreams_, S, C, "upstreams", Metrics,
                  [&Port](const internal::BufferedRequest &Request) {
                    return handle(Port, Request);
                  }) {}
@@ -135,8 +136,8 @@
 };
 
 UpstreamServer::UpstreamServer(UpstreamPort &Port, const Settings &S,
-                               const Clock &C)
-    : Impl_(std::make_unique<Impl>(Port, S, C)) {}
+                               const Clock &C, MetricRegistry *Metrics)
+    : Impl_(std::make_unique<Impl>(Port, S, C, Metrics)) {}
 
 UpstreamServer::~UpstreamServer() = default;
 
--- a/lagoonpoint/src/Http/UpstreamServer.h
+++ b/lagoonpoint/src/Http/UpstreamServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lagoonpoint/Config"
+#include "lagoonpoint/Metrics"
 #include "lagoonpoint/src/Http/UpstreamPort.h"
 
 #include <memory>
@@ -12,8 +13,10 @@
 /// \brief The upstreams' listener: `POST /v1/announce`.
 class UpstreamServer {
 public:
-  /// \param Port outlives the server, as do \p S and \p C
-  UpstreamServer(UpstreamPort &Port, const Settings &S, const Clock &C);
+  /// \param Port outlives the server, as do the others
+  /// \param Metrics where connections and own refusals are counted, or null
+  UpstreamServer(UpstreamPort &Port, const Settings &S, const Clock &C,
+                 MetricRegistry *Metrics = nullptr);
   ~UpstreamServer();
 
   /// \throws Error if the address can't be listened on
--- a/lagoonpoint/src/Http/util/BodyReader.cpp
+++ b/lagoonpoint/src/Http/util/BodyReader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdio>
 
 namespace lagoonpoint::internal {
 
@@ -19,6 +20,12 @@
 
 } // namespace
 
+std::string chunkOf(std::string_view Bytes) {
+  char Size[20];
+  std::snprintf(Size, sizeof(Size), "%zx\r\n", Bytes.size());
+  return std::string(Size).append(Bytes).append("\r\n");
+}
+
 BodyReader::BodyReader(Wire &In, Framing Body)
     : In_(In), State_(State::Done),
       Chunked_(Body.Kind_ == FramingKind::Chunked), Left_(Body.Length_) {
--- a/lagoonpoint/src/Http/util/BodyReader.h
+++ b/lagoonpoint/src/Http/util/BodyReader.h
@@ -4,6 +4,7 @@
 #include "lagoonpoint/src/Http/util/Wire.h"
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace lagoonpoint::internal {
@@ -18,6 +19,10 @@
   Malformed, ///< broken chunk framing
 };
 
+/// \returns the bytes as one chunk of a chunked body.
+/// \ingroup Http
+std::string chunkOf(std::string_view Bytes);
+
 /// \class BodyReader
 /// \ingroup Http
 /// \brief Reads one message's body and tells a whole one from a cut one.
--- a/lagoonpoint/src/Http/util/JsonService.cpp
+++ b/lagoonpoint/src/Http/util/JsonService.cpp
@@ -22,9 +22,11 @@
   return Refusal(RefusalReason::BadRequest, Ran::No, "http.request", Message);
 }
 
-ListenerOptions optionsOf(const Address &Listen, const Settings &S) {
+ListenerOptions optionsOf(const Address &Listen, const Settings &S,
+                          const char *Name, MetricRegistry *Metrics) {
   return {Listen,           Threads,        MaxConnections, S.MaxHeaderBytes_,
-          S.HeaderTimeout_, S.IdleTimeout_, S.DrainLimit_};
+          S.HeaderTimeout_, S.IdleTimeout_, S.DrainLimit_,  Name,
+          Metrics};
 }
 
 std::string bearerOf(const std::string &Value) {
@@ -80,10 +82,11 @@
 }
 
 JsonService::JsonService(const Address &Listen, const Settings &S,
-                         const Clock &C, Handle OnRequest)
+                         const Clock &C, const char *Name,
+                         MetricRegistry *Metrics, Handle OnRequest)
     : Settings_(S), Clock_(C), Handle_(std::move(OnRequest)),
       Listener_(
-          optionsOf(Listen, S), C,
+          optionsOf(Listen, S, Name, Metrics), C,
           [this](Connection &Conn, RequestHead &Head) {
             return serve(Conn, Head);
           },
--- a/lagoonpoint/src/Http/util/JsonService.h
+++ b/lagoonpoint/src/Http/util/JsonService.h
@@ -37,8 +37,10 @@
 public:
   using Handle = std::function<Answer(const BufferedRequest &)>;
 
+  /// \param Name label of the listener's metrics
+  /// \param Metrics may be null
   JsonService(const Address &Listen, const Settings &S, const Clock &C,
-              Handle OnRequest);
+              const char *Name, MetricRegistry *Metrics, Handle OnRequest);
 
   void start() { Listener_.start(); }
   void stop() { Listener_.stop(); }
--- a/lagoonpoint/src/Http/util/Listener.cpp
+++ b/lagoonpoint/src/Http/util/Listener.cpp
@@ -125,6 +125,7 @@
       enqueue(std::move(C));
     if (Clock_.now() >= NextSweep) {
       sweep();
+      countConnections();
       NextSweep = Clock_.now() + Every;
     }
   }
@@ -143,6 +144,12 @@
   return Ready;
 }
 
+void Listener::countConnections() const {
+  if (Options_.Metrics_)
+    Options_.Metrics_->set(Metric::Connections, {Options_.Name_},
+                           static_cast<double>(Open_.load()));
+}
+
 void Listener::acceptAll() {
   while (acceptable(Server_)) {
     try {
--- a/lagoonpoint/src/Http/util/Listener.h
+++ b/lagoonpoint/src/Http/util/Listener.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lagoonpoint/Config"
+#include "lagoonpoint/Metrics"
 #include "lagoonpoint/src/Http/util/HeadParser.h"
 #include "lagoonpoint/src/Http/util/Wire.h"
 
@@ -44,6 +45,8 @@
   Duration HeadTimeout_;
   Duration IdleTimeout_;
   Duration DrainLimit_;
+  const char *Name_ = "";             ///< label of its metrics
+  MetricRegistry *Metrics_ = nullptr; ///< may be null
 };
 
 /// \class Listener
@@ -99,6 +102,7 @@
   void waitForInFlight();
   void cutServing();
   void closeParked();
+  void countConnections() const;
 
   ListenerOptions Options_;
   const Clock &Clock_;
--- /dev/null
+++ b/lagoonpoint/src/Http/util/ProxyAnswer.cpp
@@ -0,0 +1,165 @@
+#include "lagoonpoint/src/Http/util/Forwarding.h"
+#include "lagoonpoint/src/Http/util/ProxyCall.h"
+
+namespace lagoonpoint::internal {
+
+bool ProxyCall::receiveHead(Try &T) {
+  for (;;) {
+    std::size_t Length = headLength(T.Wire_->buffered());
+    if (Length != std::string_view::npos) {
+      bool Interim = false;
+      if (!parseHead(T, Length, Interim))
+        return false;
+      if (!Interim)
+        return true;
+      continue;
+    }
+    if (T.Wire_->full())
+      return fail(T, TryEnd::Broken);
+    WireEnd End = T.Wire_->fill(deadline(), watched());
+    if (End != WireEnd::Ready)
+      return failWire(T, End);
+  }
+}
+
+bool ProxyCall::parseHead(Try &T, std::size_t Length, bool &Interim) {
+  try {
+    T.Head_.emplace();
+    parseAnswerHead(T.Wire_->buffered().substr(0, Length), toHead(),
+                    toString(T.To_.Address_), *T.Head_);
+  } catch (const Error &) {
+    return fail(T, TryEnd::Broken);
+  }
+  T.Wire_->consume(Length);
+  T.Report_.BytesReceived_ += static_cast<std::int64_t>(Length);
+  T.Report_.Status_ = T.Head_->Response_.getStatus();
+  if (T.Report_.Status_ == 101)
+    return fail(T, TryEnd::Broken);
+  Interim = T.Report_.Status_ < 200;
+  return true;
+}
+
+// Holds the answer back until it is whole, long, or slow to come.
+bool ProxyCall::receiveBody(Try &T, BodyReader &Reader, bool &Whole) {
+  constexpr std::size_t HeldAnswerBytes = 64 * 1024;
+  constexpr Duration HeldFor = Duration::millis(50);
+  std::size_t Most =
+      isOnce() ? Context_.Settings_.MaxBodyBytes_ : HeldAnswerBytes;
+  Until Limit =
+      isOnce() ? deadline() : within(HeldFor).min(Ticket_->deadline());
+  while (T.Body_.size() <= Most) {
+    std::string_view Piece;
+    BodyEnd End = Reader.next(Piece, Limit, watched());
+    if (End == BodyEnd::Piece) {
+      T.Body_ += Piece;
+      T.Report_.BytesReceived_ += static_cast<std::int64_t>(Piece.size());
+      continue;
+    }
+    Whole = End == BodyEnd::Whole;
+    bool Slow = End == BodyEnd::TimedOut && deadline().millisLeft() > 0;
+    if (Whole)
+      break;
+    if (Slow && !isOnce())
+      return true;
+    if (End == BodyEnd::Watched)
+      return fail(T, TryEnd::CallerLeft);
+    return fail(T,
+                End == BodyEnd::TimedOut ? TryEnd::TimedOut : TryEnd::Broken);
+  }
+  if (!Whole && isOnce())
+    return fail(T, TryEnd::Broken);
+  bool Shed = T.Report_.Status_ == 503 &&
+              T.Head_->Response_.get(NotRunField, "") == "1";
+  if (Whole && Shed && (T.To_.Vm_.empty() || !isOnce())) {
+    releaseWire(T);
+    MayHaveRun_ = T.RanBefore_;
+    return fail(T, TryEnd::Shed);
+  }
+  return true;
+}
+
+bool ProxyCall::finishWhole(Try &T) {
+  releaseWire(T);
+  T.Report_.End_ = TryEnd::Answered;
+  if (isOnce() && T.To_.Vm_.empty()) {
+    Fields Kept = answerFields(T.Head_->Response_, Call_.Request_);
+    Kept.pop_back();
+    Ticket_->keep({T.Report_.Status_, Kept, T.Body_});
+  }
+  report(T);
+  bool KeepAlive = keepAlive();
+  Fields F = answerFields(T.Head_->Response_, Call_.Request_);
+  std::string Text = answerHead(T, F, KeepAlive);
+  bool Bodiless = T.Head_->Body_.Kind_ == FramingKind::None;
+  if (!Bodiless)
+    Text += "Content-Length: " + std::to_string(T.Body_.size()) + "\r\n";
+  Text += "\r\n";
+  Text += T.Body_;
+  return writeToCaller(Text) && KeepAlive;
+}
+
+// Fields of the answer; the length only where no body follows (HEAD, 304).
+std::string ProxyCall::answerHead(const Try &T, const Fields &F,
+                                  bool KeepAlive) const {
+  std::string Text = headText(T.Report_.Status_, F, KeepAlive);
+  const Poco::Net::HTTPResponse &Response = T.Head_->Response_;
+  bool Bodiless = T.Head_->Body_.Kind_ == FramingKind::None;
+  if (Bodiless && T.Report_.Status_ != 204 && Response.has("Content-Length"))
+    Text += "Content-Length: " + Response.get("Content-Length") + "\r\n";
+  return Text;
+}
+
+// Passes on an answer that is too long or too slow to be held back. If it is
+// cut, the caller's connection is reset: no body can look whole.
+bool ProxyCall::relay(Try &T, BodyReader &Reader) {
+  const Framing &Body = T.Head_->Body_;
+  bool Http11 = Head_.Request_.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1;
+  bool Chunked = Body.Kind_ == FramingKind::Chunked && Http11;
+  bool KeepAlive = keepAlive() && Http11;
+  Fields F = answerFields(T.Head_->Response_, Call_.Request_);
+  std::string Text = answerHead(T, F, KeepAlive);
+  if (Body.Kind_ == FramingKind::Length)
+    Text += "Content-Length: " + std::to_string(Body.Length_) + "\r\n";
+  if (Chunked)
+    Text += "Transfer-Encoding: chunked\r\n";
+  Text += "\r\n";
+  T.Report_.AnswerBegun_ = true;
+  AnswerBegun_ = true;
+  bool Begun = writeToCaller(Text);
+  T.Report_.End_ = Begun ? relayBody(T, Reader, Chunked) : TryEnd::CallerLeft;
+  bool Good = T.Report_.End_ == TryEnd::Answered;
+  if (Good)
+    releaseWire(T);
+  report(T);
+  if (!Good)
+    Caller_.Wire_.reset();
+  return Good && KeepAlive;
+}
+
+TryEnd ProxyCall::relayBody(Try &T, BodyReader &Reader, bool Chunked) {
+  Until Limit = within(Context_.Settings_.BodyTimeout_);
+  std::string_view Piece = T.Body_;
+  for (;;) {
+    std::string Text;
+    if (Chunked && !Piece.empty()) {
+      Text = chunkOf(Piece);
+      Piece = Text;
+    }
+    std::int64_t Written = 0;
+    if (Caller_.Wire_.write(Piece, Limit, Written) != WireEnd::Ready)
+      return TryEnd::CallerLeft;
+    BodyEnd End = Reader.next(Piece, Limit, &Caller_.Wire_);
+    if (End == BodyEnd::Whole)
+      break;
+    if (End == BodyEnd::Watched)
+      return TryEnd::CallerLeft;
+    if (End != BodyEnd::Piece)
+      return End == BodyEnd::TimedOut ? TryEnd::TimedOut : TryEnd::Broken;
+    T.Report_.BytesReceived_ += static_cast<std::int64_t>(Piece.size());
+  }
+  if (Chunked && !writeToCaller("0\r\n\r\n"))
+    return TryEnd::CallerLeft;
+  return TryEnd::Answered;
+}
+
+} // namespace lagoonpoint::internal
--- a/lagoonpoint/src/Http/util/ProxyCall.h
+++ b/lagoonpoint/src/Http/util/ProxyCall.h
@@ -14,6 +14,9 @@
 
 namespace lagoonpoint::internal {
 
+/// Step of the refusals that follow a try's failure.
+inline constexpr const char *FailedTryStep = "http.try";
+
 /// What all calls of a listener share.
 struct ProxyContext {
   CallerPort &Port_;
--- a/test/CallerServer.cpp
+++ b/test/CallerServer.cpp
@@ -270,6 +270,25 @@
     for (std::thread &T : Busy)
       T.join();
   }
+  SECTION("connections and the listener's own refusals are counted") {
+    MetricRegistry Metrics;
+    CallerServer Server(Rig.Port_, Rig.Settings_, Rig.Clock_, &Metrics);
+    Server.start();
+    RawSocket Caller(Server.port());
+    RawSocket Other(Server.port());
+    Caller.send("GET /v1/apply HTTP/1.1\r\nHost: vm\r\n\r\n");
+    CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 404 "));
+    Caller.send("GET /v1/lookup?service=x HTTP/1.1\r\nHost: vm\r\n\r\n");
+    CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 404 "));
+    Caller.send("nonsense\r\n\r\n");
+    CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 400 "));
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    std::string Text = Metrics.text();
+    std::string Series = "lagoonpoint_refusals_total{team=\"none\",reason=";
+    CHECK_THAT(Text, Contains(Series + "\"no_such_route\",ran=\"no\"} 1\n"));
+    CHECK_THAT(Text, Contains(Series + "\"bad_request\",ran=\"no\"} 1\n"));
+    CHECK_THAT(Text, Contains("lagoonpoint_connections{listener=\"callers\"}"));
+  }
   SECTION("one team's slow calls don't shut out others or look-ups") {
     std::atomic<bool> Ended{false};
     ScriptedUpstream Upstream([&](RawSocket &S) {
