--- a/test/Dissemination.cpp
+++ b/test/Dissemination.cpp
@@ -103,6 +103,19 @@
   }
 }
 
+TEST_CASE("The only VM of a zone takes another source when its own dies") {
+  ControlFleet Fleet(4, 1);
+  REQUIRE(startUp(Fleet));
+  VmId Source = Fleet.at("z4-000").Feed_.source();
+  REQUIRE(Fleet.isVoter(Source));
+  Fleet.cut(Source, VmId("z4-000"));
+  Revision R = *Fleet.propose("change");
+  // Well before membership finds that the source is gone.
+  Duration Limit = FeedOptions().SourceTimeout_ + FeedOptions().PullEvery_ * 4;
+  CHECK(Fleet.until([&] { return Fleet.allHold(R); }, Limit));
+  CHECK(Fleet.at("z4-000").Feed_.source() != Source);
+}
+
 TEST_CASE("A restarted VM") {
   ControlFleet Fleet(3, 3);
   REQUIRE(startUp(Fleet));
--- a/test/Membership.cpp
+++ b/test/Membership.cpp
@@ -256,6 +256,39 @@
   CHECK(Fleet.at("z1a").contact(Fleet.Now_) == Contact::Alone);
 }
 
+TEST_CASE("Two VMs that took each other for dead find each other again") {
+  MemberFleet Fleet(1, 2);
+  REQUIRE(allAlive(Fleet));
+  Fleet.Net_.cut(VmId("z1a"), VmId("z1b"));
+  Fleet.Net_.cut(VmId("z1b"), VmId("z1a"));
+  Fleet.run(Second * 10);
+  REQUIRE(says(Fleet, "z1a", VmState::Dead)(Fleet.at("z1b")));
+  Fleet.Net_.healAll();
+  CHECK(allAlive(Fleet));
+}
+
+TEST_CASE("A lease of another zone that ran out at one VM only") {
+  MemberFleet Fleet(2, 2);
+  MembershipMessage News;
+  News.Sender_ = {VmId("z1b"), Incarnation(1), 1, VmState::Alive, Revision()};
+  UpstreamRecord R;
+  R.Key_ = {Service, UpstreamId("u1")};
+  R.Version_ = {1, VmId("z2a")};
+  R.Zone_ = ZoneId("z2");
+  auto Tell = [&](Duration Lease) {
+    R.Lease_ = Lease;
+    News.Upstreams_ = {R};
+    Fleet.at("z1a").receive(
+        {VmId("z1b"), VmId("z1a"), Channel::Membership, encode(News)},
+        Fleet.Now_);
+  };
+  Tell(Second);
+  Fleet.Now_ = Fleet.Now_ + Second * 2;
+  REQUIRE(sees(Fleet, 0)(Fleet.at("z1a")));
+  Tell(Second * 9);
+  CHECK(sees(Fleet, 1)(Fleet.at("z1a")));
+}
+
 TEST_CASE("A copy of a record of another zone") {
   UpstreamTable Table;
   UpstreamRecord R;
