--- a/lagoonpoint/src/Limits/LeaseAuthority.cpp
+++ b/lagoonpoint/src/Limits/LeaseAuthority.cpp
@@ -52,10 +52,11 @@
 void accrue(LeaseAuthority &A, Time Now) {
   if (Now <= A.Updated_)
     return;
-  if (!inWait(A, A.Updated_)) {
+  Time From = std::max(A.Updated_, A.WaitUntil_);
+  if (From < Now) {
     // Leases and set-aside floors only end between two inputs.
     Amount Surely = poolPart(A, A.Updated_, Now);
-    A.Tokens_ += Surely.Rate_ * surelyPassed(Now - A.Updated_);
+    A.Tokens_ += Surely.Rate_ * surelyPassed(Now - From);
     A.Tokens_ = std::min(A.Tokens_, Surely.Burst_);
   }
   A.Updated_ = Now;
--- a/lagoonpoint/src/Limits/LeaseHolder.cpp
+++ b/lagoonpoint/src/Limits/LeaseHolder.cpp
@@ -228,7 +228,6 @@
   Amount Usable = Ask.Own_ + H.Lent_.total();
   Ask.Returned_ =
       internal::roundedDown(std::max(0.0, H.Tokens_ - Usable.Burst_));
-  H.Tokens_ -= Ask.Returned_;
   H.Tokens_ = std::min(H.Tokens_, Usable.Burst_);
   double Ceiling = Usable.Burst_;
   if (H.Unanswered_ == 0)
--- /dev/null
+++ b/test/LeaseRules.cpp
@@ -0,0 +1,312 @@
+#include "lagoonpoint/Limits"
+
+#include <catch2/catch.hpp>
+
+using namespace lagoonpoint;
+
+namespace {
+
+const QuantityId Team = teamRate(TeamId("big"));
+const VmId A("a"), B("b");
+const Amount Floor{10, 6};
+const Amount Whole{100, 60};
+const LeaseTiming Timing;
+const Time Forever(1'000'000'000);
+
+Allotment allotment(Revision R, Amount EachFloor = Floor) {
+  return {R, Whole, {{A, EachFloor}, {B, EachFloor}}};
+}
+
+LeaseHolder holder(Time Now) {
+  LeaseHolder H = makeHolder(Team, Incarnation(1), Timing, Now);
+  declareFloor(H, Revision(1), Floor, Time(), Now);
+  settleFloors(H, Revision(1), Now);
+  setAuthority(H, VmId("leader"), Term(1), Now);
+  return H;
+}
+
+LeaseAuthority authority(Time Now) {
+  LeaseAuthority L = makeAuthority(Team, Timing, Now);
+  declareAllotment(L, allotment(Revision(1)), Now);
+  settleAllotments(L, Revision(1), Now);
+  lead(L, Term(1), Forever, Now);
+  return L;
+}
+
+/// Has a holder ask as if calls waited, and returns the ask.
+LeaseAsk askFor(LeaseHolder &H, double Units, Time Now) {
+  take(H, 1, Units, Forever, Now);
+  H.NextRenew_ = Now;
+  H.Pending_.reset();
+  return *nextAsk(H, Now);
+}
+
+LeaseGrant grantFor(const LeaseAsk &Ask, Amount Loan, double Tokens) {
+  LeaseGrant G;
+  G.Quantity_ = Team;
+  G.Incarnation_ = Ask.Incarnation_;
+  G.Sequence_ = Ask.Sequence_;
+  G.Term_ = Ask.Term_;
+  G.Lent_ = {Loan, {}};
+  G.For_ = Timing.Length_;
+  G.Target_ = Loan;
+  G.Tokens_ = Tokens;
+  G.Stamp_ = 1;
+  return G;
+}
+
+LeaseAsk plainAsk(std::uint64_t Sequence, double Need) {
+  LeaseAsk Ask;
+  Ask.Quantity_ = Team;
+  Ask.Incarnation_ = Incarnation(1);
+  Ask.Sequence_ = Sequence;
+  Ask.Term_ = Term(1);
+  Ask.Need_ = Need;
+  Ask.Demand_ = 40;
+  Ask.AsideFor_ = Timing.asideFor();
+  return Ask;
+}
+
+} // namespace
+
+TEST_CASE("A lease at its holder") {
+  Time Sent(10'000);
+  LeaseHolder H = holder(Sent);
+  LeaseAsk Ask = askFor(H, 20, Sent);
+  LeaseGrant G = grantFor(Ask, {50, 20}, 20);
+
+  SECTION("lasts from the sending of the ask, less the margin") {
+    acceptGrant(H, G, Sent + Duration::millis(200));
+    Time End = Sent + Timing.Length_ - clockMargin(Timing.Length_);
+    CHECK(liveLease(H, End - Duration::millis(1)).Rate_ > 0);
+    CHECK(liveLease(H, End).Rate_ == 0);
+  }
+  SECTION("leaves room for two clocks that drift apart") {
+    double Drift = 2 * MaxClockDrift * Timing.Length_.inSeconds();
+    CHECK(clockMargin(Timing.Length_).inSeconds() >= Drift);
+    CHECK(surelyPassed(Duration::seconds(1000)) <= 1000 * (1 - MaxClockDrift));
+  }
+  SECTION("is granted by the answer to the pending ask only") {
+    acceptGrant(H, G, Sent);
+    double Tokens = H.Tokens_;
+    acceptGrant(H, G, Sent);
+    CHECK(H.Tokens_ == Tokens);
+    LeaseAsk Next = askFor(H, 40, Sent + Duration::millis(10));
+    acceptGrant(H, G, Sent + Duration::millis(11));
+    CHECK(H.Pending_->Sequence_ == Next.Sequence_);
+  }
+  SECTION("gives no tokens if its answer comes after its end") {
+    G.For_ = Duration::millis(100);
+    acceptGrant(H, G, Sent + Duration::millis(150));
+    CHECK(H.Tokens_ <= Floor.Burst_);
+    CHECK(liveLease(H, Sent + Duration::millis(150)) == Amount());
+  }
+  SECTION("ends with the tokens it had room for") {
+    acceptGrant(H, G, Sent);
+    settleWaits(H, Sent);
+    take(H, 2, 0, Forever, Sent + Timing.Length_);
+    CHECK(H.Tokens_ <= Floor.Burst_);
+  }
+  SECTION("lets the bucket fill no higher than the ask said") {
+    double Ceiling = Ask.Own_.Burst_ - Ask.Room_;
+    take(H, 2, 0, Forever, Sent + Duration::millis(240));
+    CHECK(H.Tokens_ <= Ceiling + 1e-6);
+  }
+  SECTION("moves unused tokens, and keeps none of them") {
+    acceptGrant(H, G, Sent);
+    settleWaits(H, Sent);
+    H.Tokens_ = 22;
+    SECTION("with the next ask") {
+      H.Target_ = {};
+      H.NextRenew_ = Sent;
+      LeaseAsk Next = *nextAsk(H, Sent);
+      CHECK(Next.Returned_ > 0);
+      CHECK(H.Tokens_ + Next.Returned_ <= 22);
+    }
+    SECTION("when it is given back") {
+      LeaseReturn Back = *giveBack(H, Sent);
+      CHECK(H.Tokens_ + Back.Tokens_ <= 22);
+      CHECK(liveLease(H, Sent) == Amount());
+      CHECK(H.Tokens_ <= Floor.Burst_);
+    }
+  }
+}
+
+TEST_CASE("A floor at its holder") {
+  Time Now(10'000);
+
+  SECTION("is not used while it is set aside for others") {
+    LeaseHolder H = holder(Now);
+    acceptGrant(H, grantFor(askFor(H, 1, Now), {}, 0), Now);
+    H.Waiting_.clear();
+    H.NextRenew_ = Now;
+    LeaseAsk Ask = *nextAsk(H, Now);
+    REQUIRE(Ask.Aside_.Rate_ > 0);
+    Time Before = Now + Ask.AsideFor_ - Duration::millis(1);
+    CHECK(usableFloor(H, Before).Rate_ <= Floor.Rate_ - Ask.Aside_.Rate_);
+    CHECK(usableFloor(H, Now + Ask.AsideFor_) == Floor);
+  }
+  SECTION("shrinks at once and grows when the older revision is settled") {
+    LeaseHolder H = holder(Now);
+    declareFloor(H, Revision(2), {20, 12}, Time(), Now);
+    CHECK(usableFloor(H, Now) == Floor);
+    settleFloors(H, Revision(2), Now);
+    CHECK(usableFloor(H, Now) == Amount{20, 12});
+    declareFloor(H, Revision(3), {5, 3}, Time(), Now);
+    CHECK(usableFloor(H, Now) == Amount{5, 3});
+  }
+  SECTION("is nothing before a settled revision is known") {
+    LeaseHolder H = makeHolder(Team, Incarnation(1), Timing, Now);
+    declareFloor(H, Revision(5), Floor, Time(), Now);
+    CHECK(usableFloor(H, Now) == Amount());
+  }
+  SECTION("is nothing after a restart until old promises have ended") {
+    Declarations D;
+    D.Zones_[ZoneId("z")] = {ZoneId("z"), RegionId("r"), false};
+    D.Vms_[A].Id_ = A;
+    D.Vms_[A].Zone_ = ZoneId("z");
+    TeamDecl T;
+    T.Id_ = TeamId("big");
+    T.Rate_ = Rate(100);
+    T.Burst_ = 60;
+    D.Teams_[T.Id_] = T;
+    LeaseShard Shard(LeaseShard::shardOf(Team), A, Incarnation(2), true, Now);
+    Shard.setDeclarations(D, Revision(1), Now);
+    Shard.settle(Revision(1), Now);
+    Duration Longest = Timing.asideFor();
+    CHECK(usableFloor(*Shard.holder(Team), Now + Longest).Rate_ == 0);
+    Time After = Now + Longest + clockMargin(Longest);
+    CHECK(usableFloor(*Shard.holder(Team), After).Rate_ > 0);
+
+    SECTION("and older floors stay until promises on them have ended") {
+      D.Fleet_.FloorShare_ = 0.9;
+      Shard.setDeclarations(D, Revision(2), After);
+      Amount Before = usableFloor(*Shard.holder(Team), After);
+      Shard.settle(Revision(2), After);
+      Shard.tick(After + Longest);
+      CHECK(usableFloor(*Shard.holder(Team), After + Longest) == Before);
+    }
+  }
+}
+
+TEST_CASE("An authority that has just begun") {
+  Time Now(10'000);
+  LeaseAuthority L = authority(Now);
+
+  SECTION("lends nothing until its predecessor's leases have ended") {
+    Time Last = Now + Timing.Length_;
+    LeaseGrant G = *answer(L, A, plainAsk(1, 5), Last);
+    CHECK(G.Lent_.total() == Amount());
+    CHECK(G.Tokens_ == 0);
+    Time After = Last + clockMargin(Timing.Length_) + Duration::millis(100);
+    CHECK(answer(L, A, plainAsk(2, 1), After)->Lent_.total().Burst_ > 0);
+  }
+  SECTION("renews what holders show, but no floors of others") {
+    LeaseAsk Ask = plainAsk(1, 5);
+    Ask.Keep_ = {{30, 10}, {15, 5}};
+    LeaseGrant G = *answer(L, A, Ask, Now);
+    CHECK(G.Lent_.total() == Amount{30, 10});
+    Ask.Keep_ = {{90, 60}, {}};
+    G = *answer(L, B, Ask, Now);
+    CHECK(G.Lent_.total().Rate_ <= baseOf(L).Rate_ - 30);
+  }
+  SECTION("answers a holder of an older term with the term alone") {
+    LeaseAsk Ask = plainAsk(1, 5);
+    Ask.Term_ = Term(0);
+    Ask.Keep_ = {{30, 10}, {}};
+    LeaseGrant G = *answer(L, A, Ask, Now);
+    CHECK(G.Lent_.total() == Amount());
+    CHECK(L.Borrowers_.empty());
+  }
+  SECTION("has an empty pool, whatever it had in an older term") {
+    answer(L, A, plainAsk(1, 0), Now + Duration::seconds(20));
+    REQUIRE(L.Tokens_ > 10);
+    lead(L, Term(2), Forever, Now + Duration::seconds(20));
+    CHECK(L.Tokens_ == 0);
+  }
+}
+
+TEST_CASE("An authority that lends") {
+  LeaseAuthority L = authority(Time(0));
+  Time Now(10'000);
+  LeaseAsk Ask = plainAsk(1, 10);
+  Ask.Room_ = 0;
+  LeaseGrant First = *answer(L, A, Ask, Now);
+  REQUIRE(First.Lent_.total().Rate_ > 0);
+
+  SECTION("answers each ask once, and none without proof of leadership") {
+    CHECK_FALSE(answer(L, A, Ask, Now));
+    stepDown(L, Now);
+    CHECK_FALSE(answer(L, A, plainAsk(2, 1), Now));
+  }
+  SECTION("stops by itself when its proof of leadership ends") {
+    L.Until_ = Now + Duration::millis(500);
+    CHECK(answer(L, A, plainAsk(2, 1), Now + Duration::millis(499)));
+    CHECK_FALSE(answer(L, A, plainAsk(3, 1), Now + Duration::millis(500)));
+  }
+  SECTION("moves tokens from the pool, within the room of the bucket") {
+    double Pool = L.Tokens_;
+    LeaseAsk Next = plainAsk(1, 7);
+    Next.Room_ = -2;
+    LeaseGrant G = *answer(L, B, Next, Now);
+    CHECK(G.Tokens_ > 0);
+    CHECK(L.Tokens_ <= Pool - G.Tokens_);
+    CHECK(G.Tokens_ <= G.Lent_.total().Burst_ - 2);
+  }
+  SECTION("keeps in the pool no more than what is not lent") {
+    Amount Free = baseOf(L) - outstanding(L, Now).total();
+    LeaseAsk Next = plainAsk(1, 0);
+    Next.Demand_ = 0;
+    Next.Returned_ = 1000;
+    answer(L, B, Next, Now);
+    CHECK(L.Tokens_ <= Free.Burst_);
+  }
+  SECTION("counts a loan until its holder is known to live on another") {
+    LeaseAsk Next = plainAsk(2, 0);
+    Next.Demand_ = 0;
+    Next.Accepted_ = 1;
+    Next.Keep_ = First.Lent_;
+    answer(L, A, Next, Now);
+    CHECK(outstanding(L, Now).total().Rate_ >= First.Lent_.total().Rate_);
+    Next.Sequence_ = 3;
+    Next.Keep_ = {};
+    answer(L, A, Next, Now);
+    CHECK(outstanding(L, Now).total().Rate_ == 0);
+  }
+  SECTION("counts a loan that was offered and may be in use") {
+    Ask.Sequence_ = 2;
+    Ask.Demand_ = 1;
+    Ask.Accepted_ = 1;
+    Ask.Keep_ = First.Lent_;
+    L.Borrowers_[B].Held_ = {{baseOf(L), {}}, Forever, 1};
+    answer(L, A, Ask, Now);
+    CHECK(outstanding(L, Now).total().Rate_ >=
+          baseOf(L).Rate_ + First.Lent_.total().Rate_);
+  }
+  SECTION("counts floors set aside from the stamp, not from the arrival") {
+    Ask.Sequence_ = 2;
+    Ask.Stamp_ = (Now - Duration::seconds(1)).count();
+    Ask.Aside_ = Floor;
+    answer(L, A, Ask, Now);
+    Time End = Time(Ask.Stamp_) + Ask.AsideFor_ - clockMargin(Ask.AsideFor_);
+    CHECK(L.Borrowers_[A].Aside_.at(End) == Amount());
+    CHECK(L.Borrowers_[A].Aside_.at(End - Duration::millis(1)) == Floor);
+  }
+  SECTION("lends no floor for longer than it is set aside") {
+    Ask.Sequence_ = 2;
+    Ask.Stamp_ = (Now - Duration::seconds(2)).count();
+    Ask.Aside_ = Floor;
+    answer(L, A, Ask, Now);
+    LeaseAsk Other = plainAsk(1, 10);
+    Other.Demand_ = 1000;
+    LeaseGrant G = *answer(L, B, Other, Now);
+    REQUIRE(G.For_ > Timing.asideFor() - Duration::seconds(2));
+    CHECK(G.Lent_.Soft_ == Amount());
+  }
+  SECTION("keeps the larger floor back until a revision is settled") {
+    declareAllotment(L, allotment(Revision(2), {1, 1}), Now);
+    CHECK(baseOf(L) == Amount{80, 48});
+    settleAllotments(L, Revision(2), Now);
+    CHECK(baseOf(L) == Amount{98, 58});
+  }
+}
