--- /dev/null
+++ b/test/Node.cpp
@@ -0,0 +1,152 @@
+#include "fakes/FakeClock.h"
+#include "lagoonpoint/Once"
+#include "lagoonpoint/src/Node/CatalogStore.h"
+#include "lagoonpoint/src/Node/InForce.h"
+#include "lagoonpoint/src/Node/OnceHost.h"
+#include "lagoonpoint/src/Node/ViewKeeper.h"
+
+#include <Poco/File.h>
+#include <Poco/FileStream.h>
+#include <Poco/TemporaryFile.h>
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <sstream>
+
+using namespace lagoonpoint;
+
+namespace {
+
+Catalog localCatalog() {
+  std::ifstream In("deploy/local/declarations.ini");
+  std::stringstream Text;
+  Text << In.rdbuf();
+  Catalog State;
+  applyChange(State, {.Id_ = ChangeId("first"), .Text_ = Text.str()});
+  return State;
+}
+
+Change drainOf(const char *Zone) {
+  return {.Id_ = ChangeId(std::string("drain-") + Zone),
+          .Kind_ = ChangeKind::SetDrain,
+          .Drain_ = {DrainScope::Zone, Zone},
+          .Drained_ = true};
+}
+
+FleetView fleetOf(std::initializer_list<std::pair<const char *, int>> Vms) {
+  FleetView Fleet;
+  for (const auto &[Id, Start] : Vms)
+    Fleet.Vms_[VmId(Id)] = {VmId(Id), ZoneId("north-a"), VmState::Alive,
+                            Incarnation(Start), Revision(1)};
+  return Fleet;
+}
+
+} // namespace
+
+TEST_CASE("Declarations in force") {
+  Catalog State = localCatalog();
+  auto F = prepare(State);
+
+  SECTION("find the route with the longest prefix, by whole segments") {
+    CHECK(findRoute(*F, "/register/mob/7")->Name_ == "register");
+    CHECK(findRoute(*F, "/register?x=1")->Name_ == "register");
+    CHECK(findRoute(*F, "/registers") == nullptr);
+    CHECK(findRoute(*F, "/") == nullptr);
+  }
+  SECTION("know a key by id and secret") {
+    KeyCheck Right = checkKey(*F, "rangers-1.local-secret-rangers");
+    REQUIRE(Right.Key_);
+    CHECK(Right.Key_->Team_ == TeamId("rangers"));
+    CHECK_FALSE(checkKey(*F, "rangers-1.local-secret-agents").Key_);
+    CHECK_FALSE(checkKey(*F, "nobody.local-secret-rangers").Key_);
+    CHECK_FALSE(checkKey(*F, "rangers-1").Key_);
+  }
+  SECTION("let a drained zone yield only to another zone of its region") {
+    applyChange(State, drainOf("north-a"));
+    applyChange(State, drainOf("south-a"));
+    auto Drained = prepare(State);
+    CHECK(yields(*Drained, ZoneId("north-a")));
+    CHECK_FALSE(yields(*Drained, ZoneId("north-b")));
+    CHECK_FALSE(yields(*Drained, ZoneId("south-a")));
+  }
+}
+
+TEST_CASE("A VM with a disk starts from its cached catalog") {
+  Poco::TemporaryFile Folder;
+  Folder.createDirectories();
+  Catalog State = localCatalog();
+  CatalogStore(Folder.path()).replace(State);
+
+  SECTION("at the revision it had") {
+    CatalogStore Again(Folder.path());
+    CHECK(Again.cached());
+    CHECK(Again.revision() == State.Revision_);
+    CHECK(Again.digest() == digestOf(State));
+  }
+  SECTION("and moves on by deltas, never back") {
+    CatalogStore Store(Folder.path());
+    Change C = drainOf("north-a");
+    Store.apply({Revision(1), Revision(2), encode(C)});
+    CHECK(Store.revision() == Revision(2));
+    CHECK_THROWS_AS(Store.replace(State), InvariantViolation);
+    Change Same = drainOf("north-a");
+    Same.Id_ = ChangeId("again");
+    CHECK_THROWS_AS(Store.apply({Revision(2), Revision(3), encode(Same)}),
+                    Error);
+    CHECK(Store.revision() == Revision(2));
+  }
+  SECTION("or from nothing if the copy is damaged") {
+    std::string Name = Folder.path() + "/feed/catalog";
+    Poco::File File(Name);
+    auto Size = File.getSize();
+    SECTION("cut") { File.setSize(Size - 1); }
+    SECTION("changed") {
+      Poco::FileStream Out(Name, std::ios::in | std::ios::out);
+      Out.seekp(static_cast<std::streamoff>(Size / 2));
+      Out.put('\x01');
+    }
+    CatalogStore Again(Folder.path());
+    CHECK_FALSE(Again.cached());
+    CHECK(Again.revision() == Revision());
+  }
+}
+
+TEST_CASE("A zone's view for once-requests follows its processes") {
+  auto F = prepare(localCatalog());
+  ZoneId Zone("north-a");
+  ViewKeeper Keeper;
+  Time Now(1000);
+  auto Propose = [&](const InForce &In, const FleetView &Fleet,
+                     const char *Vm) {
+    viewToPropose(Keeper, In, Fleet, Zone, VmId(Vm), Now);
+    Now = Now + Duration::seconds(5);
+    return viewToPropose(Keeper, In, Fleet, Zone, VmId(Vm), Now);
+  };
+  FleetView Alive = fleetOf({{"e1", 7}});
+  auto First = Propose(*F, Alive, "e1");
+  REQUIRE(First);
+  CHECK(First->Epoch_ == Epoch(1));
+  InForce Next = *F;
+  Next.Views_[Zone] = *First;
+
+  SECTION("which is kept while they stay") {
+    CHECK_FALSE(Propose(Next, Alive, "e1"));
+  }
+  SECTION("and renewed when one restarts, as it forgot its claims") {
+    auto Second = Propose(Next, fleetOf({{"e1", 8}}), "e1");
+    REQUIRE(Second);
+    CHECK(Second->Epoch_ == Epoch(2));
+    CHECK(Second->Members_.at(0).Since_ == Epoch(2));
+  }
+  SECTION("only the zone's first VM proposes") {
+    CHECK_FALSE(Propose(Next, fleetOf({{"e1", 8}}), "e2"));
+  }
+  SECTION("a short difference proposes nothing") {
+    FleetView Restarted = fleetOf({{"e1", 8}});
+    CHECK_FALSE(viewToPropose(Keeper, Next, Restarted, Zone, VmId("e1"), Now));
+    CHECK_FALSE(viewToPropose(Keeper, Next, Alive, Zone, VmId("e1"),
+                              Now + Duration::millis(500)));
+    CHECK_FALSE(viewToPropose(Keeper, Next, Restarted, Zone, VmId("e1"),
+                              Now + Duration::millis(1200)));
+  }
+}
