--- a/lagoonpoint/src/Cli/StatusCommand.cpp
+++ b/lagoonpoint/src/Cli/StatusCommand.cpp
@@ -52,7 +52,10 @@
 void printStatus(std::ostream &Out, const Poco::JSON::Object::Ptr &Body) {
   std::string WhyNot = textOf(Body, "why_not");
   Out << "VM " << textOf(Body, "vm") << " in zone " << textOf(Body, "zone")
-      << (WhyNot.empty() ? ", ready" : ", not ready: " + WhyNot) << "\n"
+      << ", " << textOf(Body, "contact") << ", "
+      << (WhyNot.empty() ? "ready " + textOf(Body, "readiness")
+                         : "not ready: " + WhyNot)
+      << "\n"
       << "revision " << textOf(Body, "revision") << ", leader "
       << textOf(Body, "leader") << " in term " << textOf(Body, "term")
       << ", loss of one more voter: " << textOf(Body, "repair") << "\n\n";
--- a/lagoonpoint/src/Node/Control.cpp
+++ b/lagoonpoint/src/Node/Control.cpp
@@ -282,6 +282,8 @@
   Out.WhyNotReady_ = whyNotReady();
   Out.Revision_ = InForce_.get()->Revision_;
   auto Fleet = Members_.view();
+  Out.Contact_ = toString(Fleet->Contact_);
+  Out.Readiness_ = toString(Feed_.readiness());
   Out.Vms_ = vmRows(*InForce_.get(), *Fleet, confirmations());
   for (const UpstreamRecord &U : Fleet->Upstreams_)
     Out.Upstreams_.push_back({U.Key_.Service_, U.Key_.Upstream_, U.Zone_,
--- a/lagoonpoint/src/Node/Control.h
+++ b/lagoonpoint/src/Node/Control.h
@@ -41,6 +41,8 @@
   VmId Vm_;
   ZoneId Zone_;
   std::string WhyNotReady_;
+  std::string Contact_;   ///< whom this VM can talk to
+  std::string Readiness_; ///< how it came to be ready
   Revision Revision_;
   VmId Leader_;
   Term Term_;
--- a/lagoonpoint/src/Node/OperatorFront.cpp
+++ b/lagoonpoint/src/Node/OperatorFront.cpp
@@ -236,6 +236,8 @@
   Body->set("vm", Status.Vm_.str());
   Body->set("zone", Status.Zone_.str());
   Body->set("why_not", Status.WhyNotReady_);
+  Body->set("contact", Status.Contact_);
+  Body->set("readiness", Status.Readiness_);
   Body->set("revision", Status.Revision_.value());
   Body->set("leader", Status.Leader_.str());
   Body->set("term", Status.Term_.value());
--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -63,6 +63,7 @@
 
 # The status of VM $1 as JSON on one line.
 status() { "$app" status --json -o "$(operators "$1")" | tr -d '\n '; }
-revision() { status "$1" | grep -o '^{.*"revision":[0-9]*' | grep -o '[0-9]*$'; }
+# The revision in force at VM $1; it stands before the rows of the VMs.
+revision() { status "$1" | grep -o '"revision":[0-9]*' | head -1 | grep -o '[0-9]*$'; }
 leader() { status "$1" | grep -o '"leader":"[a-z0-9]*"' | cut -d'"' -f4; }
 call() { curl -sf -o run/answer -H "$caller_key" "http://$(callers "$1")/register/mob/7"; }
