--- a/test/CallerServer.cpp
+++ b/test/CallerServer.cpp
@@ -305,7 +305,7 @@
       Slow.back().send("GET /slow HTTP/1.1\r\nHost: vm\r\n"
                        "X-Api-Key: large.s\r\n\r\n");
     }
-    while (Upstream.connections() < 5)
+    for (int Step = 0; Step < 2000 && Upstream.connections() < 5; ++Step)
       std::this_thread::sleep_for(std::chrono::milliseconds(5));
     RawSocket Small(Port);
     Small.send(Get + "X-Api-Key: small.s\r\n\r\n");
