Check that granted tokens leave the pool

Cause: a mutant that left granted tokens in the pool survived LeaseRules. Change: the check grants tokens again under an unchanged loan.

--- a/test/LeaseRules.cpp
+++ b/test/LeaseRules.cpp
@@ -253,6 +253,14 @@
     CHECK(G.Tokens_ > 0);
     CHECK(L.Tokens_ <= Pool - G.Tokens_);
     CHECK(G.Tokens_ <= G.Lent_.total().Burst_ - 2);
+    // The same loan again: only the tokens leave the pool.
+    Next.Sequence_ = 2;
+    Next.Accepted_ = 1;
+    Next.Keep_ = G.Lent_;
+    Pool = L.Tokens_;
+    G = *answer(L, B, Next, Now);
+    REQUIRE(G.Tokens_ > 0);
+    CHECK(L.Tokens_ <= Pool - G.Tokens_);
   }
   SECTION("keeps in the pool no more than what is not lent") {
     Amount Free = baseOf(L) - outstanding(L, Now).total();
