Check that older terms aren't committed by counting

Cause: a mutant that did so passed all checks. Change: a directed test; random runs also draw the size of a batch, so that entries of several terms are acknowledged apart. Conclusion: the one rule of Raft that random runs hardly reach is tested.

--- a/test/Replication.cpp
+++ b/test/Replication.cpp
@@ -255,3 +255,36 @@
     }
   }
 }
+
+TEST_CASE("An entry of an older term isn't committed by counting") {
+  StoredState Stored;
+  Stored.Disk_ = DiskId(1);
+  Stored.Term_ = Term(2);
+  Stored.Snapshot_.Meta_.Config_.Voters_ = {
+      {VmId("a"), DiskId(1)}, {VmId("b"), DiskId(2)}, {VmId("c"), DiskId(3)}};
+  Stored.Entries_ = {{Term(2), LogIndex(1), EntryKind::Command, "x"}};
+  ReplicaOptions Options;
+  Options.Self_ = VmId("a");
+  ReplicaState S = startReplica(Options, Stored, Time(0));
+  ReplicaOutput Out;
+  Time Now(10'000);
+  VmId B("b");
+  tick(S, Now, Out);
+  receive(S, B, VoteReply{Term(3), true, true, DiskId(2)}, Now, Out);
+  receive(S, B, VoteReply{Term(3), false, true, DiskId(2)}, Now, Out);
+  REQUIRE(S.Role_ == ReplicaRole::Leader);
+  AppendReply Reply{Term(3),    true,      LogIndex(1),
+                    LogIndex(), DiskId(2), Now.count()};
+
+  SECTION("though a quorum holds it") {
+    receive(S, B, Reply, Now, Out);
+    CHECK(S.Commit_ == LogIndex(0));
+
+    SECTION("but together with one of the leader's own term") {
+      diskDone(S, Now, Out);
+      Reply.Match_ = LogIndex(2);
+      receive(S, B, Reply, Now, Out);
+      CHECK(S.Commit_ == LogIndex(2));
+    }
+  }
+}
--- a/test/fakes/RandomRun.h
+++ b/test/fakes/RandomRun.h
@@ -21,6 +21,7 @@
       : Options_(Options), Random_(Options.Seed_),
         Cluster_(3, 5, Options.Seed_) {
     Cluster_.Limits_.PieceBytes_ = 256 + Random_() % 2048;
+    Cluster_.Limits_.BatchBytes_ = 1 + Random_() % 1000;
     Cluster_.Limits_.SnapshotEvery_ = 4 + Random_() % 40;
     FaultEvery_ = 5 + Random_() % 200;
     for (auto &Entry : Cluster_.nodes())
