Race operators with declarations that are valid

Cause: a mutant that ignored the base revision passed all checks. The tests' declarations had errors, so both rivals were refused as invalid and no race took place. Conclusion: one winner per base revision is now tested.

--- a/test/ReplicationRandom.cpp
+++ b/test/ReplicationRandom.cpp
@@ -10,6 +10,7 @@
   constexpr std::uint64_t Seeds = 150;
   std::uint64_t Faults = 0;
   std::uint64_t Changes = 0;
+  std::int64_t Races = 0;
   for (std::uint64_t Seed = FirstSeed; Seed < FirstSeed + Seeds; ++Seed) {
     RandomRun Run({.Seed_ = Seed});
     std::string Wrong = Run.run();
@@ -17,11 +18,13 @@
     REQUIRE(Wrong == "");
     Faults += Run.faults();
     Changes += Run.changes();
+    Races += Run.races();
   }
 
   SECTION("and the runs did meet faults and changes") {
     CHECK(Faults > Seeds * 10);
     CHECK(Changes > Seeds * 10);
+    CHECK(Races > static_cast<std::int64_t>(Seeds));
   }
 }
 
--- a/test/fakes/ReplicaCluster.h
+++ b/test/fakes/ReplicaCluster.h
@@ -95,6 +95,14 @@
     return Done();
   }
 
+  std::int64_t answered(ChangeVerdict Verdict, ChangeKind Kind) const {
+    return std::count_if(Changes_.begin(), Changes_.end(),
+                         [&](const PendingChange &P) {
+                           return P.Reply_ && P.Reply_->Verdict_ == Verdict &&
+                                  P.Change_.Kind_ == Kind;
+                         });
+  }
+
   bool allAnswered() const {
     for (const PendingChange &P : Changes_)
       if (!P.Reply_)
