--- a/lagoonpoint/src/Catalog/Catalog.cpp
+++ b/lagoonpoint/src/Catalog/Catalog.cpp
@@ -19,15 +19,19 @@
   return {ChangeVerdict::Conflict, State.Revision_, std::move(Message)};
 }
 
-std::string invalidDeclarations(const std::string &Text) {
-  Findings Errors;
-  parseDeclarations(Text, DeclarationsName, Errors);
+std::string textOf(const Findings &Errors) {
   std::string Message;
   for (const Finding &F : Errors)
     Message += (Message.empty() ? "" : "\n") + toString(F);
   return Message;
 }
 
+std::string invalidDeclarations(const std::string &Text) {
+  Findings Errors;
+  parseDeclarations(Text, DeclarationsName, Errors);
+  return textOf(Errors);
+}
+
 /// \returns the change with its text made whole.
 /// \pre the splice is of the text in force
 Change unspliced(const Catalog &State, const Change &C) {
@@ -62,9 +66,12 @@
                                " doesn't exist; revision " +
                                std::to_string(State.Revision_.value()) +
                                " is in force");
-  std::string Fault = invalidDeclarations(C.Text_);
-  if (!Fault.empty())
-    return {ChangeVerdict::Invalid, State.Revision_, Fault};
+  Findings Errors;
+  auto Parsed = std::make_shared<Declarations>(
+      parseDeclarations(C.Text_, DeclarationsName, Errors));
+  if (!Errors.empty())
+    return {ChangeVerdict::Invalid, State.Revision_, textOf(Errors)};
+  State.Parsed_ = std::move(Parsed);
   State.Text_ = C.Text_;
   ChangeReply Reply = accept(State);
   State.DeclaredAt_ = Reply.Revision_;
@@ -222,7 +229,9 @@
 
 Declarations effectiveDeclarations(const Catalog &State) {
   Findings Errors;
-  Declarations D = parseDeclarations(State.Text_, DeclarationsName, Errors);
+  Declarations D =
+      State.Parsed_ ? *State.Parsed_
+                    : parseDeclarations(State.Text_, DeclarationsName, Errors);
   for (const auto &[Id, Grant] : State.Granted_)
     D.Keys_[Id] = {Id, Grant.Team_, Grant.Salt_, Grant.Hash_};
   for (const Drain &Dr : State.Drains_)
--- a/lagoonpoint/src/Catalog/Catalog.h
+++ b/lagoonpoint/src/Catalog/Catalog.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -31,6 +32,9 @@
   std::map<ZoneId, ZoneView> Views_;
   std::map<ChangeId, ChangeReply> Replies_;
   std::deque<ChangeId> ReplyOrder_; ///< oldest first
+  /// Text_ as parsed when it was applied, null after decoding; no part of the
+  /// state, it only spares parsing a large text again.
+  std::shared_ptr<const Declarations> Parsed_;
   MSGPACK_DEFINE(Revision_, DeclaredAt_, Text_, Granted_, Withdrawn_, Drains_,
                  Views_, Replies_, ReplyOrder_)
 };
