Keep an upstream that is gone from coming back by another zone

Cause: VMs of a zone that restarted took records of their own zone from other zones, whose leases are renewed by that zone's reports. Each restarted VM gave a gone upstream another 15 s, and its reports renewed the other zones' copies. Ruled out: copies renewing each other, which decays. Change: a record of the own zone that comes from another one brings its version and marks, but no lease beyond the one held here; the same version from a VM of the zone extends it. Conclusion: a gone upstream is gone after its lease.

--- a/lagoonpoint/src/Membership/Members.h
+++ b/lagoonpoint/src/Membership/Members.h
@@ -129,7 +129,10 @@
   void mergeMember(const MemberRecord &In, Time Now);
   void answerClaim(const MemberRecord &In);
   void setState(MemberRecord &Record, VmState State, Time Now);
-  void mergeUpstreamNews(const UpstreamRecord &In, Time Now);
+  /// \returns what is left of the lease of the version held.
+  Duration leaseHeld(const UpstreamKey &Key, Time Now) const;
+  /// \param FromZone whether a VM of this zone sent it
+  void mergeUpstreamNews(UpstreamRecord In, bool FromZone, Time Now);
   void takeReport(const ZoneReport &Report, const VmId &Sender, Time Now);
   void noteAnswer(const MembershipMessage &In, Time Now);
   void compareDigest(const MembershipMessage &In, Time Now);
--- a/lagoonpoint/src/Membership/MembersReceiving.cpp
+++ b/lagoonpoint/src/Membership/MembersReceiving.cpp
@@ -22,8 +22,9 @@
   mergeMember(In.Sender_, Now);
   for (const MemberRecord &Record : In.Members_)
     mergeMember(Record, Now);
+  bool FromZone = zoneOf(Message.From_) == Options_.Zone_;
   for (const UpstreamRecord &Record : In.Upstreams_)
-    mergeUpstreamNews(Record, Now);
+    mergeUpstreamNews(Record, FromZone, Now);
   for (const ZoneReport &Report : In.Reports_)
     takeReport(Report, Message.From_, Now);
   if (In.Kind_ == MessageKind::Ack)
@@ -95,7 +96,18 @@
   MemberNews_.insert(Options_.Self_);
 }
 
-void Members::mergeUpstreamNews(const UpstreamRecord &In, Time Now) {
+Duration Members::leaseHeld(const UpstreamKey &Key, Time Now) const {
+  auto Found = Upstreams_.Entries_.find(Key);
+  if (Found == Upstreams_.Entries_.end())
+    return Duration();
+  return std::max(Duration(), Found->second.Expires_ - Now);
+}
+
+void Members::mergeUpstreamNews(UpstreamRecord In, bool FromZone, Time Now) {
+  // Other zones renew their copies by this zone's reports, so a lease that
+  // comes back from them says nothing of the upstream.
+  if (In.Zone_ == Options_.Zone_ && !FromZone)
+    In.Lease_ = leaseHeld(In.Key_, Now);
   switch (mergeUpstream(Upstreams_, In, Now)) {
   case Merge::Changed:
     ChangedNews_.insert(In.Key_);
@@ -104,7 +116,8 @@
     RefreshedNews_.insert(In.Key_);
     break;
   case Merge::Nothing:
-    if (In.Zone_ != Options_.Zone_)
+    // The same version may have come by another zone before.
+    if (In.Zone_ != Options_.Zone_ || FromZone)
       extendLease(Upstreams_, In, Options_.UpstreamLease_ / 2, Now);
     break;
   }
--- a/test/Membership.cpp
+++ b/test/Membership.cpp
@@ -319,7 +319,11 @@
 }
 
 TEST_CASE("Long runs of random faults") {
-  auto Seed = GENERATE(range(1, 41));
+  // The seeds from 1020 on once revived upstreams that had gone.
+  auto Seed =
+      GENERATE(range(1, 41),
+               values({1020, 1083, 1101, 1374, 1428, 1535, 1635, 1661, 1911}));
+  INFO("seed " << Seed);
   Random Dice(Seed);
   MemberFleet Fleet(3, 3);
   bool Faulty = true;
