Serve on when the replica's folder is damaged

Cause: a corrupt log kept the whole VM from starting; the listeners counted no connections; a reused idempotency key got an unclear message. Change: the VM serves without a vote and status says why; only a folder in use ends the start. The listeners get the registry; once-refusals say what is wrong. Conclusion: losing a disk costs a VM its vote only.

--- a/lagoonpoint/src/Node/Control.cpp
+++ b/lagoonpoint/src/Node/Control.cpp
@@ -13,13 +13,29 @@
 constexpr Duration LogEvery = Duration::seconds(1);
 constexpr Duration ReplaceLimit = Duration::seconds(120);
 constexpr Duration ReplacePoll = Duration::millis(200);
+/// What status says of a replica that doesn't run.
+const std::string StoppedText = "this VM's replica stopped: ";
+/// Step of the error that a folder in use raises.
+constexpr const char *LockStep = "disk.lock";
 constexpr Duration ForcePoll = Duration::millis(20);
 
+/// A damaged or failing disk costs the VM its vote, not its service. A folder
+/// that another process holds ends the start.
+/// \param[out] Fault why there is no replica though the VM has a disk
 std::unique_ptr<ReplicaHost> makeHost(const Settings &S, const Clock &C,
-                                      Transport &T, ReplicaHost::Observer O) {
+                                      Transport &T, ReplicaHost::Observer O,
+                                      std::string &Fault) {
   if (S.DataFolder_.empty())
     return nullptr;
-  return std::make_unique<ReplicaHost>(S, C, T, std::move(O));
+  try {
+    return std::make_unique<ReplicaHost>(S, C, T, std::move(O));
+  } catch (const DiskError &E) {
+    if (E.step() == LockStep)
+      throw;
+    logError(E);
+    Fault = E.what();
+    return nullptr;
+  }
 }
 
 /// \returns where a revision is in force, as the VMs reported it.
@@ -56,10 +72,12 @@
                  InForceCell &Cell, MemberHost &M)
     : Settings_(S), Clock_(C), InForce_(Cell), Members_(M),
       Feed_(S, I, C, T, Cell, M),
-      Host_(makeHost(S, C, T,
-                     [this](const Catalog &State, const Change *Cause) {
-                       Feed_.observe(State, Cause);
-                     })),
+      Host_(makeHost(
+          S, C, T,
+          [this](const Catalog &State, const Change *Cause) {
+            Feed_.observe(State, Cause);
+          },
+          ReplicaFault_)),
       Router_(S.Vm_, S.InitialVoters_, Host_.get(), C, T),
       Proposer_("control.propose", Duration::seconds(1), [] {}) {}
 
@@ -288,13 +306,17 @@
   for (const UpstreamRecord &U : Fleet->Upstreams_)
     Out.Upstreams_.push_back({U.Key_.Service_, U.Key_.Upstream_, U.Zone_,
                               "serving", U.Slots_, U.Load_});
+  if (!ReplicaFault_.empty())
+    Out.Repair_ = StoppedText + ReplicaFault_;
   if (!Host_)
     return Out;
   ReplicaStatus Replica = Host_->status();
   Out.Leader_ = Replica.Leader_;
   Out.Term_ = Replica.Term_;
   bool Leads = Replica.Role_ == ReplicaRole::Leader;
-  if (!Leads)
+  if (!Replica.Fault_.empty())
+    Out.Repair_ = StoppedText + Replica.Fault_;
+  else if (!Leads)
     Out.Repair_ = "known to the leader";
   else
     Out.Repair_ =
--- a/lagoonpoint/src/Node/Control.h
+++ b/lagoonpoint/src/Node/Control.h
@@ -121,6 +121,7 @@
   InForceCell &InForce_;
   MemberHost &Members_;
   FeedHost Feed_;
+  std::string ReplicaFault_; ///< why there is no replica, if it failed
   std::unique_ptr<ReplicaHost> Host_;
   ChangeRouter Router_;
   ViewKeeper Keeper_;
--- a/lagoonpoint/src/Node/Node.cpp
+++ b/lagoonpoint/src/Node/Node.cpp
@@ -83,9 +83,10 @@
         Services_{S,        Clock_,   Limits_,  Dispatcher_, Once_,
                   Steerer_, Members_, Retries_, Metrics_},
         Calls_(Services_, InForce_, Control_), Announces_(InForce_, Members_),
-        Operators_(Control_, Metrics_), CallerServer_(Calls_, S, Clock_),
-        UpstreamServer_(Announces_, S, Clock_),
-        OperatorServer_(Operators_, S, Clock_),
+        Operators_(Control_, Metrics_),
+        CallerServer_(Calls_, S, Clock_, &Metrics_),
+        UpstreamServer_(Announces_, S, Clock_, &Metrics_),
+        OperatorServer_(Operators_, S, Clock_, &Metrics_),
         Ticker_("node.tick", TickEvery, [this] { tick(); }) {}
 
   void receive(Envelope Message);
--- a/lagoonpoint/src/Node/OnceHost.cpp
+++ b/lagoonpoint/src/Node/OnceHost.cpp
@@ -10,6 +10,23 @@
 constexpr Duration WaitSlack = Duration::millis(200);
 constexpr const char *Step = "once.begin";
 
+const char *messageOf(RefusalReason Reason) {
+  switch (Reason) {
+  case RefusalReason::BadRequest:
+    return "the idempotency key was used with another request";
+  case RefusalReason::OnceKeyMissing:
+    return "the idempotency key doesn't begin with a look-up's once_prefix";
+  case RefusalReason::OnceKeyExpired:
+    return "the idempotency key is older than results are kept";
+  case RefusalReason::OnceInProgress:
+    return "the first call with this idempotency key is still running";
+  case RefusalReason::OnceUnknown:
+    return "whether the request ran can't be told any more";
+  default:
+    return "the home zone of the idempotency key can't take it now";
+  }
+}
+
 } // namespace
 
 OnceHost::OnceHost(const Settings &S, Incarnation I, const Clock &C,
@@ -54,7 +71,7 @@
   }
   if (Decision.Step_ == OnceStep::Refuse)
     throw Refusal(Decision.Reason_, Decision.Ran_, Step,
-                  "the once-request may not run here now");
+                  messageOf(Decision.Reason_));
   return Decision;
 }
 
--- a/lagoonpoint/src/Node/ReplicaHost.cpp
+++ b/lagoonpoint/src/Node/ReplicaHost.cpp
@@ -8,7 +8,6 @@
 
 constexpr Duration TickEvery = Duration::millis(25);
 constexpr const char *VoterFolder = "/voter";
-constexpr const char *SubmitStep = "replica.submit";
 
 ReplicaOptions optionsOf(const Settings &S) {
   ReplicaOptions Options;
@@ -156,8 +155,8 @@
   if (Status.Fault_ != LoggedFault_) {
     LoggedFault_ = Status.Fault_;
     log({.Level_ = LogLevel::Error,
-         .Step_ = SubmitStep,
-         .Message_ = "replica stopped: " + Status.Fault_});
+         .Step_ = "replica.stop",
+         .Message_ = Status.Fault_});
   }
   std::lock_guard Guard(ViewLock_);
   View_.Leader_ = Status.Leader_;
