Keep the base of a quantity between changes of its allotments

Cause: each answer of an authority built a map of all floors several times; at 870 VMs and 8 teams that took 8 cores. Change: the base is worked out when an allotment is added or settled. LeaseRules 63, Leases 10 and LeaseFaults pass. Conclusion: what is left are passes over the borrowers; an aggregator for each zone would bound their number.

--- a/lagoonpoint/src/Limits/LeaseAuthority.cpp
+++ b/lagoonpoint/src/Limits/LeaseAuthority.cpp
@@ -43,6 +43,20 @@
   return Sum;
 }
 
+/// Passes over all floors, so it is kept between changes of the allotments.
+Amount baseOfAllotments(const LeaseAuthority &A) {
+  if (A.Allotments_.empty() || A.Settled_ < A.Allotments_.front().Revision_)
+    return {};
+  std::map<VmId, Amount> Largest;
+  for (const Allotment &Each : A.Allotments_)
+    for (const auto &[Vm, Floor] : Each.Floors_)
+      Largest[Vm] = most(Largest[Vm], Floor);
+  Amount Floors;
+  for (const auto &[Vm, Floor] : Largest)
+    Floors = Floors + Floor;
+  return notNegative(A.Allotments_.back().Whole_ - Floors);
+}
+
 /// What the pool may earn and hold, given leases and floors at two times.
 Amount poolPart(const LeaseAuthority &A, Time LentAt, Time AsideAt) {
   return notNegative(baseOf(A) + asideUntil(A, AsideAt) -
@@ -261,6 +275,7 @@
   if (!A.Allotments_.empty() && New.Revision_ <= A.Allotments_.back().Revision_)
     return;
   A.Allotments_.push_back(New);
+  A.Base_ = baseOfAllotments(A);
   clipPool(A, Now);
 }
 
@@ -269,20 +284,10 @@
   A.Settled_ = std::max(A.Settled_, R);
   while (A.Allotments_.size() > 1 && A.Allotments_[1].Revision_ <= R)
     A.Allotments_.erase(A.Allotments_.begin());
+  A.Base_ = baseOfAllotments(A);
 }
 
-Amount baseOf(const LeaseAuthority &A) {
-  if (A.Allotments_.empty() || A.Settled_ < A.Allotments_.front().Revision_)
-    return {};
-  std::map<VmId, Amount> Largest;
-  for (const Allotment &Each : A.Allotments_)
-    for (const auto &[Vm, Floor] : Each.Floors_)
-      Largest[Vm] = most(Largest[Vm], Floor);
-  Amount Floors;
-  for (const auto &[Vm, Floor] : Largest)
-    Floors = Floors + Floor;
-  return notNegative(A.Allotments_.back().Whole_ - Floors);
-}
+Amount baseOf(const LeaseAuthority &A) { return A.Base_; }
 
 Lent outstanding(const LeaseAuthority &A, Time Now) {
   Lent Sum;
--- a/lagoonpoint/src/Limits/LeaseAuthority.h
+++ b/lagoonpoint/src/Limits/LeaseAuthority.h
@@ -40,6 +40,7 @@
   LeaseTiming Timing_;
   std::vector<Allotment> Allotments_; ///< of revisions not settled, in order
   Revision Settled_;                  ///< no VM uses an older one
+  Amount Base_; ///< see baseOf(); follows from the two above
   Term Term_;
   Time WaitUntil_; ///< leases of predecessors have ended by then
   Time Until_;     ///< proof of leadership ends
