--- a/lagoonpoint/src/Cli/FileCommands.cpp
+++ b/lagoonpoint/src/Cli/FileCommands.cpp
@@ -6,7 +6,6 @@
 #include "lagoonpoint/src/Cli/util/TextFile.h"
 
 #include <Poco/JSON/Array.h>
-#include <Poco/UUIDGenerator.h>
 
 #include <ostream>
 
@@ -58,12 +57,6 @@
   return Errors.empty() ? ExitCode::Ok : ExitCode::Invalid;
 }
 
-std::string changeIdOf(const CommandContext &Context) {
-  if (Context.Options_.count("change-id"))
-    return Context.Options_["change-id"].as<std::string>();
-  return Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
-}
-
 void printList(std::ostream &Out, const char *Title,
                const Poco::JSON::Object::Ptr &Body, const char *Field) {
   Poco::JSON::Array::Ptr Rows = Body->getArray(Field);
--- a/lagoonpoint/src/Cli/FleetCommands.cpp
+++ b/lagoonpoint/src/Cli/FleetCommands.cpp
@@ -1,8 +1,6 @@
 #include "lagoonpoint/src/Cli/Command.h"
 #include "lagoonpoint/src/Cli/OperatorClient.h"
 
-#include <Poco/UUIDGenerator.h>
-
 #include <ostream>
 
 namespace lagoonpoint {
@@ -29,12 +27,6 @@
   return ExitCode::Ok;
 }
 
-std::string changeId(const CommandContext &Context) {
-  if (Context.Options_.count("change-id"))
-    return Context.Options_["change-id"].as<std::string>();
-  return Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
-}
-
 ExitCode usage(CommandContext &Context, const std::string &Message) {
   Context.Err_ << Message << "\n";
   return ExitCode::Usage;
@@ -46,7 +38,7 @@
   if (Scope != "region" && Scope != "zone" && Scope != "vm")
     return usage(Context, "the scope is region, zone or vm");
   Poco::JSON::Object Body;
-  Body.set("change_id", changeId(Context));
+  Body.set("change_id", changeIdOf(Context));
   Body.set("scope", Scope);
   Body.set("id", Id);
   Body.set("drained", Drained);
@@ -61,7 +53,7 @@
   std::string Action = Context.Options_["action"].as<std::string>();
   std::string Id = Context.Options_["id"].as<std::string>();
   Poco::JSON::Object Body;
-  Body.set("change_id", changeId(Context));
+  Body.set("change_id", changeIdOf(Context));
   Body.set("action", Action);
   Body.set("id", Id);
   if (Action == "grant") {
--- a/lagoonpoint/src/Cli/OperatorClient.cpp
+++ b/lagoonpoint/src/Cli/OperatorClient.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/StreamCopier.h>
+#include <Poco/UUIDGenerator.h>
 
 #include <cstdlib>
 #include <ostream>
@@ -98,6 +99,12 @@
   }
 }
 
+std::string changeIdOf(const CommandContext &Context) {
+  if (Context.Options_.count("change-id"))
+    return Context.Options_["change-id"].as<std::string>();
+  return Poco::UUIDGenerator::defaultGenerator().createRandom().toString();
+}
+
 std::string textOf(const Poco::JSON::Object::Ptr &Object,
                    const std::string &Field) {
   if (!Object || !Object->has(Field) || Object->isNull(Field))
--- a/lagoonpoint/src/Cli/OperatorClient.h
+++ b/lagoonpoint/src/Cli/OperatorClient.h
@@ -57,6 +57,9 @@
 /// Prints what a refused request was answered, and chooses the exit code.
 ExitCode reportFailure(CommandContext &Context, const OperatorAnswer &Answer);
 
+/// \returns the id given with --change-id, else a new one.
+std::string changeIdOf(const CommandContext &Context);
+
 /// \returns a field of an object as text, empty if it isn't there.
 std::string textOf(const Poco::JSON::Object::Ptr &Object,
                    const std::string &Field);
