Carry the steering channel between VMs

Cause: the transport knew channels 1 to 8 only. Each VM's steering news, on channel 9, were malformed to the others and closed the connection every 5 s, so no VM knew which others serve: calls that another zone or region serves were refused as no_upstream. Ruled out: the plans and the drain; the log's peer.read lines gave it away.

--- a/lagoonpoint/src/Core/Envelope.h
+++ b/lagoonpoint/src/Core/Envelope.h
@@ -21,6 +21,9 @@
   Steering = 9,
 };
 
+/// The highest channel; a transport carries all from 1 to this one.
+inline constexpr Channel LastChannel = Channel::Steering;
+
 /// \class Envelope
 /// \ingroup Core
 /// \brief One encoded message from a VM to another.
--- a/lagoonpoint/src/Peer/Http2Receiver.cpp
+++ b/lagoonpoint/src/Peer/Http2Receiver.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::string_view ChannelPath = "/channel/";
+static_assert(static_cast<int>(LastChannel) <= 9, "a channel is one digit");
 
 std::string_view view(const std::uint8_t *Bytes, std::size_t Size) {
   return {reinterpret_cast<const char *>(Bytes), Size};
@@ -20,7 +21,7 @@
     return std::nullopt;
   int Digit = Path.back() - '0';
   if (Digit < static_cast<int>(Channel::Replication) ||
-      Digit > static_cast<int>(Channel::Forward))
+      Digit > static_cast<int>(LastChannel))
     return std::nullopt;
   return static_cast<Channel>(Digit);
 }
--- a/test/Peer.cpp
+++ b/test/Peer.cpp
@@ -127,11 +127,13 @@
   Two.Transport_.setPeers({{A, One.at()}});
 
   SECTION("talk both ways, in order, on every channel") {
-    for (int Number = 1; Number <= 8; ++Number)
+    constexpr auto Channels = static_cast<std::size_t>(LastChannel);
+    for (std::size_t Number = 1; Number <= Channels; ++Number)
       One.send(B, "to b", static_cast<Channel>(Number));
     Two.Transport_.send({B, A, Channel::Once, ""});
-    REQUIRE(eventually([&] { return Two.got() == 8 && One.got() == 1; }));
-    for (std::size_t At = 0; At < 8; ++At) {
+    REQUIRE(
+        eventually([&] { return Two.got() == Channels && One.got() == 1; }));
+    for (std::size_t At = 0; At < Channels; ++At) {
       Envelope Got = Two.got(At);
       CHECK(Got.From_ == A);
       CHECK(Got.To_ == B);
