Count links in units of 1,024 bytes

Cause: a VM of another region, which has no floor of the link that answers come back by, was refused as link_full after some 7 s of one call a second on an idle link. Change: a link's unit is 1,024 bytes.

--- a/lagoonpoint/src/Limits/Floors.cpp
+++ b/lagoonpoint/src/Limits/Floors.cpp
@@ -110,7 +110,7 @@
 
 Allotment linkAllotment(const Declarations &D, Revision R,
                         const LinkDecl &Link) {
-  double Rate = Link.Cap_.bytesPerSecond();
+  double Rate = Link.Cap_.bytesPerSecond() / LinkUnitBytes;
   Allotment A{R, {Rate, Rate * StoredSeconds}, {}};
   ZoneVms Zones = entryVms(D, Link.From_);
   if (!Zones.empty())
--- a/lagoonpoint/src/Limits/Quantity.h
+++ b/lagoonpoint/src/Limits/Quantity.h
@@ -41,7 +41,11 @@
   return {QuantityKind::RegionCapacity, Region.str()};
 }
 
-/// \returns the quantity of the bytes over a link's one direction.
+/// Bytes that one unit of a link's quantity stands for.
+inline constexpr double LinkUnitBytes = 1024;
+
+/// \returns the quantity of the bytes over a link's one direction, counted in
+/// units of LinkUnitBytes.
 inline QuantityId linkBytes(const RegionId &From, const RegionId &To) {
   return {QuantityKind::LinkBytes, From.str() + ">" + To.str()};
 }
