Name the peers' connection apart from the callers'

Cause: Http/util/Listener.h and Peer/Connection.h both defined lagoonpoint::internal::Connection. At -O3 the destructor of std::unique_ptr<Connection> isn't inlined everywhere, the linker keeps one of the two, and the peers' loop destroyed its connection with the callers' destructor: munmap_chunk() in a Release build as soon as a dial failed. Ruled out: the -Wrestrict warning in MetricRegistry.cpp is in other code and the pointer freed isn't a string's.

--- a/lagoonpoint/src/Peer/Http2Receiver.cpp
+++ b/lagoonpoint/src/Peer/Http2Receiver.cpp
@@ -2,6 +2,7 @@
 
 #include "lagoonpoint/src/Peer/util/Hmac.h"
 
+#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -10,20 +11,23 @@
 namespace {
 
 constexpr std::string_view ChannelPath = "/channel/";
-static_assert(static_cast<int>(LastChannel) <= 9, "a channel is one digit");
 
 std::string_view view(const std::uint8_t *Bytes, std::size_t Size) {
   return {reinterpret_cast<const char *>(Bytes), Size};
 }
 
 std::optional<Channel> channelOf(std::string_view Path) {
-  if (Path.size() != ChannelPath.size() + 1 || !Path.starts_with(ChannelPath))
+  if (!Path.starts_with(ChannelPath))
     return std::nullopt;
-  int Digit = Path.back() - '0';
-  if (Digit < static_cast<int>(Channel::Replication) ||
-      Digit > static_cast<int>(LastChannel))
+  Path.remove_prefix(ChannelPath.size());
+  int Number = 0;
+  auto [Last, Code] =
+      std::from_chars(Path.data(), Path.data() + Path.size(), Number);
+  if (Code != std::errc() || Last != Path.data() + Path.size() ||
+      Number < static_cast<int>(Channel::Replication) ||
+      Number > static_cast<int>(LastChannel))
     return std::nullopt;
-  return static_cast<Channel>(Digit);
+  return static_cast<Channel>(Number);
 }
 
 bool endsRequest(const nghttp2_frame *Frame) {
--- a/lagoonpoint/src/Peer/Connection.cpp
+++ b/lagoonpoint/src/Peer/PeerConnection.cpp
@@ -1,4 +1,4 @@
-#include "lagoonpoint/src/Peer/Connection.h"
+#include "lagoonpoint/src/Peer/PeerConnection.h"
 
 #include <sys/socket.h>
 
@@ -18,7 +18,7 @@
 
 } // namespace
 
-Connection::Connection(Poco::Net::StreamSocket Socket, Handshake Start,
+PeerConnection::PeerConnection(Poco::Net::StreamSocket Socket, Handshake Start,
                        VmId Self, const PeerLimits &Limits, Time Now)
     : Socket_(std::move(Socket)), Handshake_(std::move(Start)),
       Self_(std::move(Self)), Limits_(Limits),
@@ -27,13 +27,13 @@
   Socket_.setBlocking(false);
 }
 
-Http2Session *Connection::session() const {
+Http2Session *PeerConnection::session() const {
   if (Sender_)
     return Sender_.get();
   return Receiver_.get();
 }
 
-std::size_t Connection::read(Time Now) {
+std::size_t PeerConnection::read(Time Now) {
   static thread_local std::array<char, ReadBytes> Buffer;
   std::size_t Total = 0;
   while (Total < TurnBytes) {
@@ -50,7 +50,7 @@
   return Total;
 }
 
-void Connection::take(std::string_view Bytes) {
+void PeerConnection::take(std::string_view Bytes) {
   if (Http2Session *Session = session())
     return Session->receive(Bytes);
   std::string Rest = Handshake_.receive(Bytes);
@@ -61,7 +61,7 @@
     session()->receive(Rest);
 }
 
-void Connection::startSession() {
+void PeerConnection::startSession() {
   const std::string &Key = Handshake_.sessionKey();
   if (Dialed_)
     Sender_ = std::make_unique<Http2Sender>(peer(), Key);
@@ -72,7 +72,7 @@
                               Limits_.OpenStreams_});
 }
 
-std::size_t Connection::write(Time Now) {
+std::size_t PeerConnection::write(Time Now) {
   std::size_t Total = 0;
   while (Total < TurnBytes) {
     Output_ += Handshake_.takeOutput();
@@ -92,7 +92,7 @@
   return Total;
 }
 
-bool Connection::wantsWrite() const {
+bool PeerConnection::wantsWrite() const {
   if (!Output_.empty() || Handshake_.hasOutput())
     return true;
   return session() && session()->wantsWrite();
--- a/lagoonpoint/src/Peer/Connection.h
+++ b/lagoonpoint/src/Peer/PeerConnection.h
@@ -13,14 +13,14 @@
 
 namespace lagoonpoint::internal {
 
-/// \class Connection
+/// \class PeerConnection
 /// \ingroup Peer
 /// \brief A non-blocking socket with its handshake and then its session.
 ///
 /// Dialed connections carry this VM's messages, accepted ones the peer's.
-class Connection {
+class PeerConnection {
 public:
-  Connection(Poco::Net::StreamSocket Socket, Handshake Start, VmId Self,
+  PeerConnection(Poco::Net::StreamSocket Socket, Handshake Start, VmId Self,
              const PeerLimits &Limits, Time Now);
 
   /// Reads what has arrived, up to a bound.
--- a/lagoonpoint/src/Peer/PeerLoop.cpp
+++ b/lagoonpoint/src/Peer/PeerLoop.cpp
@@ -114,7 +114,7 @@
     dropOldestStranger();
   Handshake Start(Handshake::Role::Listener, Options_.Self_, VmId(),
                   Options_.Secret_, randomBytes(NonceBytes));
-  auto Link = std::make_unique<Connection>(
+  auto Link = std::make_unique<PeerConnection>(
       Socket, std::move(Start), Options_.Self_, Options_.Limits_, Clock_.now());
   Polled_.add(Socket, Poco::Net::PollSet::POLL_READ);
   Inbounds_[Socket] = std::move(Link);
@@ -125,7 +125,7 @@
   auto It = Inbounds_.find(Socket);
   if (It == Inbounds_.end())
     return;
-  Connection &Link = *It->second;
+  PeerConnection &Link = *It->second;
   try {
     bool Known = Link.authenticated();
     if (Mode & ~Poco::Net::PollSet::POLL_WRITE)
@@ -144,12 +144,12 @@
   }
 }
 
-void PeerLoop::greet(Connection &Link) {
+void PeerLoop::greet(PeerConnection &Link) {
   Counters_.add(&PeerCounters::Connects_);
   dropOlderLinks(Link);
 }
 
-void PeerLoop::deliver(Connection &Link) {
+void PeerLoop::deliver(PeerConnection &Link) {
   for (Envelope &Message : Link.receiver()->takeMessages()) {
     Counters_.add(&PeerCounters::MessagesReceived_);
     Inbox_.push(std::move(Message));
@@ -160,7 +160,7 @@
   Outbound &Out = Outbounds_[Peer];
   if (!Out.Link_)
     return;
-  Connection &Link = *Out.Link_;
+  PeerConnection &Link = *Out.Link_;
   try {
     if (!Out.Connected_) {
       if (int Code = Link.socket().impl()->socketError())
@@ -211,7 +211,7 @@
     Socket.connectNB(socketAddress(At));
     Handshake Start(Handshake::Role::Dialer, Options_.Self_, Peer,
                     Options_.Secret_, randomBytes(NonceBytes));
-    Out.Link_ = std::make_unique<Connection>(Socket, std::move(Start),
+    Out.Link_ = std::make_unique<PeerConnection>(Socket, std::move(Start),
                                              Options_.Self_, Limits, Now);
     Dialed_[Socket] = Peer;
     Polled_.add(Socket, Poco::Net::PollSet::POLL_WRITE);
@@ -220,7 +220,7 @@
   }
 }
 
-void PeerLoop::submitWaiting(const VmId &Peer, Connection &Link) {
+void PeerLoop::submitWaiting(const VmId &Peer, PeerConnection &Link) {
   Http2Sender *Sender = Link.sender();
   if (!Sender)
     return;
@@ -234,11 +234,11 @@
   }
 }
 
-void PeerLoop::countWrite(Connection &Link) {
+void PeerLoop::countWrite(PeerConnection &Link) {
   Counters_.add(&PeerCounters::BytesSent_, Link.write(Clock_.now()));
 }
 
-void PeerLoop::countRead(Connection &Link) {
+void PeerLoop::countRead(PeerConnection &Link) {
   std::size_t Count = Link.read(Clock_.now());
   Counters_.add(&PeerCounters::BytesReceived_, Count);
   if (Http2Sender *Sender = Link.sender()) {
@@ -249,7 +249,7 @@
     Counters_.add(&PeerCounters::DroppedTooLarge_, Receiver->takeTooLarge());
 }
 
-void PeerLoop::watch(Connection &Link, bool Connected) {
+void PeerLoop::watch(PeerConnection &Link, bool Connected) {
   int Mode = 0;
   bool Inward = Link.receiver() != nullptr;
   if (Connected && !(Inward && Paused_))
--- a/lagoonpoint/src/Peer/PeerLoop.h
+++ b/lagoonpoint/src/Peer/PeerLoop.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lagoonpoint/src/Peer/Connection.h"
+#include "lagoonpoint/src/Peer/PeerConnection.h"
 #include "lagoonpoint/src/Peer/Inbox.h"
 #include "lagoonpoint/src/Peer/PeerQueues.h"
 
@@ -36,12 +36,12 @@
   /// The connection this VM dials to one peer.
   struct Outbound {
     Address Address_;
-    std::unique_ptr<Connection> Link_;
+    std::unique_ptr<PeerConnection> Link_;
     bool Connected_ = false;
     Time NextTry_;
     Duration Backoff_;
   };
-  using Inbound = std::map<Poco::Net::Socket, std::unique_ptr<Connection>>;
+  using Inbound = std::map<Poco::Net::Socket, std::unique_ptr<PeerConnection>>;
 
   void run();
   void turn();
@@ -50,24 +50,24 @@
   void drainWaker();
   void serveOutbound(const VmId &Peer, int Mode);
   void serveInbound(const Poco::Net::Socket &Socket, int Mode);
-  void deliver(Connection &Link);
-  void greet(Connection &Link);
+  void deliver(PeerConnection &Link);
+  void greet(PeerConnection &Link);
 
   void pump(const VmId &Peer);
   void dial(const VmId &Peer, Outbound &Out, const Address &At);
-  void submitWaiting(const VmId &Peer, Connection &Link);
-  void countWrite(Connection &Link);
-  void countRead(Connection &Link);
+  void submitWaiting(const VmId &Peer, PeerConnection &Link);
+  void countWrite(PeerConnection &Link);
+  void countRead(PeerConnection &Link);
 
   void housekeep();
   void checkOutbound(const VmId &Peer, Outbound &Out);
   void checkInbound();
   void dropOldestStranger();
-  void dropOlderLinks(const Connection &Newest);
+  void dropOlderLinks(const PeerConnection &Newest);
   void closeOutbound(const VmId &Peer, const Error *Why);
   void closeInbound(const Poco::Net::Socket &Socket, const Error *Why);
   void report(const Error &Why, bool Authenticated);
-  void watch(Connection &Link, bool Connected);
+  void watch(PeerConnection &Link, bool Connected);
 
   const PeerOptions Options_;
   PeerQueues &Queues_;
--- a/lagoonpoint/src/Peer/PeerLoopUpkeep.cpp
+++ b/lagoonpoint/src/Peer/PeerLoopUpkeep.cpp
@@ -40,7 +40,7 @@
     return closeOutbound(Peer, nullptr);
   }
   const PeerLimits &Limits = Options_.Limits_;
-  Connection &Link = *Out.Link_;
+  PeerConnection &Link = *Out.Link_;
   Time Now = Clock_.now();
   bool Greeting = !Link.sender();
   bool Late = Greeting && Now - Link.opened() > Limits.HandshakeTimeout_;
@@ -94,7 +94,7 @@
   closeInbound(Poco::Net::Socket(Oldest->first), &Why);
 }
 
-void PeerLoop::dropOlderLinks(const Connection &Newest) {
+void PeerLoop::dropOlderLinks(const PeerConnection &Newest) {
   std::vector<Poco::Net::Socket> Older;
   for (const auto &[Socket, Link] : Inbounds_)
     if (Link.get() != &Newest && Link->authenticated() &&
@@ -108,7 +108,7 @@
   auto It = Outbounds_.find(Peer);
   if (It == Outbounds_.end() || !It->second.Link_)
     return;
-  std::unique_ptr<Connection> Link = std::move(It->second.Link_);
+  std::unique_ptr<PeerConnection> Link = std::move(It->second.Link_);
   Polled_.remove(Link->socket());
   Dialed_.erase(Link->socket());
   if (Link->sender())
@@ -122,7 +122,7 @@
   auto It = Inbounds_.find(Socket);
   if (It == Inbounds_.end())
     return;
-  std::unique_ptr<Connection> Link = std::move(It->second);
+  std::unique_ptr<PeerConnection> Link = std::move(It->second);
   Inbounds_.erase(It);
   Polled_.remove(Link->socket());
   Link->socket().close();
