--- a/app/lagoonpoint.cpp
+++ b/app/lagoonpoint.cpp
@@ -1,10 +1,13 @@
 #include "lagoonpoint/Cli"
+#include "platform/Run.h"
 
 #include <iostream>
 
 int main(int Count, char **Words) {
   using namespace lagoonpoint;
-  ExitCode Code =
-      runCommandLine({Words + 1, Words + Count}, std::cout, std::cerr);
-  return static_cast<int>(Code);
+  std::vector<std::string> Arguments(Words + 1, Words + Count);
+  // The users' platform starts the process with the file that it has rendered.
+  if (Arguments.size() == 2 && Arguments[0] == "platform")
+    return static_cast<int>(platform::run(Arguments[1], std::cerr));
+  return static_cast<int>(runCommandLine(Arguments, std::cout, std::cerr));
 }
--- a/cmake/Options.cmake
+++ b/cmake/Options.cmake
@@ -1,6 +1,11 @@
 # Compiler settings shared by every target.
-add_compile_options(-Wall -Wextra -Wpedantic -Werror
+option(WARNINGS_AS_ERRORS "Fail on warnings; CI sets it" OFF)
+option(BUILD_CHECKS "Build the tests and the experiments" ON)
+add_compile_options(-Wall -Wextra -Wpedantic
   -Wno-missing-field-initializers) # designated initializers leave fields out
+if(WARNINGS_AS_ERRORS)
+  add_compile_options(-Werror)
+endif()
 set(SANITIZE "" CACHE STRING "Sanitizers to build with: thread, or address,undefined")
 if(SANITIZE)
   add_compile_options(-fsanitize=${SANITIZE} -fno-omit-frame-pointer)
--- a/lagoonpoint/src/Catalog/Catalog.cpp
+++ b/lagoonpoint/src/Catalog/Catalog.cpp
@@ -113,6 +113,16 @@
   return accept(State);
 }
 
+/// Versions that are held already or were overtaken change nothing.
+ChangeReply patchItems(Catalog &State, const Change &C) {
+  std::string Fault = patchFault(State.Items_, C.Items_);
+  if (!Fault.empty())
+    return {ChangeVerdict::Invalid, State.Revision_, Fault};
+  if (!mergeItems(State.Items_, C.Items_, State.Revision_.next()))
+    return {ChangeVerdict::Accepted, State.Revision_, "nothing newer"};
+  return accept(State);
+}
+
 ChangeReply judge(Catalog &State, const Change &C) {
   std::string Fault = C.Kind_ == ChangeKind::Declare ? "" : invalidity(C);
   if (!Fault.empty())
@@ -128,6 +138,8 @@
     return setDrain(State, C);
   case ChangeKind::SetView:
     return setView(State, C);
+  case ChangeKind::PatchItems:
+    return patchItems(State, C);
   }
   return {ChangeVerdict::Invalid, State.Revision_, "unknown kind of change"};
 }
@@ -186,6 +198,8 @@
     return "the key has no team, salt or hash";
   if (C.Kind_ == ChangeKind::SetDrain && C.Drain_.Id_.empty())
     return "the drain names nothing";
+  if (C.Kind_ == ChangeKind::PatchItems)
+    return itemFault(C.Items_);
   if (C.Kind_ == ChangeKind::SetView &&
       (C.View_.Zone_.empty() || C.View_.Members_.empty()))
     return "the view has no zone or no members";
--- a/lagoonpoint/src/Catalog/Catalog.h
+++ b/lagoonpoint/src/Catalog/Catalog.h
@@ -30,13 +30,14 @@
   std::set<KeyId> Withdrawn_;
   std::set<Drain> Drains_;
   std::map<ZoneId, ZoneView> Views_;
+  ItemSet Items_;
   std::map<ChangeId, ChangeReply> Replies_;
   std::deque<ChangeId> ReplyOrder_; ///< oldest first
   /// Text_ as parsed when it was applied, null after decoding; no part of the
   /// state, it only spares parsing a large text again.
   std::shared_ptr<const Declarations> Parsed_;
   MSGPACK_DEFINE(Revision_, DeclaredAt_, Text_, Granted_, Withdrawn_, Drains_,
-                 Views_, Replies_, ReplyOrder_)
+                 Views_, Replies_, ReplyOrder_, Items_)
 };
 
 /// Judges a change and applies it if accepted.
--- a/lagoonpoint/src/Catalog/Change.h
+++ b/lagoonpoint/src/Catalog/Change.h
@@ -2,6 +2,7 @@
 
 #include "lagoonpoint/Codec"
 #include "lagoonpoint/Core"
+#include "lagoonpoint/Items"
 
 #include <cstdint>
 #include <string>
@@ -16,6 +17,7 @@
   WithdrawKey = 3, ///< withdraws a key for good; always accepted
   SetDrain = 4,    ///< drains or undrains a region, zone or VM
   SetView = 5,     ///< next view of a zone for once-requests
+  PatchItems = 6,  ///< sets and removes named items, each by its version
 };
 
 /// What a drain covers.
@@ -79,8 +81,9 @@
   Drain Drain_;          ///< SetDrain
   bool Drained_ = false; ///< SetDrain: on or off
   ZoneView View_;        ///< SetView: its epoch follows the current one
+  ItemSet Items_;        ///< PatchItems
   MSGPACK_DEFINE(Id_, Kind_, Base_, Text_, Splice_, Key_, Drain_, Drained_,
-                 View_)
+                 View_, Items_)
 };
 
 /// How a change was judged.
--- a/lagoonpoint/src/Core/Clock.cpp
+++ b/lagoonpoint/src/Core/Clock.cpp
@@ -1,6 +1,7 @@
 #include "lagoonpoint/src/Core/Clock.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace lagoonpoint {
 
@@ -15,7 +16,11 @@
 } // namespace
 
 Time SystemClock::now() const {
-  return Time(millisOf(std::chrono::steady_clock::now()));
+  // Unlike CLOCK_MONOTONIC it counts the time that the VM was suspended, so a
+  // lease or a proof can't outlive a freeze.
+  timespec At{};
+  ::clock_gettime(CLOCK_BOOTTIME, &At);
+  return Time(std::int64_t(At.tv_sec) * 1000 + At.tv_nsec / 1'000'000);
 }
 
 std::int64_t SystemClock::unixMillis() const {
--- a/lagoonpoint/src/Core/Envelope.h
+++ b/lagoonpoint/src/Core/Envelope.h
@@ -19,10 +19,11 @@
   Upstreams = 7,
   Forward = 8,
   Steering = 9,
+  Fleet = 10,
 };
 
 /// The highest channel; a transport carries all from 1 to this one.
-inline constexpr Channel LastChannel = Channel::Steering;
+inline constexpr Channel LastChannel = Channel::Fleet;
 
 /// \class Envelope
 /// \ingroup Core
--- /dev/null
+++ b/lagoonpoint/src/Fleet/Currency.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "lagoonpoint/src/Fleet/FleetMessage.h"
+
+#include <map>
+#include <optional>
+
+namespace lagoonpoint {
+
+/// \class Currency
+/// \ingroup Fleet
+/// \brief Proves until when the items that this VM holds were complete.
+///
+/// Each core VM tells how far the log on its disk reaches. A change counts only
+/// once a quorum of voters has it on disk, so if a quorum of them has nothing
+/// beyond what this VM holds, then no change had been acknowledged that it
+/// lacks when the oldest of these was asked. No leader is needed, and either
+/// half of a split core will do as long as this VM reaches enough voters.
+struct Currency {
+  struct Answer {
+    Time AskedAt_;
+    LogProof Proof_;
+  };
+  LogIndex Applied_; ///< entry up to which the items are complete
+  std::map<VmId, Answer> Answers_;
+};
+
+/// Notes what a core VM answered to a question of \p AskedAt.
+/// \ingroup Fleet
+void note(Currency &C, const VmId &Core, Time AskedAt, const LogProof &Proof);
+
+/// \returns the newest time for which the items are proven to be complete,
+/// nothing if no quorum has answered.
+/// \ingroup Fleet
+std::optional<Time> provenAt(const Currency &C);
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "lagoonpoint/Catalog"
+#include "lagoonpoint/Replication"
+#include "lagoonpoint/src/Fleet/UpstreamNotice.h"
+
+#include <map>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace lagoonpoint {
+
+/// One VM as it describes itself.
+struct NodeRecord {
+  VmId Vm_;
+  bool Core_ = false; ///< replicates the configuration, else an entry VM
+  ZoneId Zone_;
+  RegionId Region_;
+  std::string Callers_;    ///< entry VM: where callers connect, "host:port"
+  std::uint64_t BornAt_ = 0; ///< Unix milliseconds of the process's start
+  bool Ready_ = false;     ///< entry VM: takes new callers
+  DiskId Disk_;            ///< core VM: of its data folder
+  MSGPACK_DEFINE(Vm_, Core_, Zone_, Region_, Callers_, BornAt_, Ready_, Disk_)
+};
+
+/// Requests a second by name.
+using RateMap = std::map<std::string, double>;
+
+/// An upstream heard of since the last beat.
+struct Sighting {
+  UpstreamId Id_;
+  std::uint64_t Sequence_ = 0;
+  Duration Age_;
+  MSGPACK_DEFINE(Id_, Sequence_, Age_)
+};
+
+/// Sent by every VM to every core VM that it knows.
+struct Beat {
+  NodeRecord Self_;
+  std::int64_t Asked_ = 0; ///< sender's clock; only echoed
+  Revision Holds_;         ///< of the items that the sender holds
+  std::uint64_t Upstreams_ = 0;   ///< digest of the sender's announcements
+  std::vector<VmId> Cores_;       ///< that the sender knows
+  RateMap TeamRates_;             ///< asked of the sender by callers
+  RateMap ServiceRates_;          ///< asked of the sender by callers
+  std::vector<Sighting> Sighted_; ///< between core VMs
+  MSGPACK_DEFINE(Self_, Asked_, Holds_, Upstreams_, Cores_, TeamRates_,
+                 ServiceRates_, Sighted_)
+};
+
+/// How far one core VM's part of the log reaches.
+struct LogProof {
+  DiskId Disk_;
+  LogIndex Last_;     ///< highest entry on its disk, committed or not
+  LogIndex Applied_;  ///< highest entry that its items include
+  LogIndex ConfigAt_; ///< entry that set Config_
+  VoterConfig Config_;
+  MSGPACK_DEFINE(Disk_, Last_, Applied_, ConfigAt_, Config_)
+};
+
+/// Answer of a core VM to a Beat.
+struct BeatReply {
+  std::int64_t Asked_ = 0; ///< of the beat
+  NodeRecord Self_;
+  Revision Holds_;
+  std::uint64_t Upstreams_ = 0; ///< digest of the announcements it holds
+  std::vector<UpstreamId> Silent_; ///< announced nothing to any core VM lately
+  LogProof Proof_;
+  std::vector<VmId> Cores_;
+  std::vector<VmId> Entries_; ///< live entry VMs
+  RateMap TeamRates_;         ///< summed over live entry VMs
+  std::map<std::string, RateMap> RegionRates_; ///< service rates by region
+  MSGPACK_DEFINE(Asked_, Self_, Holds_, Upstreams_, Silent_, Proof_, Cores_,
+                 Entries_, TeamRates_, RegionRates_)
+};
+
+/// Items that an entry VM lacks.
+struct ItemNews {
+  Revision Since_; ///< the receiver holds at least this
+  Revision Upto_;
+  LogIndex Applied_;
+  ItemSet Items_;
+  std::set<Drain> Drains_; ///< all in force
+  MSGPACK_DEFINE(Since_, Upto_, Applied_, Items_, Drains_)
+};
+
+/// Announcements passed on. A receiver confirms them if Number_ isn't 0.
+struct NoticeNews {
+  std::uint64_t Number_ = 0;
+  std::vector<UpstreamNotice> Said_;
+  MSGPACK_DEFINE(Number_, Said_)
+};
+
+/// Confirms NoticeNews.
+struct NoticesSeen {
+  std::uint64_t Number_ = 0;
+  MSGPACK_DEFINE(Number_)
+};
+
+/// Every message of Channel::Fleet.
+using FleetMessage =
+    std::variant<Beat, BeatReply, ItemNews, NoticeNews, NoticesSeen>;
+
+/// \ingroup Fleet
+std::string encodeMessage(const FleetMessage &M);
+
+/// \ingroup Fleet
+/// \throws CodecError if the bytes are no message of this protocol
+FleetMessage decodeFleetMessage(const std::string &Bytes, const VmId &Peer);
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Fleet/Roster.cpp
@@ -0,0 +1,48 @@
+#include "lagoonpoint/src/Fleet/Roster.h"
+
+namespace lagoonpoint {
+
+namespace {
+
+std::vector<const HeardNode *> liveNodes(const Roster &R, bool Core,
+                                         Duration Within, Time Now) {
+  std::vector<const HeardNode *> Out;
+  for (const auto &[Vm, Node] : R.Nodes_)
+    if (Node.Record_.Core_ == Core && Now - Node.HeardAt_ <= Within)
+      Out.push_back(&Node);
+  return Out;
+}
+
+} // namespace
+
+bool note(Roster &R, const Beat &B, Time Now) {
+  auto Found = R.Nodes_.find(B.Self_.Vm_);
+  if (Found != R.Nodes_.end() &&
+      B.Self_.BornAt_ < Found->second.Record_.BornAt_)
+    return false;
+  HeardNode &Node = R.Nodes_[B.Self_.Vm_];
+  Node.Record_ = B.Self_;
+  Node.HeardAt_ = Now;
+  Node.Holds_ = B.Holds_;
+  Node.TeamRates_ = B.TeamRates_;
+  Node.ServiceRates_ = B.ServiceRates_;
+  return true;
+}
+
+void forget(Roster &R, Duration Silence, Time Now) {
+  std::erase_if(R.Nodes_, [&](const auto &Entry) {
+    return Now - Entry.second.HeardAt_ > Silence;
+  });
+}
+
+std::vector<const HeardNode *> liveEntries(const Roster &R, Duration Within,
+                                           Time Now) {
+  return liveNodes(R, false, Within, Now);
+}
+
+std::vector<const HeardNode *> liveCores(const Roster &R, Duration Within,
+                                         Time Now) {
+  return liveNodes(R, true, Within, Now);
+}
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Fleet/UpstreamBook.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "lagoonpoint/src/Fleet/UpstreamNotice.h"
+
+#include <map>
+#include <vector>
+
+namespace lagoonpoint {
+
+/// An upstream as a book holds it.
+struct KnownUpstream {
+  UpstreamNotice Said_;
+  Time HeardAt_;   ///< when it was last heard of by any core VM
+  Time ColdUntil_; ///< end of its warm-up by this VM's clock
+  bool Silent_ = false; ///< announces no more; perhaps dead
+};
+
+/// \class UpstreamBook
+/// \ingroup Fleet
+/// \brief The newest announcement of each upstream.
+///
+/// A later start of an id replaces an earlier one. Within one start, leaving
+/// and gone are final, and otherwise the highest sequence counts; so late and
+/// repeated announcements change nothing. Of two ids at one address the one
+/// started later holds it.
+struct UpstreamBook {
+  std::map<UpstreamId, KnownUpstream> Upstreams_;
+};
+
+/// Takes in an announcement.
+/// \ingroup Fleet
+/// \returns true if it says anything new besides being alive
+bool learn(UpstreamBook &Book, const UpstreamNotice &A, Time Now);
+
+/// Notes that an upstream was heard of by another VM.
+/// \ingroup Fleet
+void heard(UpstreamBook &Book, const UpstreamId &Id,
+           std::uint64_t Sequence, Duration Age, Time Now);
+
+/// Marks upstreams not heard of for \p SilentAfter, and drops those that are
+/// gone or silent for \p ForgetAfter.
+/// \ingroup Fleet
+void age(UpstreamBook &Book, Duration SilentAfter, Duration ForgetAfter,
+         Time Now);
+
+/// \returns a hash of which upstreams are known in which phase; equal books
+/// have equal digests.
+/// \ingroup Fleet
+std::uint64_t digestOf(const UpstreamBook &Book);
+
+/// \returns all announcements, with what is left of each warm-up.
+/// \ingroup Fleet
+std::vector<UpstreamNotice> noticesOf(const UpstreamBook &Book,
+                                          Time Now);
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -0,0 +1,478 @@
+#include "lagoonpoint/src/Gateway/CoreVm.h"
+
+#include "lagoonpoint/Log"
+#include "lagoonpoint/Peer"
+#include "lagoonpoint/src/Gateway/PeerBook.h"
+#include "lagoonpoint/src/Node/ChangeRouter.h"
+#include "lagoonpoint/src/Node/ReplicaHost.h"
+#include "lagoonpoint/src/Node/Worker.h"
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+namespace lagoonpoint {
+
+namespace {
+
+constexpr Duration BeatEvery = Duration::millis(300);
+/// An entry VM beats every 400 ms: three beats may be lost.
+constexpr Duration LiveFor = Duration::millis(1800);
+/// Callers are told of an entry VM until it misses this many beats.
+constexpr Duration NamedFor = Duration::millis(2500);
+constexpr Duration ForgetNodes = Duration::seconds(60);
+constexpr Duration ForgetUpstreams = Duration::seconds(60);
+/// An upstream tries the next VM after a second without an answer.
+constexpr Duration ConfirmWithin = Duration::millis(750);
+constexpr Duration ConfirmAgain = Duration::millis(200);
+/// The first voters are joined by the other core VMs before any change is
+/// taken, so that the first change is as safe as the later ones.
+constexpr Duration FormWithin = Duration::seconds(5);
+constexpr std::size_t FewestVoters = 3;
+constexpr Duration SilentVoter = Duration::seconds(12);
+constexpr Duration ReadPause = Duration::millis(10);
+
+/// Configuration as the replica has it, for readers on other threads.
+struct HeldItems {
+  Revision Revision_;
+  ItemSet Items_;
+  std::set<Drain> Drains_;
+};
+
+Settings replicaSettings(const FleetSettings &S) {
+  Settings Out;
+  Out.Vm_ = VmId(S.Host_);
+  Out.DataFolder_ = S.DataFolder_;
+  if (S.Bootstrap_)
+    Out.InitialVoters_ = seedVms(S);
+  return Out;
+}
+
+ChangeId freshChangeId() {
+  thread_local Random Generator((std::uint64_t(std::random_device()()) << 32) |
+                                std::random_device()());
+  return ChangeId("c" + std::to_string(Generator()) +
+                  std::to_string(Generator()));
+}
+
+void pause(Duration D) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(D.count()));
+}
+
+} // namespace
+
+struct CoreVm::Parts {
+  explicit Parts(const FleetSettings &S)
+      : Settings_(S), ReplicaSettings_(replicaSettings(S)),
+        BornAt_(static_cast<std::uint64_t>(Clock_.unixMillis())),
+        StartedAt_(Clock_.now()), Self_(S.Host_),
+        Peers_(
+            fleetPeerOptions(S), [this](Envelope E) { receive(std::move(E)); },
+            Clock_, [](const Error &E) { logError(E, LogLevel::Debug); }),
+        Book_(S, Peers_),
+        Host_(ReplicaSettings_, Clock_, Peers_,
+              [this](const Catalog &C, const Change *) { observe(C); }),
+        Router_(Self_, seedVms(S), &Host_, Clock_, Peers_),
+        Ticker_("core.tick", BeatEvery, [this] { tick(); }) {}
+
+  void receive(Envelope Message);
+  void observe(const Catalog &C);
+  void tick();
+
+  void onBeat(const VmId &From, const Beat &B);
+  void onReply(const BeatReply &R);
+  void onNews(const VmId &From, const NoticeNews &N);
+  void onSeen(const VmId &From, const NoticesSeen &S);
+
+  NodeRecord self();
+  Beat beat();
+  BeatReply replyTo(const Beat &B, Time Now);
+  void sendTo(const VmId &To, const FleetMessage &M);
+  void sendItems(const VmId &To, Revision Since);
+  void pushItems();
+  void spread(std::uint64_t Number, const std::vector<UpstreamNotice> &Said);
+  std::set<VmId> entriesInContact(Time Now);
+  bool coreInContact(Time Now);
+  bool confirm(const UpstreamNotice &A);
+  void repairVoters();
+  bool formed();
+  std::shared_ptr<const HeldItems> items() const;
+
+  const FleetSettings &Settings_;
+  const Settings ReplicaSettings_;
+  SystemClock Clock_;
+  const std::uint64_t BornAt_;
+  const Time StartedAt_;
+  const VmId Self_;
+  MetricRegistry Metrics_;
+  PeerTransport Peers_;
+  PeerBook Book_;
+
+  mutable std::mutex ItemsLock_;
+  std::shared_ptr<const HeldItems> Items_ = std::make_shared<HeldItems>();
+
+  std::mutex Lock_; ///< guards what follows
+  std::condition_variable Confirmed_;
+  Roster Roster_;
+  UpstreamBook Upstreams_;
+  std::map<UpstreamId, Sighting> Sighted_; ///< here, since the last beat
+  std::map<std::uint64_t, std::set<VmId>> Unconfirmed_;
+  std::uint64_t NextNumber_ = 1;
+
+  ReplicaHost Host_;
+  ChangeRouter Router_;
+  Worker Ticker_;
+};
+
+void CoreVm::Parts::receive(Envelope Message) {
+  if (Message.Channel_ == Channel::Replication)
+    return Host_.receive(std::move(Message));
+  if (Message.Channel_ == Channel::Forward)
+    return Router_.receive(Message);
+  if (Message.Channel_ != Channel::Fleet)
+    return;
+  FleetMessage M = decodeFleetMessage(Message.Body_, Message.From_);
+  if (const auto *B = std::get_if<Beat>(&M))
+    onBeat(Message.From_, *B);
+  else if (const auto *R = std::get_if<BeatReply>(&M))
+    onReply(*R);
+  else if (const auto *N = std::get_if<NoticeNews>(&M))
+    onNews(Message.From_, *N);
+  else if (const auto *S = std::get_if<NoticesSeen>(&M))
+    onSeen(Message.From_, *S);
+}
+
+void CoreVm::Parts::observe(const Catalog &C) {
+  auto Next = std::make_shared<HeldItems>();
+  Next->Revision_ = C.Revision_;
+  Next->Items_ = C.Items_;
+  Next->Drains_ = C.Drains_;
+  {
+    std::lock_guard Guard(ItemsLock_);
+    Items_ = std::move(Next);
+  }
+  pushItems();
+}
+
+std::shared_ptr<const HeldItems> CoreVm::Parts::items() const {
+  std::lock_guard Guard(ItemsLock_);
+  return Items_;
+}
+
+NodeRecord CoreVm::Parts::self() {
+  NodeRecord Out;
+  Out.Vm_ = Self_;
+  Out.Core_ = true;
+  Out.Zone_ = Settings_.Zone_;
+  Out.Region_ = Settings_.Region_;
+  Out.BornAt_ = BornAt_;
+  Out.Disk_ = Host_.leaderView().Disk_;
+  return Out;
+}
+
+void CoreVm::Parts::sendTo(const VmId &To, const FleetMessage &M) {
+  Peers_.send({Self_, To, Channel::Fleet, encodeMessage(M)});
+}
+
+void CoreVm::Parts::sendItems(const VmId &To, Revision Since) {
+  auto Now = items();
+  ItemNews News;
+  News.Since_ = Since;
+  News.Upto_ = Now->Revision_;
+  News.Items_ = itemsSince(Now->Items_, Since);
+  News.Drains_ = Now->Drains_;
+  sendTo(To, News);
+}
+
+/// The leader knows first; what its messages miss, the next beats bring.
+void CoreVm::Parts::pushItems() {
+  if (!Host_.leaderView().Leading_)
+    return;
+  std::vector<std::pair<VmId, Revision>> To;
+  {
+    std::lock_guard Guard(Lock_);
+    for (const HeardNode *Node : liveEntries(Roster_, LiveFor, Clock_.now()))
+      To.push_back({Node->Record_.Vm_, Node->Holds_});
+  }
+  for (const auto &[Vm, Holds] : To)
+    sendItems(Vm, Holds);
+}
+
+Beat CoreVm::Parts::beat() {
+  Beat Out;
+  Out.Self_ = self();
+  Out.Asked_ = Clock_.now().count();
+  Out.Holds_ = items()->Revision_;
+  Out.Cores_ = Book_.cores();
+  std::lock_guard Guard(Lock_);
+  Out.Upstreams_ = digestOf(Upstreams_);
+  for (auto &[Id, S] : Sighted_)
+    Out.Sighted_.push_back(S);
+  Sighted_.clear();
+  return Out;
+}
+
+BeatReply CoreVm::Parts::replyTo(const Beat &B, Time Now) {
+  BeatReply Out;
+  Out.Asked_ = B.Asked_;
+  Out.Self_ = self();
+  LeaderView View = Host_.leaderView();
+  Out.Holds_ = View.Revision_;
+  Out.Proof_ = {View.Disk_, View.Last_, View.Applied_, View.ConfigAt_,
+                View.Config_};
+  Out.Cores_ = Book_.cores();
+  std::lock_guard Guard(Lock_);
+  Out.Upstreams_ = digestOf(Upstreams_);
+  for (const auto &[Id, Known] : Upstreams_.Upstreams_)
+    if (Known.Silent_)
+      Out.Silent_.push_back(Id);
+  if (B.Self_.Core_)
+    return Out;
+  for (const HeardNode *Node : liveEntries(Roster_, LiveFor, Now)) {
+    Out.Entries_.push_back(Node->Record_.Vm_);
+    for (const auto &[Team, Rate] : Node->TeamRates_)
+      Out.TeamRates_[Team] += Rate;
+    RateMap &Region = Out.RegionRates_[Node->Record_.Region_.str()];
+    for (const auto &[Service, Rate] : Node->ServiceRates_)
+      Region[Service] += Rate;
+  }
+  return Out;
+}
+
+void CoreVm::Parts::onBeat(const VmId &From, const Beat &B) {
+  if (B.Self_.Vm_ != From)
+    return;
+  Time Now = Clock_.now();
+  std::vector<UpstreamNotice> Missing;
+  {
+    std::lock_guard Guard(Lock_);
+    if (!note(Roster_, B, Now))
+      return;
+    for (const Sighting &S : B.Sighted_)
+      heard(Upstreams_, S.Id_, S.Sequence_, S.Age_, Now);
+    if (B.Upstreams_ != digestOf(Upstreams_))
+      Missing = noticesOf(Upstreams_, Now);
+  }
+  if (B.Self_.Core_)
+    Book_.addCores({From});
+  Book_.add({From});
+  Book_.addCores(B.Cores_);
+  sendTo(From, replyTo(B, Now));
+  if (!Missing.empty())
+    sendTo(From, NoticeNews{0, Missing});
+  if (!B.Self_.Core_ && B.Holds_ < items()->Revision_)
+    sendItems(From, B.Holds_);
+}
+
+void CoreVm::Parts::onReply(const BeatReply &R) { Book_.addCores(R.Cores_); }
+
+void CoreVm::Parts::onNews(const VmId &From, const NoticeNews &N) {
+  {
+    std::lock_guard Guard(Lock_);
+    for (const UpstreamNotice &A : N.Said_)
+      learn(Upstreams_, A, Clock_.now());
+  }
+  if (N.Number_ != 0)
+    sendTo(From, NoticesSeen{N.Number_});
+}
+
+void CoreVm::Parts::onSeen(const VmId &From, const NoticesSeen &S) {
+  std::lock_guard Guard(Lock_);
+  auto Found = Unconfirmed_.find(S.Number_);
+  if (Found == Unconfirmed_.end())
+    return;
+  Found->second.erase(From);
+  if (Found->second.empty())
+    Confirmed_.notify_all();
+}
+
+std::set<VmId> CoreVm::Parts::entriesInContact(Time Now) {
+  std::set<VmId> Out;
+  for (const HeardNode *Node : liveEntries(Roster_, LiveFor, Now))
+    Out.insert(Node->Record_.Vm_);
+  return Out;
+}
+
+/// True while this VM and those it hears are more than half of the voters.
+bool CoreVm::Parts::coreInContact(Time Now) {
+  VoterConfig Config = Host_.leaderView().Config_;
+  std::size_t Heard = Config.findVoter(Self_) ? 1 : 0;
+  for (const HeardNode *Node : liveCores(Roster_, LiveFor, Now))
+    Heard += Config.findVoter(Node->Record_.Vm_) ? 1 : 0;
+  return !Config.Voters_.empty() && Heard >= Config.quorum();
+}
+
+void CoreVm::Parts::spread(std::uint64_t Number,
+                           const std::vector<UpstreamNotice> &Said) {
+  std::vector<VmId> To = Book_.cores();
+  {
+    std::lock_guard Guard(Lock_);
+    for (const VmId &Vm : entriesInContact(Clock_.now()))
+      To.push_back(Vm);
+  }
+  for (const VmId &Vm : To)
+    sendTo(Vm, NoticeNews{Number, Said});
+}
+
+bool CoreVm::Parts::confirm(const UpstreamNotice &A) {
+  Time Deadline = Clock_.now() + ConfirmWithin;
+  std::uint64_t Number = 0;
+  {
+    std::lock_guard Guard(Lock_);
+    Number = NextNumber_++;
+    Unconfirmed_[Number] = entriesInContact(Clock_.now());
+  }
+  bool Whole = false;
+  bool Enough = false;
+  while (!Whole && Clock_.now() < Deadline) {
+    spread(Number, {A});
+    std::unique_lock Guard(Lock_);
+    Whole = Confirmed_.wait_for(
+        Guard, std::chrono::milliseconds(ConfirmAgain.count()),
+        [&] { return Unconfirmed_[Number].empty(); });
+  }
+  std::lock_guard Guard(Lock_);
+  Enough = coreInContact(Clock_.now());
+  Unconfirmed_.erase(Number);
+  // An entry VM that is lost right now can't confirm. It learns of the change
+  // from any core VM's answer to its next beat.
+  return Whole ? Enough || !entriesInContact(Clock_.now()).empty() : Enough;
+}
+
+void CoreVm::Parts::repairVoters() {
+  LeaderView View = Host_.leaderView();
+  if (!View.Leading_)
+    return;
+  std::vector<NodeRecord> Live{self()};
+  std::set<VmId> Silent;
+  {
+    std::lock_guard Guard(Lock_);
+    Time Now = Clock_.now();
+    for (const HeardNode *Node : liveCores(Roster_, LiveFor, Now))
+      Live.push_back(Node->Record_);
+    for (const auto &[Vm, Node] : Roster_.Nodes_)
+      if (Node.Record_.Core_ && Now - Node.HeardAt_ > SilentVoter)
+        Silent.insert(Vm);
+  }
+  auto Step = nextVoterStep(View.Config_, Live, Silent);
+  if (!Step)
+    return;
+  std::string Refused =
+      Step->Add_ ? Host_.addVoter(Step->Vm_) : Host_.removeVoter(Step->Vm_);
+  log({.Step_ = "voters.repair",
+       .Message_ = std::string(Step->Add_ ? "add" : "remove") +
+                   (Refused.empty() ? ", begun" : ", refused: " + Refused),
+       .Peer_ = Step->Vm_.str()});
+}
+
+void CoreVm::Parts::tick() {
+  Time Now = Clock_.now();
+  {
+    std::lock_guard Guard(Lock_);
+    age(Upstreams_, Settings_.AnnounceEvery_ * 3 + Duration::seconds(1),
+        ForgetUpstreams, Now);
+    forget(Roster_, ForgetNodes, Now);
+  }
+  std::vector<VmId> Voters;
+  for (const Voter &V : Host_.leaderView().Config_.Voters_)
+    Voters.push_back(V.Vm_);
+  Router_.setVoters(Voters);
+  Beat B = beat();
+  for (const VmId &Vm : Book_.cores())
+    sendTo(Vm, B);
+  repairVoters();
+}
+
+bool CoreVm::Parts::formed() {
+  Time Now = Clock_.now();
+  if (!Settings_.Bootstrap_ || Now - StartedAt_ > FormWithin)
+    return true;
+  std::size_t Voters = Host_.leaderView().Config_.Voters_.size();
+  std::lock_guard Guard(Lock_);
+  return Voters >= FewestVoters &&
+         Voters > liveCores(Roster_, LiveFor, Now).size();
+}
+
+CoreVm::CoreVm(const FleetSettings &S) : Parts_(std::make_unique<Parts>(S)) {}
+
+CoreVm::~CoreVm() { stop(); }
+
+void CoreVm::start() {
+  Parts_->Peers_.start();
+  Parts_->Host_.start();
+  Parts_->Ticker_.start();
+  log({.Step_ = "core.start", .Message_ = "running"});
+}
+
+void CoreVm::stop() {
+  Parts_->Ticker_.stop();
+  Parts_->Host_.stop();
+  Parts_->Peers_.stop();
+}
+
+ChangeReply CoreVm::submit(const Change &C, Duration Wait) {
+  if (!Parts_->formed())
+    throw UnavailableError("core.submit", "", "the voters are being formed");
+  Change Named = C;
+  Named.Id_ = freshChangeId();
+  return Parts_->Router_.submit(Named, Wait);
+}
+
+AnnounceResult CoreVm::announce(const UpstreamNotice &A) {
+  bool News = false;
+  {
+    std::lock_guard Guard(Parts_->Lock_);
+    Time Now = Parts_->Clock_.now();
+    News = learn(Parts_->Upstreams_, A, Now);
+    Parts_->Sighted_[A.Id_] = {A.Id_, A.Sequence_, Duration()};
+  }
+  bool Ends = A.Phase_ != NoticePhase::Serving;
+  if (News)
+    log({.Step_ = "upstream.announce",
+         .Message_ = A.Service_.str() + " at " + A.Address_ + ", phase " +
+                     std::to_string(static_cast<int>(A.Phase_)),
+         .Peer_ = A.Id_.str()});
+  if (News && !Ends)
+    Parts_->spread(0, {A});
+  if (!Ends)
+    return AnnounceResult::Taken;
+  return Parts_->confirm(A) ? AnnounceResult::Taken
+                            : AnnounceResult::Unconfirmed;
+}
+
+std::vector<std::string> CoreVm::lookup(const std::string &Host,
+                                        const RegionId &Region,
+                                        const ZoneId &Zone) {
+  DirectoryQuery Query{Region, Zone, {}};
+  auto Now = Parts_->items();
+  for (const auto &[Name, R] : Now->Items_.Routes_)
+    if (!R.Removed_ && R.Value_.Host_ == Host)
+      for (const RegionId &Allowed : R.Value_.Regions_)
+        Query.Allowed_.push_back(Allowed);
+  std::lock_guard Guard(Parts_->Lock_);
+  return chooseEntries(Parts_->Roster_, Query, NamedFor, Parts_->Clock_.now());
+}
+
+ItemSet CoreVm::readItems(Duration Wait) {
+  Time Deadline = Parts_->Clock_.now() + Wait;
+  Change Barrier;
+  Barrier.Kind_ = ChangeKind::PatchItems;
+  Revision Upto = submit(Barrier, Wait).Revision_;
+  while (Parts_->Clock_.now() < Deadline) {
+    auto Now = Parts_->items();
+    if (Now->Revision_ >= Upto)
+      return Now->Items_;
+    pause(ReadPause);
+  }
+  throw UnavailableError("core.read", "", "this VM lags behind the leader");
+}
+
+bool CoreVm::mayServe(const ServiceId &Service) const {
+  auto Now = Parts_->items();
+  return Now->Items_.Services_.empty() ||
+         findItem(Now->Items_.Services_, Service.str());
+}
+
+MetricRegistry &CoreVm::metrics() { return Parts_->Metrics_; }
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -0,0 +1,479 @@
+#include "lagoonpoint/src/Gateway/EntryVm.h"
+
+#include "lagoonpoint/Log"
+#include "lagoonpoint/Peer"
+#include "lagoonpoint/src/Gateway/KeyedCall.h"
+#include "lagoonpoint/src/Gateway/PeerBook.h"
+#include "lagoonpoint/src/Gateway/TeamShares.h"
+#include "lagoonpoint/src/Node/Worker.h"
+#include "lagoonpoint/src/Node/util/Labels.h"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+namespace lagoonpoint {
+
+namespace {
+
+constexpr const char *Step = "call.admit";
+constexpr Duration BeatEvery = Duration::millis(400);
+constexpr Duration ForgetUpstreams = Duration::seconds(120);
+/// What core VMs said longer ago doesn't tell which upstreams are silent.
+constexpr Duration HeardWithin = Duration::seconds(2);
+/// Between a check of the keys and the arrival of the request upstream.
+constexpr Duration RevokeMargin = Duration::millis(400);
+constexpr Duration ComeBackSoon = Duration::millis(500);
+/// What is left to callers when the time for an answer ends.
+constexpr Duration AnswerMargin = Duration::millis(30);
+/// Callers use a VM until their look-up's answer has run out.
+constexpr Duration DrainSlack = Duration::millis(500);
+constexpr unsigned CallerThreads = 160;
+constexpr unsigned MaxCallerConnections = 2000;
+constexpr std::size_t MaxHeaderBytes = 64 << 10;
+constexpr std::size_t MaxBodyBytes = 64 << 20;
+constexpr Duration CallerIdle = Duration::seconds(120);
+constexpr Duration AnswerHold = Duration::seconds(1);
+/// Parts of the fleet's slack of retries that one VM may use.
+constexpr double RetryRatioUsed = 0.75;
+constexpr double RetrySlackUsed = 0.4;
+
+/// What is in force at this VM.
+struct Configuration {
+  Revision Revision_;
+  ItemSet Items_;
+  RouteTable Table_;
+  std::set<ZoneId> Drained_;
+};
+
+Settings callerSettings(const FleetSettings &S) {
+  Settings Out;
+  Out.Vm_ = VmId(S.Host_);
+  Out.Region_ = S.Region_;
+  Out.Zone_ = S.Zone_;
+  std::size_t Colon = S.Callers_.rfind(':');
+  Out.Callers_ = {S.Callers_.substr(0, Colon),
+                  static_cast<unsigned short>(
+                      std::stoi(S.Callers_.substr(Colon + 1)))};
+  Out.CallerThreads_ = CallerThreads;
+  Out.MaxCallerConnections_ = MaxCallerConnections;
+  Out.MaxHeaderBytes_ = MaxHeaderBytes;
+  Out.MaxBodyBytes_ = MaxBodyBytes;
+  Out.IdleTimeout_ = CallerIdle;
+  Out.AnswerHold_ = AnswerHold;
+  Out.DrainLimit_ = S.Grace_ / 2 - DrainSlack;
+  return Out;
+}
+
+std::set<ZoneId> drainedZones(const std::set<Drain> &Drains) {
+  std::set<ZoneId> Out;
+  for (const Drain &D : Drains)
+    if (D.Scope_ == DrainScope::Zone)
+      Out.insert(ZoneId(D.Id_));
+  return Out;
+}
+
+std::set<RegionId> intersection(const std::vector<RegionId> &A,
+                                const std::vector<RegionId> &B) {
+  std::set<RegionId> Out(A.begin(), A.end());
+  if (A.empty())
+    Out.insert(B.begin(), B.end());
+  else if (!B.empty())
+    std::erase_if(Out, [&](const RegionId &R) {
+      return std::find(B.begin(), B.end(), R) == B.end();
+    });
+  return Out;
+}
+
+/// Picks the part of a split that a request falls to, by the hash of its id.
+const ServiceId &partOf(const RouteItem &Route, const RequestId &Request) {
+  double Sum = 0;
+  for (const SplitPart &Part : Route.Split_)
+    Sum += Part.Weight_;
+  auto Hash = std::hash<std::string>()(Request.str()) % 1'000'000;
+  double Place = Sum * (static_cast<double>(Hash) + 0.5) / 1e6;
+  for (const SplitPart &Part : Route.Split_) {
+    Place -= Part.Weight_;
+    if (Place < 0)
+      return Part.Service_;
+  }
+  return Route.Split_.back().Service_;
+}
+
+std::string pathOf(const std::string &Target) {
+  return Target.substr(0, Target.find('?'));
+}
+
+std::string hostOf(const std::string &Host) {
+  return Host.substr(0, Host.find(':'));
+}
+
+} // namespace
+
+struct EntryVm::Parts final : public CallerPort {
+  Parts(const FleetSettings &S, Dialect D)
+      : Settings_(S), CallerSettings_(callerSettings(S)),
+        BornAt_(static_cast<std::uint64_t>(Clock_.unixMillis())),
+        Self_(S.Host_),
+        Peers_(
+            fleetPeerOptions(S), [this](Envelope E) { receive(std::move(E)); },
+            Clock_, [](const Error &E) { logError(E, LogLevel::Debug); }),
+        Book_(S, Peers_), Dispatcher_(S, Clock_), Teams_(Clock_),
+        Services_{Clock_,
+                  Dispatcher_,
+                  Retries_,
+                  Metrics_,
+                  [this] { checkKeys(); },
+                  [this] { return retryLimits(); },
+                  [this](const TeamId &T) { Teams_.giveBack(T); }},
+        Server_(*this, CallerSettings_, Clock_, &Metrics_, std::move(D)),
+        Ticker_("entry.tick", BeatEvery, [this] { tick(); }) {}
+
+  LookupReply lookup(const LookupQuery &) override {
+    throw Refusal(RefusalReason::NoSuchRoute, Ran::No, "lookup",
+                  "look-ups are answered by core VMs");
+  }
+  RouteDecl route(const std::string &) override { return {}; }
+  RouteDecl routeOf(const Call &C) override;
+  std::unique_ptr<CallTicket> admit(const Call &C) override;
+  bool draining() const override { return Draining_; }
+
+  void receive(Envelope Message);
+  void tick();
+  void onReply(const VmId &From, const BeatReply &R);
+  void onItems(const ItemNews &News);
+  void onNews(const VmId &From, const NoticeNews &N);
+  Beat beat();
+  void sendTo(const VmId &To, const FleetMessage &M);
+  void teachDispatcher();
+  void markSilent(Time Now);
+
+  std::shared_ptr<const Configuration> current() const;
+  const TableRoute &find(const Configuration &C, const Call &Call_) const;
+  TeamId teamOf(const Configuration &C, const RouteItem &Route,
+                const Call &Call_);
+  std::optional<Time> proven() const;
+  void checkKeys() const;
+  RetryBudgetLimits retryLimits() const;
+  bool configured() const { return current()->Revision_ != Revision(); }
+
+  const FleetSettings &Settings_;
+  const Settings CallerSettings_;
+  SystemClock Clock_;
+  const std::uint64_t BornAt_;
+  const VmId Self_;
+  MetricRegistry Metrics_;
+  PeerTransport Peers_;
+  PeerBook Book_;
+  SharedDispatcher Dispatcher_;
+  RetryBudgets Retries_;
+  TeamShares Teams_;
+  KeyedServices Services_;
+  std::atomic<bool> Draining_{false};
+
+  mutable std::mutex ConfigLock_;
+  std::shared_ptr<const Configuration> Config_ =
+      std::make_shared<Configuration>();
+
+  mutable std::mutex Lock_; ///< guards what follows
+  UpstreamBook Upstreams_;
+  Currency Currency_;
+  std::vector<VmId> Entries_;
+  std::map<VmId, std::pair<Time, std::set<UpstreamId>>> Silent_;
+  std::map<std::string, RateMap> RegionRates_;
+  Time RebalancedAt_;
+
+  CallerServer Server_;
+  Worker Ticker_;
+};
+
+std::shared_ptr<const Configuration> EntryVm::Parts::current() const {
+  std::lock_guard Guard(ConfigLock_);
+  return Config_;
+}
+
+void EntryVm::Parts::sendTo(const VmId &To, const FleetMessage &M) {
+  Peers_.send({Self_, To, Channel::Fleet, encodeMessage(M)});
+}
+
+void EntryVm::Parts::receive(Envelope Message) {
+  if (Message.Channel_ != Channel::Fleet)
+    return;
+  FleetMessage M = decodeFleetMessage(Message.Body_, Message.From_);
+  if (const auto *R = std::get_if<BeatReply>(&M))
+    onReply(Message.From_, *R);
+  else if (const auto *News = std::get_if<ItemNews>(&M))
+    onItems(*News);
+  else if (const auto *N = std::get_if<NoticeNews>(&M))
+    onNews(Message.From_, *N);
+}
+
+void EntryVm::Parts::onReply(const VmId &From, const BeatReply &R) {
+  Book_.addCores({From});
+  Book_.addCores(R.Cores_);
+  Revision Held = current()->Revision_;
+  Time Now = Clock_.now();
+  std::vector<UpstreamNotice> Lacking;
+  {
+    std::lock_guard Guard(Lock_);
+    note(Currency_, From, Time(R.Asked_), R.Proof_);
+    if (Held >= R.Holds_)
+      Currency_.Applied_ = std::max(Currency_.Applied_, R.Proof_.Applied_);
+    if (!R.Entries_.empty())
+      Entries_ = R.Entries_;
+    Silent_[From] = {Now, {R.Silent_.begin(), R.Silent_.end()}};
+    RegionRates_ = R.RegionRates_;
+    if (R.Upstreams_ != digestOf(Upstreams_))
+      Lacking = noticesOf(Upstreams_, Now);
+  }
+  Teams_.learn(R.TeamRates_, R.Entries_.size());
+  // A core VM that has just started knows no upstreams yet.
+  if (!Lacking.empty())
+    sendTo(From, NoticeNews{0, Lacking});
+}
+
+void EntryVm::Parts::onItems(const ItemNews &News) {
+  std::lock_guard Writer(Lock_);
+  auto Old = current();
+  if (News.Since_ > Old->Revision_ || News.Upto_ <= Old->Revision_)
+    return;
+  auto Next = std::make_shared<Configuration>();
+  Next->Items_ = Old->Items_;
+  adoptItems(Next->Items_, News.Items_);
+  Next->Table_ = RouteTable(Next->Items_);
+  Next->Drained_ = drainedZones(News.Drains_);
+  Next->Revision_ = News.Upto_;
+  log({.Step_ = "config.apply",
+       .Message_ = "configuration in force",
+       .Revision_ = Next->Revision_});
+  {
+    std::lock_guard Guard(ConfigLock_);
+    Config_ = std::move(Next);
+  }
+  teachDispatcher();
+}
+
+void EntryVm::Parts::onNews(const VmId &From, const NoticeNews &N) {
+  {
+    std::lock_guard Guard(Lock_);
+    bool Changed = false;
+    for (const UpstreamNotice &A : N.Said_)
+      Changed |= lagoonpoint::learn(Upstreams_, A, Clock_.now());
+    if (Changed)
+      teachDispatcher();
+  }
+  if (N.Number_ != 0)
+    sendTo(From, NoticesSeen{N.Number_});
+}
+
+/// Called with Lock_ held.
+void EntryVm::Parts::teachDispatcher() {
+  auto C = current();
+  Dispatcher_.learn({Upstreams_, C->Drained_, Entries_, C->Items_.Services_});
+}
+
+/// An upstream is silent if all core VMs that answer say so.
+void EntryVm::Parts::markSilent(Time Now) {
+  for (auto &[Id, Known] : Upstreams_.Upstreams_) {
+    std::size_t Heard = 0;
+    std::size_t Silent = 0;
+    for (const auto &[Core, Said] : Silent_) {
+      if (Now - Said.first > HeardWithin)
+        continue;
+      ++Heard;
+      Silent += Said.second.count(Id);
+    }
+    Known.Silent_ = Heard > 0 && Silent == Heard;
+    if (Heard > 0 && !Known.Silent_)
+      Known.HeardAt_ = Now;
+  }
+  age(Upstreams_, ForgetUpstreams, ForgetUpstreams, Now);
+}
+
+Beat EntryVm::Parts::beat() {
+  Beat Out;
+  Out.Self_.Vm_ = Self_;
+  Out.Self_.Zone_ = Settings_.Zone_;
+  Out.Self_.Region_ = Settings_.Region_;
+  Out.Self_.Callers_ = Settings_.Callers_;
+  Out.Self_.BornAt_ = BornAt_;
+  Out.Self_.Ready_ = configured() && !Draining_;
+  Out.Asked_ = Clock_.now().count();
+  Out.Holds_ = current()->Revision_;
+  Teams_.rates(Out.TeamRates_, Out.ServiceRates_);
+  std::lock_guard Guard(Lock_);
+  Out.Upstreams_ = digestOf(Upstreams_);
+  return Out;
+}
+
+void EntryVm::Parts::tick() {
+  Time Now = Clock_.now();
+  Beat B = beat();
+  for (const VmId &Core : Book_.cores())
+    sendTo(Core, B);
+  std::lock_guard Guard(Lock_);
+  markSilent(Now);
+  teachDispatcher();
+  Dispatcher_.rebalance(RegionRates_, RebalancedAt_ == Time()
+                                          ? BeatEvery
+                                          : Now - RebalancedAt_);
+  RebalancedAt_ = Now;
+}
+
+std::optional<Time> EntryVm::Parts::proven() const {
+  std::lock_guard Guard(Lock_);
+  return provenAt(Currency_);
+}
+
+void EntryVm::Parts::checkKeys() const {
+  if (!Settings_.StrictRevocation_)
+    return;
+  auto At = proven();
+  if (At && Clock_.now() - *At < Settings_.Revoke_ - RevokeMargin)
+    return;
+  throw Refusal(RefusalReason::KeysNotCurrent, Ran::No, Step,
+                At ? "keys were last proven to be current " +
+                         std::to_string((Clock_.now() - *At).count()) +
+                         " ms ago"
+                   : std::string("keys were never proven to be current"),
+                ComeBackSoon);
+}
+
+/// A VM's part of the fleet's retries, if all VMs keep to theirs.
+RetryBudgetLimits EntryVm::Parts::retryLimits() const {
+  std::size_t Vms = 1;
+  {
+    std::lock_guard Guard(Lock_);
+    Vms = std::max<std::size_t>(Entries_.size(), 1);
+  }
+  double Slack = Settings_.RetrySlack_ * RetrySlackUsed / double(Vms);
+  RetryBudgetLimits Limits;
+  Limits.Share_ = Settings_.RetryRatio_ * RetryRatioUsed;
+  Limits.PerSecond_ = Slack / Settings_.RetryWindow_.inSeconds();
+  Limits.MostHeld_ = std::max(1.0, Slack);
+  return Limits;
+}
+
+const TableRoute &EntryVm::Parts::find(const Configuration &C,
+                                       const Call &Call_) const {
+  if (C.Revision_ == Revision())
+    throw Refusal(RefusalReason::NotReady, Ran::No, Step,
+                  "this VM has no configuration yet", ComeBackSoon);
+  const TableRoute *Route =
+      C.Table_.find(hostOf(Call_.Host_), pathOf(Call_.Path_));
+  if (Route)
+    return *Route;
+  checkKeys(); // an old configuration proves nothing
+  throw Refusal(RefusalReason::NoSuchRoute, Ran::No, Step,
+                "no route matches this host and path");
+}
+
+RouteDecl EntryVm::Parts::routeOf(const Call &C) {
+  auto Now = current();
+  try {
+    const TableRoute &Found = find(*Now, C);
+    RouteDecl Out;
+    Out.Name_ = Found.Name_;
+    Out.Prefix_ = Found.Item_.Prefix_;
+    Out.Service_ = partOf(Found.Item_, C.Request_);
+    Out.Open_ = Found.Item_.Open_;
+    Out.Kind_ =
+        Found.Item_.Idempotent_ ? RouteKind::Repeatable : RouteKind::Plain;
+    Out.Deadline_ = Found.Item_.Timeout_;
+    Out.MaxDeadline_ = Found.Item_.Timeout_;
+    return Out;
+  } catch (const Refusal &R) {
+    countRefusal(Metrics_, TeamId(), R.reason(), R.ran());
+    throw;
+  }
+}
+
+TeamId EntryVm::Parts::teamOf(const Configuration &C, const RouteItem &Route,
+                              const Call &Call_) {
+  if (Route.Open_ || !C.Table_.hasTeams())
+    return TeamId();
+  checkKeys();
+  if (Call_.Key_.empty())
+    throw Refusal(RefusalReason::KeyMissing, Ran::No, Step,
+                  "this route needs a key");
+  TeamId Team = C.Table_.teamOf(Call_.Key_);
+  if (Team.empty())
+    throw Refusal(RefusalReason::KeyUnknown, Ran::No, Step, "unknown key");
+  return Team;
+}
+
+std::unique_ptr<CallTicket> EntryVm::Parts::admit(const Call &C) {
+  auto Now = current();
+  KeyedAdmission A;
+  try {
+    const RouteItem &Route = find(*Now, C).Item_;
+    A.Route_ = routeOf(C);
+    A.Request_ = C.Request_;
+    Teams_.countService(A.Route_.Service_);
+    A.Team_ = teamOf(*Now, Route, C);
+    A.Keyed_ = !A.Team_.empty();
+    const TeamItem *Team = findItem(Now->Items_.Teams_, A.Team_.str());
+    A.Object_ = Route.Affine_ ? C.Object_ : "";
+    A.Regions_ = intersection(Route.Regions_,
+                              Team ? Team->Regions_ : std::vector<RegionId>());
+    bool OwnPriority = Team && Team->HasPriority_;
+    A.Priority_ = OwnPriority ? Team->Priority_ : Route.Priority_;
+    A.MaxAttempts_ = Route.MaxAttempts_;
+    A.Arrived_ = C.Arrived_;
+    A.Objective_ = Route.Objective_;
+    Duration Allowed = std::min(C.Deadline_.value_or(Route.Timeout_),
+                                Route.Timeout_);
+    A.Deadline_ = C.Arrived_ + Allowed - AnswerMargin;
+    if (Team)
+      Teams_.take(A.Team_, Team->Rate_, Team->Burst_);
+  } catch (const Refusal &R) {
+    countRefusal(Metrics_, A.Team_, R.reason(), R.ran());
+    log({.Level_ = LogLevel::Warning,
+         .Step_ = "call.refuse",
+         .Message_ = std::string(toString(R.reason())) + ": " + R.message(),
+         .Team_ = A.Team_,
+         .Request_ = C.Request_,
+         .Revision_ = Now->Revision_});
+    throw;
+  }
+  return std::make_unique<KeyedCall>(Services_, std::move(A));
+}
+
+EntryVm::EntryVm(const FleetSettings &S, Dialect D)
+    : Parts_(std::make_unique<Parts>(S, std::move(D))) {}
+
+EntryVm::~EntryVm() { stop(); }
+
+void EntryVm::start() {
+  Parts_->Peers_.start();
+  Parts_->Ticker_.start();
+  Parts_->Server_.start();
+  log({.Step_ = "entry.start", .Message_ = "running"});
+}
+
+void EntryVm::drain() {
+  log({.Step_ = "entry.drain", .Message_ = "draining"});
+  Parts_->Draining_ = true;
+  Beat B = Parts_->beat();
+  for (const VmId &Core : Parts_->Book_.cores())
+    Parts_->sendTo(Core, B);
+  Duration Wait =
+      std::min(Parts_->Settings_.LookupTtl_ + DrainSlack,
+               Parts_->Settings_.Grace_ / 2);
+  std::this_thread::sleep_for(std::chrono::milliseconds(Wait.count()));
+}
+
+void EntryVm::stop() {
+  Parts_->Server_.stop();
+  Parts_->Ticker_.stop();
+  Parts_->Peers_.stop();
+}
+
+bool EntryVm::ready() const {
+  return Parts_->configured() && !Parts_->Draining_;
+}
+
+MetricRegistry &EntryVm::metrics() { return Parts_->Metrics_; }
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Gateway/PeerBook.cpp
@@ -0,0 +1,77 @@
+#include "lagoonpoint/src/Gateway/PeerBook.h"
+
+namespace lagoonpoint {
+
+namespace {
+
+/// A peer that doesn't answer may be cut off: a new connection may work.
+constexpr Duration StallTimeout = Duration::millis(1500);
+constexpr Duration HandshakeTimeout = Duration::millis(1500);
+/// Older messages say less than the next beat.
+constexpr Duration QueueAge = Duration::seconds(2);
+
+} // namespace
+
+std::vector<VmId> seedVms(const FleetSettings &S) {
+  std::vector<VmId> Out;
+  for (const std::string &Seed : S.Seeds_)
+    Out.push_back(VmId(Seed.substr(0, Seed.rfind(':'))));
+  return Out;
+}
+
+PeerOptions fleetPeerOptions(const FleetSettings &S) {
+  PeerOptions Options;
+  Options.Self_ = VmId(S.Host_);
+  Options.Listen_ = {S.Host_, S.PeerPort_};
+  Options.Secret_ = S.Secret_;
+  Options.Limits_.StallTimeout_ = StallTimeout;
+  Options.Limits_.HandshakeTimeout_ = HandshakeTimeout;
+  Options.Limits_.QueueAge_ = QueueAge;
+  return Options;
+}
+
+PeerBook::PeerBook(const FleetSettings &S, PeerTransport &T)
+    : Self_(S.Host_), Port_(S.PeerPort_), Transport_(T) {
+  std::vector<VmId> Seeds = seedVms(S);
+  Seeds_.insert(Seeds.begin(), Seeds.end());
+  addCores(Seeds);
+}
+
+void PeerBook::add(const std::vector<VmId> &Vms) {
+  std::lock_guard Guard(Lock_);
+  bool Changed = false;
+  for (const VmId &Vm : Vms)
+    Changed |= insert(Vm);
+  if (Changed)
+    publish();
+}
+
+void PeerBook::addCores(const std::vector<VmId> &Vms) {
+  {
+    std::lock_guard Guard(Lock_);
+    for (const VmId &Vm : Vms)
+      if (Vm != Self_)
+        Cores_.insert(Vm);
+  }
+  add(Vms);
+}
+
+std::vector<VmId> PeerBook::cores() const {
+  std::lock_guard Guard(Lock_);
+  return {Cores_.begin(), Cores_.end()};
+}
+
+void PeerBook::keepCores(const std::set<VmId> &Alive) {
+  std::lock_guard Guard(Lock_);
+  std::erase_if(Cores_, [&](const VmId &Vm) {
+    return !Alive.count(Vm) && !Seeds_.count(Vm);
+  });
+}
+
+bool PeerBook::insert(const VmId &Vm) {
+  return Vm != Self_ && Peers_.emplace(Vm, Address{Vm.str(), Port_}).second;
+}
+
+void PeerBook::publish() { Transport_.setPeers(Peers_); }
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "lagoonpoint/Fleet"
+#include "lagoonpoint/Http"
+#include "lagoonpoint/Items"
+#include "lagoonpoint/Steering"
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+
+namespace lagoonpoint {
+
+/// What one call asks of a dispatcher.
+struct SharedWish {
+  ServiceId Service_;
+  std::string Object_;
+  std::set<RegionId> Regions_; ///< that may serve it; empty: all
+  std::set<UpstreamId> Tried_;
+  unsigned Priority_ = 0; ///< 0 goes first
+  Time WaitUntil_;        ///< for an upstream with room
+};
+
+/// What the dispatcher learns of the fleet.
+struct FleetPicture {
+  UpstreamBook Upstreams_;
+  std::set<ZoneId> Drained_;
+  std::vector<VmId> Entries_; ///< live entry VMs
+  ItemMap<ServiceItem> Services_;
+};
+
+/// \class SharedDispatcher
+/// \ingroup Gateway
+/// \brief Chooses an upstream for each try of a call, and lets calls wait for
+/// one in the order of their priority. Thread-safe, a lock per service.
+class SharedDispatcher {
+public:
+  SharedDispatcher(const FleetSettings &S, const Clock &C);
+
+  /// Takes in what is known of the fleet.
+  void learn(const FleetPicture &Picture);
+  /// Moves the regions' shares towards what demand and slots ask for.
+  /// \param RegionRates requests a second by region and service
+  void rebalance(const std::map<std::string, RateMap> &RegionRates,
+                 Duration Since);
+
+  /// Reserves an upstream.
+  /// \throws Refusal if none has room in time
+  CallTarget acquire(const SharedWish &Wish);
+  /// Ends a try.
+  void release(const ServiceId &Service, const UpstreamId &Upstream,
+               const TryReport &Report);
+
+private:
+  struct Shard {
+    std::mutex Lock_;
+    std::condition_variable Changed_;
+    SharedGroup Group_;
+    RegionShares Shares_;
+    std::map<unsigned, unsigned> Waiting_; ///< calls by priority
+  };
+
+  Shard *find(const ServiceId &Service);
+  Shard &shardOf(const ServiceId &Service);
+  RegionId regionOf(const ZoneId &Zone) const;
+  KeyedWish wishOf(const Shard &S, const SharedWish &Wish) const;
+  SharedUpstream made(const KnownUpstream &Known,
+                      const FleetPicture &Picture) const;
+  bool warms(const UpstreamId &Id, const std::vector<VmId> &Entries) const;
+  std::map<RegionId, double> slotsOf(const SharedGroup &G) const;
+
+  const FleetSettings &Settings_;
+  const Clock &Clock_;
+  const KeyedRules Rules_;
+  std::mutex Lock_; ///< guards the map, not its shards
+  std::map<ServiceId, std::unique_ptr<Shard>> Shards_;
+};
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Gateway/TeamShares.cpp
@@ -0,0 +1,56 @@
+#include "lagoonpoint/src/Gateway/TeamShares.h"
+
+namespace lagoonpoint {
+
+namespace {
+
+/// Entry VMs assumed before any core VM has told how many there are.
+constexpr std::size_t AssumedVms = 16;
+
+} // namespace
+
+void TeamShares::countService(const ServiceId &Service) {
+  std::lock_guard Guard(Lock_);
+  count(Services_[Service]);
+}
+
+void TeamShares::take(const TeamId &Team, double Rate, double Burst) {
+  std::lock_guard Guard(Lock_);
+  SharedBucket &B = Teams_[Team];
+  count(B.Asked_);
+  auto Found = Totals_.find(Team.str());
+  setShare(B, Found == Totals_.end() ? 0 : Found->second,
+           Vms_ ? Vms_ : AssumedVms);
+  Duration Wait = lagoonpoint::take(B, Rate, Burst, Clock_.now());
+  if (Wait > Duration())
+    throw Refusal(RefusalReason::OverRate, Ran::No, "call.limit",
+                  "the team is over its rate", Wait);
+}
+
+void TeamShares::giveBack(const TeamId &Team) {
+  std::lock_guard Guard(Lock_);
+  auto Found = Teams_.find(Team);
+  if (Found != Teams_.end())
+    Found->second.Tokens_ += 1;
+}
+
+void TeamShares::learn(const RateMap &TeamRates, std::size_t Vms) {
+  std::lock_guard Guard(Lock_);
+  Totals_ = TeamRates;
+  Vms_ = Vms;
+}
+
+void TeamShares::rates(RateMap &Teams, RateMap &Services) {
+  std::lock_guard Guard(Lock_);
+  Time Now = Clock_.now();
+  for (auto &[Team, B] : Teams_) {
+    settle(B.Asked_, Now);
+    Teams[Team.str()] = B.Asked_.Rate_;
+  }
+  for (auto &[Service, M] : Services_) {
+    settle(M, Now);
+    Services[Service.str()] = M.Rate_;
+  }
+}
+
+} // namespace lagoonpoint
--- a/lagoonpoint/src/Http/CallerPort.h
+++ b/lagoonpoint/src/Http/CallerPort.h
@@ -41,6 +41,9 @@
   std::string Path_; ///< with query
   std::string Key_;  ///< "ID.SECRET"; empty if none was shown
   std::string IdempotencyKey_;
+  std::string Host_;   ///< as the caller named it
+  std::string Object_; ///< whom or what the call concerns; empty if not said
+  TeamId Team_;        ///< once it is admitted
   std::string ClientAddress_;
   std::optional<Duration> Deadline_; ///< what the caller allows, if it said
   Time Arrived_;
@@ -55,6 +58,13 @@
   Address Address_;
 };
 
+/// What an upstream's answer tells of its load.
+struct ReportedLoad {
+  unsigned Running_ = 0;
+  unsigned Waiting_ = 0;
+  unsigned Slots_ = 0;
+};
+
 /// What the listener reports of one try.
 struct TryReport {
   TryEnd End_ = TryEnd::Answered;
@@ -63,6 +73,8 @@
   std::int64_t BytesSent_ = 0; ///< to the upstream
   std::int64_t BytesReceived_ = 0; ///< from the upstream
   bool AnswerBegun_ = false; ///< bytes of the answer have gone to the caller
+  bool Misdirected_ = false; ///< another upstream has the address
+  std::optional<ReportedLoad> Load_; ///< if the answer told it
 };
 
 /// A stored answer of a once-request.
@@ -114,6 +126,10 @@
   /// whether to read the body before admission (once-routes).
   /// \throws Refusal if no route matches
   virtual RouteDecl route(const std::string &Path) = 0;
+  /// The same where the host counts too.
+  virtual RouteDecl routeOf(const Call &C) {
+    return route(C.Path_.substr(0, C.Path_.find('?')));
+  }
 
   /// Checks route, key and limits. May wait for a lease within the deadline.
   /// \throws Refusal
--- a/lagoonpoint/src/Http/CallerServer.cpp
+++ b/lagoonpoint/src/Http/CallerServer.cpp
@@ -95,8 +95,9 @@
 
 struct CallerServer::Impl {
   Impl(CallerPort &Port, const Settings &S, const Clock &C,
-       MetricRegistry *Metrics)
-      : Port_(Port), Settings_(S), Clock_(C), Metrics_(Metrics), Pool_(C),
+       MetricRegistry *Metrics, Dialect D)
+      : Port_(Port), Settings_(S), Clock_(C), Metrics_(Metrics),
+        Dialect_(std::move(D)), Pool_(C, S.UpstreamIdle_),
         Slots_(S.CallerThreads_),
         Listener_(
             optionsOf(S, Metrics), C,
@@ -105,7 +106,7 @@
             },
             [this](Connection &Conn, const Refusal &R) {
               countOwn(R);
-              writeAnswer(Conn.Wire_, refusalAnswer(R, makeRequestId()),
+              writeAnswer(Conn.Wire_, refusalAnswer(R, makeRequestId(), Dialect_),
                           {.KeepAlive_ = false}, answerLimit());
             }) {}
 
@@ -128,6 +129,7 @@
   const Settings &Settings_;
   const Clock &Clock_;
   MetricRegistry *Metrics_;
+  Dialect Dialect_;
   UpstreamPool Pool_;
   CallSlots Slots_;
   Listener Listener_;
@@ -137,7 +139,7 @@
   BodyReader Body(Conn.Wire_, Head.Body_);
   Call C;
   try {
-    C = readCall(Head, Settings_, Conn.ClientAddress_, Conn.Arrived_);
+    C = readCall(Head, Settings_, Dialect_, Conn.ClientAddress_, Conn.Arrived_);
     return answer(Conn, Head, Body, C);
   } catch (const Refusal &R) {
     return refuse(Conn, Head, Body, R, C.Request_);
@@ -147,7 +149,7 @@
 bool CallerServer::Impl::answer(Connection &Conn, RequestHead &Head,
                                 BodyReader &Body, Call &C) {
   std::string Path = pathOf(C.Path_);
-  if (!isReserved(Path))
+  if (!Dialect_.OwnPaths_ || !isReserved(Path))
     return pass(Conn, Head, Body, C);
   if (Path != LookupPath)
     throw Refusal(RefusalReason::NoSuchRoute, Ran::No, "http.call",
@@ -167,7 +169,7 @@
 bool CallerServer::Impl::pass(Connection &Conn, RequestHead &Head,
                               BodyReader &Body, Call &C) {
   CallSlots::Held Slot(Slots_);
-  ProxyContext Context{Port_, Settings_, Clock_, Pool_, Listener_};
+  ProxyContext Context{Port_, Settings_, Clock_, Dialect_, Pool_, Listener_};
   ProxyCall Passed(Context, Conn, Head, Body, C, Slot);
   // Neither the port nor an error knows what this call's tries have sent.
   auto Truth = [&](Ran Said) {
@@ -198,7 +200,7 @@
   bool KeepAlive = stayOpen(Head) && !Malformed && drained(Body);
   AnswerStyle Style{KeepAlive, Head.Request_.getMethod() == "HEAD"};
   RequestId Shown = Id.empty() ? makeRequestId() : Id;
-  return writeAnswer(Conn.Wire_, refusalAnswer(R, Shown), Style,
+  return writeAnswer(Conn.Wire_, refusalAnswer(R, Shown, Dialect_), Style,
                      answerLimit()) &&
          KeepAlive;
 }
@@ -226,8 +228,8 @@
 }
 
 CallerServer::CallerServer(CallerPort &Port, const Settings &S, const Clock &C,
-                           MetricRegistry *Metrics)
-    : Impl_(std::make_unique<Impl>(Port, S, C, Metrics)) {}
+                           MetricRegistry *Metrics, Dialect D)
+    : Impl_(std::make_unique<Impl>(Port, S, C, Metrics, std::move(D))) {}
 
 CallerServer::~CallerServer() = default;
 
--- a/lagoonpoint/src/Http/CallerServer.h
+++ b/lagoonpoint/src/Http/CallerServer.h
@@ -3,6 +3,7 @@
 #include "lagoonpoint/Config"
 #include "lagoonpoint/Metrics"
 #include "lagoonpoint/src/Http/CallerPort.h"
+#include "lagoonpoint/src/Http/Dialect.h"
 
 #include <memory>
 
@@ -19,7 +20,7 @@
   /// \param Port outlives the server, as do the others
   /// \param Metrics where connections and own refusals are counted, or null
   CallerServer(CallerPort &Port, const Settings &S, const Clock &C,
-               MetricRegistry *Metrics = nullptr);
+               MetricRegistry *Metrics = nullptr, Dialect D = {});
   ~CallerServer();
 
   /// \throws Error if the address can't be listened on
--- a/lagoonpoint/src/Http/util/Answers.cpp
+++ b/lagoonpoint/src/Http/util/Answers.cpp
@@ -11,6 +11,14 @@
 // Whole seconds, rounded up, as Retry-After wants them.
 std::int64_t secondsOf(Duration D) { return (D.count() + 999) / 1000; }
 
+std::string retryAfterText(Duration Wait, const Dialect &D) {
+  if (!D.FractionalRetryAfter_)
+    return std::to_string(secondsOf(Wait));
+  char Text[32];
+  std::snprintf(Text, sizeof(Text), "%.3f", Wait.inSeconds());
+  return Text;
+}
+
 std::string refusalBody(const Refusal &R, const RequestId &Request) {
   std::string Body = "{\"reason\":\"";
   Body += toString(R.reason());
@@ -36,14 +44,14 @@
 
 std::string jsonString(const std::string &Text) { return Poco::toJSON(Text); }
 
-Answer refusalAnswer(const Refusal &R, const RequestId &Request) {
-  Answer Out = jsonAnswer(httpStatus(R.reason()), refusalBody(R, Request));
-  Out.Fields_.emplace_back("X-Request-Id", Request.str());
+Answer refusalAnswer(const Refusal &R, const RequestId &Request,
+                     const Dialect &D) {
+  Answer Out = jsonAnswer(statusOf(R, D), refusalBody(R, Request));
+  Out.Fields_.emplace_back(D.RequestId_, Request.str());
   if (R.ran() == Ran::No)
-    Out.Fields_.emplace_back("X-Not-Run", "1");
+    Out.Fields_.emplace_back(D.NotRun_, "1");
   if (R.retryAfter() > Duration())
-    Out.Fields_.emplace_back("Retry-After",
-                             std::to_string(secondsOf(R.retryAfter())));
+    Out.Fields_.emplace_back("Retry-After", retryAfterText(R.retryAfter(), D));
   return Out;
 }
 
--- a/lagoonpoint/src/Http/util/Answers.h
+++ b/lagoonpoint/src/Http/util/Answers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lagoonpoint/src/Http/Dialect.h"
 #include "lagoonpoint/src/Http/util/Listener.h"
 
 #include <string>
@@ -25,7 +26,8 @@
 std::string jsonString(const std::string &Text);
 
 /// \returns the documented form of a refusal.
-Answer refusalAnswer(const Refusal &R, const RequestId &Request);
+Answer refusalAnswer(const Refusal &R, const RequestId &Request,
+                     const Dialect &D = {});
 
 /// \returns a JSON answer.
 Answer jsonAnswer(int Status, std::string Body);
--- a/lagoonpoint/src/Http/util/BodyReader.cpp
+++ b/lagoonpoint/src/Http/util/BodyReader.cpp
@@ -31,6 +31,8 @@
       Chunked_(Body.Kind_ == FramingKind::Chunked), Left_(Body.Length_) {
   if (Chunked_)
     State_ = State::ChunkSize;
+  else if (Body.Kind_ == FramingKind::UntilClose)
+    State_ = State::Rest;
   else if (Left_ > 0)
     State_ = State::Data;
 }
@@ -41,7 +43,9 @@
   for (;;) {
     if (State_ == State::Done)
       return BodyEnd::Whole;
-    BodyEnd Step = State_ == State::Data ? takeData(Piece) : takeLine();
+    BodyEnd Step = State_ == State::Data   ? takeData(Piece)
+                   : State_ == State::Rest ? takeRest(Piece)
+                                           : takeLine();
     if (Step == BodyEnd::Piece || Step == BodyEnd::Malformed)
       return Step;
     if (Step == BodyEnd::Whole)
@@ -50,7 +54,7 @@
     case WireEnd::Ready:
       break;
     case WireEnd::Closed:
-      return BodyEnd::Cut;
+      return closed();
     case WireEnd::TimedOut:
       return BodyEnd::TimedOut;
     case WireEnd::Watched:
@@ -78,6 +82,18 @@
   return BodyEnd::Piece;
 }
 
+BodyEnd BodyReader::takeRest(std::string_view &Piece) {
+  Piece = In_.buffered();
+  PieceBytes_ = Piece.size();
+  return Piece.empty() ? BodyEnd::Cut : BodyEnd::Piece;
+}
+
+// Only an orderly close ends a body without a length.
+BodyEnd BodyReader::closed() const {
+  bool Whole = State_ == State::Rest && !In_.failed();
+  return Whole ? BodyEnd::Whole : BodyEnd::Cut;
+}
+
 BodyEnd BodyReader::takeLine() {
   std::string_view Bytes = In_.buffered();
   std::size_t End = Bytes.find("\r\n");
--- a/lagoonpoint/src/Http/util/BodyReader.h
+++ b/lagoonpoint/src/Http/util/BodyReader.h
@@ -40,9 +40,11 @@
   bool whole() const { return State_ == State::Done; }
 
 private:
-  enum class State { Data, ChunkSize, ChunkEnd, Trailer, Done };
+  enum class State { Data, ChunkSize, ChunkEnd, Trailer, Rest, Done };
 
   BodyEnd takeData(std::string_view &Piece);
+  BodyEnd takeRest(std::string_view &Piece);
+  BodyEnd closed() const;
   BodyEnd takeLine();
   BodyEnd takeSize(std::string_view Line);
   void releasePiece();
--- a/lagoonpoint/src/Http/util/Forwarding.cpp
+++ b/lagoonpoint/src/Http/util/Forwarding.cpp
@@ -7,6 +7,7 @@
 #include <Poco/String.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <initializer_list>
 #include <string_view>
 
@@ -44,9 +45,9 @@
 }
 
 // Fields that this VM reads or writes itself.
-bool isOwn(std::string_view Name) {
-  return isOneOf(Name, {"Authorization", "X-Api-Key", "X-Request-Id",
-                        "X-Deadline-Ms", "Expect", NotRunField}) ||
+bool isOwn(std::string_view Name, const Dialect &D) {
+  return isOneOf(Name, {"Authorization", "Expect", D.Key_, D.RequestId_,
+                        D.Deadline_, D.NotRun_, D.Target_, D.Team_}) ||
          equals(Name.substr(0, std::string_view(OwnFieldPrefix).size()),
                 OwnFieldPrefix);
 }
@@ -79,22 +80,23 @@
   return Value;
 }
 
-std::optional<Duration> readDeadline(const Poco::Net::HTTPRequest &Request) {
-  std::string Text = singleField(Request, "X-Deadline-Ms");
+std::optional<Duration> readDeadline(const Poco::Net::HTTPRequest &Request,
+                                     const Dialect &D) {
+  std::string Text = singleField(Request, D.Deadline_);
   if (Text.empty())
     return {};
   if (Text.size() > MaxDeadlineDigits ||
       !std::all_of(Text.begin(), Text.end(), Poco::Ascii::isDigit))
-    throw badRequest("X-Deadline-Ms must be whole milliseconds");
+    throw badRequest(D.Deadline_ + " must be whole milliseconds");
   return Duration(std::stoll(Text));
 }
 
 void checkKeyIsHidden(const Poco::Net::HTTPRequest &Request,
-                      const std::string &Key) {
+                      const std::string &Key, const Dialect &D) {
   if (Key.empty())
     return;
   for (const auto &[Name, Value] : Request)
-    if (!isOwn(Name) && Value.find(Key) != std::string::npos)
+    if (!isOwn(Name, D) && Value.find(Key) != std::string::npos)
       throw badRequest("the key is repeated in " + Name);
   if (Request.getURI().find(Key) != std::string::npos)
     throw badRequest("the key is repeated in the URL");
@@ -120,6 +122,7 @@
   case FramingKind::Chunked:
     return "Transfer-Encoding: chunked\r\n";
   case FramingKind::None:
+  case FramingKind::UntilClose:
     break;
   }
   return "";
@@ -132,55 +135,103 @@
 
 } // namespace
 
-Call readCall(const RequestHead &Head, const Settings &S,
+Call readCall(const RequestHead &Head, const Settings &S, const Dialect &D,
               const std::string &ClientAddress, Time Arrived) {
   const Poco::Net::HTTPRequest &Request = Head.Request_;
   Call Out;
-  Out.Request_ = makeRequestId();
+  Out.Request_ = D.CallerNamesRequest_
+                     ? RequestId(singleField(Request, D.RequestId_))
+                     : makeRequestId();
   Out.Method_ = Request.getMethod();
   Out.Path_ = Request.getURI();
+  Out.Host_ = Request.get("Host", "");
   Out.ClientAddress_ = ClientAddress;
   Out.Arrived_ = Arrived;
-  Out.Key_ = readKey(Request);
-  Out.IdempotencyKey_ = singleField(Request, "Idempotency-Key");
+  Out.Key_ = D.OwnPaths_ ? readKey(Request) : singleField(Request, D.Key_);
+  if (!D.OnceKey_.empty())
+    Out.IdempotencyKey_ = singleField(Request, D.OnceKey_);
   if (Out.IdempotencyKey_.size() > MaxIdempotencyKeyBytes)
-    throw badRequest("Idempotency-Key is too long");
-  Out.Deadline_ = readDeadline(Request);
-  checkKeyIsHidden(Request, Out.Key_);
-  readHop(Request, S, Out);
+    throw badRequest(D.OnceKey_ + " is too long");
+  if (!D.Affinity_.empty())
+    Out.Object_ = Request.get(D.Affinity_, "");
+  Out.Deadline_ = readDeadline(Request, D);
+  checkKeyIsHidden(Request, Out.Key_, D);
+  if (D.OwnPaths_)
+    readHop(Request, S, Out);
   return Out;
 }
 
 std::string forwardedHead(const RequestHead &Head, const Call &C,
                           const CallTarget &To, const Settings &S,
-                          const Framing &Body, Duration Left) {
+                          const Dialect &D, const Framing &Body,
+                          Duration Left) {
   std::vector<std::string> Named = connectionTokens(Head.Request_);
   std::string Text = C.Method_ + " " + C.Path_ + " HTTP/1.1\r\n";
   for (const auto &[Name, Value] : Head.Request_)
-    if (!isHopByHop(Name) && !isOwn(Name) && !isNamed(Named, Name))
+    if (!isHopByHop(Name) && !isOwn(Name, D) && !isNamed(Named, Name))
       appendField(Text, Name, Value);
   if (!Head.Request_.has("Host"))
     appendField(Text, "Host", toString(To.Address_));
-  appendField(Text, "X-Request-Id", C.Request_.str());
-  appendField(Text, "X-Deadline-Ms", std::to_string(Left.count()));
+  if (!C.Request_.empty())
+    appendField(Text, D.RequestId_, C.Request_.str());
+  appendField(Text, D.Deadline_, std::to_string(Left.count()));
+  if (!D.Target_.empty())
+    appendField(Text, D.Target_, To.Upstream_.str());
+  if (!D.Team_.empty() && !C.Team_.empty())
+    appendField(Text, D.Team_, C.Team_.str());
   if (!To.Vm_.empty()) {
     // The home VM checks the key itself; the upstream never sees it.
     if (!C.Key_.empty())
-      appendField(Text, "X-Api-Key", C.Key_);
+      appendField(Text, D.Key_, C.Key_);
     appendField(Text, HopField, makeHop(S, C));
   }
   return Text + framingField(Body) + "\r\n";
 }
 
 Fields answerFields(const Poco::Net::HTTPResponse &Response,
-                    const RequestId &Request) {
+                    const RequestId &Request, const Dialect &D) {
   std::vector<std::string> Named = connectionTokens(Response);
   Fields Out;
   for (const auto &[Name, Value] : Response)
-    if (!isHopByHop(Name) && !isOwn(Name) && !isNamed(Named, Name))
+    if (!isHopByHop(Name) && !isOwn(Name, D) && !isNamed(Named, Name))
       Out.emplace_back(Name, Value);
-  Out.emplace_back("X-Request-Id", Request.str());
+  Out.emplace_back(D.RequestId_, Request.str());
   return Out;
 }
 
+bool saysNotRun(const Poco::Net::HTTPResponse &Response, const Dialect &D) {
+  int Status = Response.getStatus();
+  if (D.OwnPaths_)
+    return Status == 503 && Response.get(D.NotRun_, "") == "1";
+  return Status == 421 || Response.has(D.NotRun_);
+}
+
+bool answersRequest(const Poco::Net::HTTPResponse &Response,
+                    const RequestId &Request, const Dialect &D) {
+  return !D.CallerNamesRequest_ ||
+         Response.get(D.RequestId_, "") == Request.str();
+}
+
+std::optional<Duration> keptFor(const Poco::Net::HTTPResponse &Response) {
+  unsigned Seconds = 0;
+  std::string Text = Response.get("Keep-Alive", "");
+  std::size_t At = Text.find("timeout=");
+  if (At == std::string::npos ||
+      std::sscanf(Text.c_str() + At, "timeout=%u", &Seconds) != 1)
+    return {};
+  return Duration::seconds(Seconds);
+}
+
+std::optional<ReportedLoad> readLoad(const Poco::Net::HTTPResponse &Response,
+                                     const Dialect &D) {
+  if (D.Load_.empty() || !Response.has(D.Load_))
+    return {};
+  ReportedLoad Load;
+  int Read = std::sscanf(Response.get(D.Load_).c_str(), "%u,%u,%u",
+                         &Load.Running_, &Load.Waiting_, &Load.Slots_);
+  if (Read != 3)
+    return {};
+  return Load;
+}
+
 } // namespace lagoonpoint::internal
--- a/lagoonpoint/src/Http/util/Forwarding.h
+++ b/lagoonpoint/src/Http/util/Forwarding.h
@@ -4,17 +4,15 @@
 #include "lagoonpoint/src/Http/CallerPort.h"
 #include "lagoonpoint/src/Http/util/Answers.h"
 
+#include <optional>
 #include <string>
 
 namespace lagoonpoint::internal {
 
-/// Field by which an upstream says that it didn't run the request (with 503).
-constexpr const char *NotRunField = "X-Not-Run";
-
 /// Reads a call out of a request's head: key, idempotency key, deadline, hop.
 /// \ingroup Http
 /// \throws Refusal BadRequest for what is malformed or shown twice
-Call readCall(const RequestHead &Head, const Settings &S,
+Call readCall(const RequestHead &Head, const Settings &S, const Dialect &D,
               const std::string &ClientAddress, Time Arrived);
 
 /// Writes the head of the request to an upstream: fields without keys and
@@ -23,12 +21,31 @@
 /// \param Left time until the call's deadline
 std::string forwardedHead(const RequestHead &Head, const Call &C,
                           const CallTarget &To, const Settings &S,
+                          const Dialect &D,
                           const Framing &Body, Duration Left);
 
 /// \returns the fields of an upstream's answer that the caller may see, with
 /// the request id.
 /// \ingroup Http
 Fields answerFields(const Poco::Net::HTTPResponse &Response,
-                    const RequestId &Request);
+                    const RequestId &Request, const Dialect &D);
+
+/// Tells whether an answer says that the upstream didn't run the request.
+/// \ingroup Http
+bool saysNotRun(const Poco::Net::HTTPResponse &Response, const Dialect &D);
+
+/// Tells whether an answer belongs to a request.
+/// \ingroup Http
+bool answersRequest(const Poco::Net::HTTPResponse &Response,
+                    const RequestId &Request, const Dialect &D);
+
+/// \returns how long the upstream keeps an idle connection, if it says so.
+/// \ingroup Http
+std::optional<Duration> keptFor(const Poco::Net::HTTPResponse &Response);
+
+/// \returns the load that an answer tells of: running, waiting, slots.
+/// \ingroup Http
+std::optional<ReportedLoad> readLoad(const Poco::Net::HTTPResponse &Response,
+                                     const Dialect &D);
 
 } // namespace lagoonpoint::internal
--- a/lagoonpoint/src/Http/util/HeadParser.cpp
+++ b/lagoonpoint/src/Http/util/HeadParser.cpp
@@ -215,10 +215,11 @@
     int Status = Out.Response_.getStatus();
     bool Bodiless = ToHead || Status < 200 || Status == 204 || Status == 304;
     Framing Declared = framingOf(Out.Response_);
-    if (!Bodiless && Declared.Kind_ == FramingKind::None)
-      throw Malformed{"answer without Content-Length or chunked encoding"};
+    if (Declared.Kind_ == FramingKind::None)
+      Declared.Kind_ = FramingKind::UntilClose;
     Out.Body_ = Bodiless ? Framing() : Declared;
-    Out.KeepAlive_ = keepAliveOf(Out.Response_);
+    Out.KeepAlive_ = keepAliveOf(Out.Response_) &&
+                     Out.Body_.Kind_ != FramingKind::UntilClose;
   } catch (const Malformed &M) {
     throw Error("http.answer", Peer, M.Why_);
   }
--- a/lagoonpoint/src/Http/util/HeadParser.h
+++ b/lagoonpoint/src/Http/util/HeadParser.h
@@ -12,7 +12,7 @@
 namespace lagoonpoint::internal {
 
 /// How the end of a message's body is found.
-enum class FramingKind { None, Length, Chunked };
+enum class FramingKind { None, Length, Chunked, UntilClose };
 
 /// Framing of one message's body.
 struct Framing {
--- a/lagoonpoint/src/Http/util/ProxyAnswer.cpp
+++ b/lagoonpoint/src/Http/util/ProxyAnswer.cpp
@@ -10,8 +10,12 @@
       bool Interim = false;
       if (!parseHead(T, Length, Interim))
         return false;
-      if (!Interim)
+      if (Interim)
+        continue;
+      if (answersRequest(T.Head_->Response_, Call_.Request_, Context_.Dialect_))
         return true;
+      if (!skipAnswer(T))
+        return false;
       continue;
     }
     if (T.Wire_->full())
@@ -30,23 +34,47 @@
   } catch (const Error &) {
     return fail(T, TryEnd::Broken);
   }
+  if (T.Head_->Body_.Kind_ == FramingKind::UntilClose &&
+      !Context_.Dialect_.AnswersEndByClosing_)
+    return fail(T, TryEnd::Broken);
   T.Wire_->consume(Length);
   T.Report_.BytesReceived_ += static_cast<std::int64_t>(Length);
   T.Report_.Status_ = T.Head_->Response_.getStatus();
+  T.Report_.Misdirected_ = T.Report_.Status_ == 421;
+  T.Report_.Load_ = readLoad(T.Head_->Response_, Context_.Dialect_);
   if (T.Report_.Status_ == 101)
     return fail(T, TryEnd::Broken);
   Interim = T.Report_.Status_ < 200;
   return true;
 }
 
+// Drops an answer to another request, such as one that came late.
+bool ProxyCall::skipAnswer(Try &T) {
+  constexpr unsigned MaxSkipped = 2;
+  bool Endless = T.Head_->Body_.Kind_ == FramingKind::UntilClose;
+  if (Endless || ++T.Skipped_ > MaxSkipped)
+    return fail(T, TryEnd::Broken);
+  BodyReader Reader(*T.Wire_, T.Head_->Body_);
+  for (;;) {
+    std::string_view Piece;
+    BodyEnd End = Reader.next(Piece, deadline(), watched());
+    if (End == BodyEnd::Whole)
+      return true;
+    if (End == BodyEnd::Watched)
+      return fail(T, TryEnd::CallerLeft);
+    if (End != BodyEnd::Piece)
+      return fail(T,
+                  End == BodyEnd::TimedOut ? TryEnd::TimedOut : TryEnd::Broken);
+  }
+}
+
 // Holds the answer back until it is whole, long, or slow to come.
 bool ProxyCall::receiveBody(Try &T, BodyReader &Reader, bool &Whole) {
   constexpr std::size_t HeldAnswerBytes = 64 * 1024;
-  constexpr Duration HeldFor = Duration::millis(50);
   std::size_t Most =
       isOnce() ? Context_.Settings_.MaxBodyBytes_ : HeldAnswerBytes;
   Until Limit =
-      isOnce() ? deadline() : within(HeldFor).min(Ticket_->deadline());
+      isOnce() ? deadline() : within(Context_.Settings_.AnswerHold_).min(Ticket_->deadline());
   while (T.Body_.size() <= Most) {
     std::string_view Piece;
     BodyEnd End = Reader.next(Piece, Limit, watched());
@@ -68,8 +96,7 @@
   }
   if (!Whole && isOnce())
     return fail(T, TryEnd::Broken);
-  bool Shed = T.Report_.Status_ == 503 &&
-              T.Head_->Response_.get(NotRunField, "") == "1";
+  bool Shed = saysNotRun(T.Head_->Response_, Context_.Dialect_);
   if (Whole && Shed && (T.To_.Vm_.empty() || !isOnce())) {
     releaseWire(T);
     MayHaveRun_ = T.RanBefore_;
@@ -82,13 +109,15 @@
   releaseWire(T);
   T.Report_.End_ = TryEnd::Answered;
   if (isOnce() && T.To_.Vm_.empty()) {
-    Fields Kept = answerFields(T.Head_->Response_, Call_.Request_);
+    Fields Kept =
+        answerFields(T.Head_->Response_, Call_.Request_, Context_.Dialect_);
     Kept.pop_back();
     Ticket_->keep({T.Report_.Status_, Kept, T.Body_});
   }
   report(T);
   bool KeepAlive = keepAlive();
-  Fields F = answerFields(T.Head_->Response_, Call_.Request_);
+  Fields F =
+      answerFields(T.Head_->Response_, Call_.Request_, Context_.Dialect_);
   std::string Text = answerHead(T, F, KeepAlive);
   bool Bodiless = T.Head_->Body_.Kind_ == FramingKind::None;
   if (!Bodiless)
@@ -114,9 +143,12 @@
 bool ProxyCall::relay(Try &T, BodyReader &Reader) {
   const Framing &Body = T.Head_->Body_;
   bool Http11 = Head_.Request_.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1;
-  bool Chunked = Body.Kind_ == FramingKind::Chunked && Http11;
+  bool Chunked = (Body.Kind_ == FramingKind::Chunked ||
+                  Body.Kind_ == FramingKind::UntilClose) &&
+                 Http11;
   bool KeepAlive = keepAlive() && Http11;
-  Fields F = answerFields(T.Head_->Response_, Call_.Request_);
+  Fields F =
+      answerFields(T.Head_->Response_, Call_.Request_, Context_.Dialect_);
   std::string Text = answerHead(T, F, KeepAlive);
   if (Body.Kind_ == FramingKind::Length)
     Text += "Content-Length: " + std::to_string(Body.Length_) + "\r\n";
--- a/lagoonpoint/src/Http/util/ProxyCall.cpp
+++ b/lagoonpoint/src/Http/util/ProxyCall.cpp
@@ -50,10 +50,6 @@
   }
 }
 
-std::string pathOnly(const std::string &Target) {
-  return Target.substr(0, Target.find('?'));
-}
-
 } // namespace
 
 ProxyCall::ProxyCall(const ProxyContext &Context, Connection &Caller,
@@ -64,14 +60,15 @@
 
 bool ProxyCall::run() {
   checkLength();
-  Route_ = Context_.Port_.route(pathOnly(Call_.Path_));
+  Route_ = Context_.Port_.routeOf(Call_);
   if (isOnce()) {
     continueExpected();
     readAhead(Context_.Settings_.MaxBodyBytes_);
     Call_.BodyDigest_ = bodyDigest();
   }
   Ticket_ = Context_.Port_.admit(Call_);
-  Slot_.assign(Ticket_->team());
+  Call_.Team_ = Ticket_->team();
+  Slot_.assign(Call_.Team_);
   if (!isOnce()) {
     continueExpected();
     readAhead(HeldRequestBytes);
@@ -135,6 +132,11 @@
     Try T;
     T.To_ = nextTarget();
     bool Reusable = false;
+    if (callerLeft()) {
+      T.Report_.End_ = TryEnd::CallerLeft;
+      Ticket_->ended(T.Report_);
+      return false;
+    }
     if (tryOnce(T, Reusable))
       return Reusable;
   }
@@ -191,8 +193,8 @@
 bool ProxyCall::send(Try &T) {
   Duration Left = Ticket_->deadline() - Context_.Clock_.now();
   std::string Text =
-      forwardedHead(Head_, Call_, T.To_, Context_.Settings_, sentFraming(),
-                    std::max(Left, Duration::millis(1)));
+      forwardedHead(Head_, Call_, T.To_, Context_.Settings_, Context_.Dialect_,
+                    sentFraming(), std::max(Left, Duration::millis(1)));
   bool Streamed = !Body_.whole();
   if (!Streamed)
     Text += Held_;
@@ -277,12 +279,19 @@
 
 // Gives the connection back for reuse if its exchange is over on both sides.
 void ProxyCall::releaseWire(Try &T) {
-  bool Clean = T.SentAll_ && T.Head_->KeepAlive_ && T.Wire_->buffered().empty();
+  bool Clean = T.SentAll_ && T.Head_->KeepAlive_ && T.Skipped_ == 0 &&
+               T.Wire_->buffered().empty();
   if (Clean)
-    Context_.Pool_.give(T.To_.Address_, std::move(T.Wire_));
+    Context_.Pool_.give(T.To_.Address_, std::move(T.Wire_),
+                        keptFor(T.Head_->Response_));
   T.Wire_.reset();
 }
 
+// Nobody would read the answer of a call that waited for its upstream.
+bool ProxyCall::callerLeft() const {
+  return watched() && watched()->peerLeft();
+}
+
 bool ProxyCall::writeToCaller(std::string_view Text) {
   std::int64_t Written = 0;
   Until Limit = within(Context_.Settings_.BodyTimeout_);
--- a/lagoonpoint/src/Http/util/ProxyCall.h
+++ b/lagoonpoint/src/Http/util/ProxyCall.h
@@ -22,6 +22,7 @@
   CallerPort &Port_;
   const Settings &Settings_;
   const Clock &Clock_;
+  const Dialect &Dialect_;
   UpstreamPool &Pool_;
   const Listener &Listener_;
 };
@@ -61,6 +62,7 @@
     std::string Body_;       ///< as far as it is held back
     bool SentAll_ = false;   ///< whole request was sent
     bool RanBefore_ = false; ///< an earlier try may have run the request
+    unsigned Skipped_ = 0;   ///< answers to other requests
     std::chrono::steady_clock::time_point Began_;
   };
 
@@ -79,6 +81,7 @@
   bool sendPiece(Try &T, std::string_view Piece, const Until &Limit);
   bool receiveHead(Try &T);
   bool parseHead(Try &T, std::size_t Length, bool &Interim);
+  bool skipAnswer(Try &T);
   bool receiveBody(Try &T, BodyReader &Reader, bool &Whole);
   bool finishWhole(Try &T);
   bool relay(Try &T, BodyReader &Reader);
@@ -95,6 +98,7 @@
   Framing sentFraming() const;
   bool keepAlive() const;
   bool toHead() const { return Call_.Method_ == "HEAD"; }
+  bool callerLeft() const;
   bool isOnce() const { return Route_.Kind_ == RouteKind::Once; }
   const Wire *watched() const { return isOnce() ? nullptr : &Caller_.Wire_; }
   Until within(Duration D) const;
--- a/lagoonpoint/src/Http/util/UpstreamPool.cpp
+++ b/lagoonpoint/src/Http/util/UpstreamPool.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
 
+#include <algorithm>
 #include <functional>
 #include <iterator>
 #include <utility>
@@ -12,7 +13,12 @@
 namespace {
 
 constexpr std::size_t MaxIdlePerUpstream = 16;
-constexpr Duration MaxIdle = Duration::seconds(5);
+
+/// Ends before the upstream closes: a request that crosses the closing may be
+/// lost.
+Duration idleLimit(std::optional<Duration> KeptFor, Duration MaxIdle) {
+  return KeptFor ? std::min(MaxIdle, *KeptFor * 3 / 5) : MaxIdle;
+}
 
 } // namespace
 
@@ -35,13 +41,14 @@
       It->second.pop_back();
     }
     // An idle connection on which anything arrives is closed or out of step.
-    bool Usable = Now - Taken.Since_ < MaxIdle && !Taken.Wire_->readable();
+    bool Usable = Now < Taken.Until_ && !Taken.Wire_->readable();
     if (Usable)
       return std::move(Taken.Wire_);
   }
 }
 
-void UpstreamPool::give(const Address &To, std::unique_ptr<Wire> Connection) {
+void UpstreamPool::give(const Address &To, std::unique_ptr<Wire> Connection,
+                        std::optional<Duration> KeptFor) {
   std::string Name = toString(To);
   Shard &S = shardOf(Name);
   Time Now = Clock_.now();
@@ -49,19 +56,19 @@
   std::lock_guard Lock(S.Lock_);
   std::vector<Idle> &List = S.Idle_[Name];
   if (List.size() < MaxIdlePerUpstream)
-    List.push_back({std::move(Connection), Now});
+    List.push_back({std::move(Connection), Now + idleLimit(KeptFor, MaxIdle_)});
   if (Now >= S.NextSweep_)
     sweep(S, Now, Late);
 }
 
 // The late connections are closed by the caller's destructor of \p Late.
 void UpstreamPool::sweep(Shard &S, Time Now, std::vector<Idle> &Late) {
-  S.NextSweep_ = Now + MaxIdle;
+  S.NextSweep_ = Now + MaxIdle_;
   for (auto It = S.Idle_.begin(); It != S.Idle_.end();) {
     std::vector<Idle> &List = It->second;
-    auto Kept = List.begin();
-    while (Kept != List.end() && Now - Kept->Since_ >= MaxIdle)
-      ++Kept;
+    auto Kept = std::stable_partition(
+        List.begin(), List.end(),
+        [&](const Idle &I) { return Now >= I.Until_; });
     std::move(List.begin(), Kept, std::back_inserter(Late));
     List.erase(List.begin(), Kept);
     It = List.empty() ? S.Idle_.erase(It) : std::next(It);
--- a/lagoonpoint/src/Http/util/UpstreamPool.h
+++ b/lagoonpoint/src/Http/util/UpstreamPool.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -19,18 +20,22 @@
 /// owner of any other closes it.
 class UpstreamPool {
 public:
-  explicit UpstreamPool(const Clock &C) : Clock_(C) {}
+  /// \param MaxIdle a connection is not used again after this
+  UpstreamPool(const Clock &C, Duration MaxIdle)
+      : Clock_(C), MaxIdle_(MaxIdle) {}
 
   /// \returns an idle connection, or null if there is none that is still open.
   std::unique_ptr<Wire> take(const Address &To);
-  void give(const Address &To, std::unique_ptr<Wire> Connection);
+  /// \param KeptFor how long the upstream keeps it open, if it said so
+  void give(const Address &To, std::unique_ptr<Wire> Connection,
+            std::optional<Duration> KeptFor = {});
 
 private:
   static constexpr std::size_t ShardCount = 16;
 
   struct Idle {
     std::unique_ptr<Wire> Wire_;
-    Time Since_;
+    Time Until_;
   };
   struct Shard {
     std::mutex Lock_;
@@ -42,6 +47,7 @@
   void sweep(Shard &S, Time Now, std::vector<Idle> &Late);
 
   const Clock &Clock_;
+  const Duration MaxIdle_;
   Shard Shards_[ShardCount];
 };
 
--- a/lagoonpoint/src/Http/util/Wire.cpp
+++ b/lagoonpoint/src/Http/util/Wire.cpp
@@ -59,6 +59,7 @@
   } catch (const Poco::TimeoutException &) {
     return WireEnd::TimedOut;
   } catch (const Poco::Exception &) {
+    Failed_ = true;
     return WireEnd::Closed;
   }
 }
--- a/lagoonpoint/src/Http/util/Wire.h
+++ b/lagoonpoint/src/Http/util/Wire.h
@@ -80,6 +80,8 @@
   bool readable() const;
   /// \returns true if the peer has closed its side.
   bool peerLeft() const;
+  /// \returns true if the connection was reset rather than closed.
+  bool failed() const { return Failed_; }
   /// Tells the peer that nothing more will be written.
   void shutdownSend();
   /// Ends reading and writing; safe while another thread waits on this wire.
@@ -101,6 +103,7 @@
   std::unique_ptr<char[]> Buffer_;
   std::size_t Begin_ = 0;
   std::size_t End_ = 0;
+  bool Failed_ = false;
 };
 
 } // namespace lagoonpoint::internal
--- /dev/null
+++ b/lagoonpoint/src/Items/Item.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "lagoonpoint/Codec"
+#include "lagoonpoint/Core"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoonpoint {
+
+/// Version of one item; versions of different items are not comparable.
+using ItemVersion = Number<struct ItemVersionTag>;
+
+/// What a split sends to one service.
+struct SplitPart {
+  ServiceId Service_;
+  double Weight_ = 0; ///< relative to the other parts
+  friend bool operator==(const SplitPart &, const SplitPart &) = default;
+  MSGPACK_DEFINE(Service_, Weight_)
+};
+
+/// \class RouteItem
+/// \ingroup Items
+/// \brief Which services take the requests of a host and path prefix, and how.
+struct RouteItem {
+  std::string Host_;
+  std::string Prefix_;           ///< begins and ends with a slash
+  std::vector<SplitPart> Split_; ///< one part where there is no split
+  bool Idempotent_ = false;      ///< a request may run more than once
+  bool Open_ = false;            ///< needs no key
+  bool Affine_ = false;          ///< requests for one object go to one upstream
+  Duration Timeout_;             ///< longest wait of a caller
+  Duration Objective_;           ///< latency within which an answer is timely
+  unsigned Priority_ = 0;        ///< 0 goes first
+  unsigned MaxAttempts_ = 1;     ///< upstreams that one request may be sent to
+  std::vector<RegionId> Regions_; ///< that may serve it; empty: all
+  MSGPACK_DEFINE(Host_, Prefix_, Split_, Idempotent_, Open_, Affine_, Timeout_,
+                 Objective_, Priority_, MaxAttempts_, Regions_)
+};
+
+/// \class TeamItem
+/// \ingroup Items
+/// \brief Keys and share of one team. The users' platform has the keys read
+/// back as they were set, so they are kept in the clear.
+struct TeamItem {
+  std::vector<std::string> Keys_;
+  bool HasPriority_ = false;
+  unsigned Priority_ = 0; ///< replaces the route's where set
+  double Rate_ = 0;       ///< requests a second over all VMs; 0: no limit
+  double Burst_ = 0;      ///< requests
+  std::vector<RegionId> Regions_; ///< that may serve it; empty: all
+  MSGPACK_DEFINE(Keys_, HasPriority_, Priority_, Rate_, Burst_, Regions_)
+};
+
+/// \class ServiceItem
+/// \ingroup Items
+/// \brief What holds for all upstreams of one service.
+struct ServiceItem {
+  std::string HealthPath_;
+  unsigned MaxConnections_ = 0; ///< of one upstream, from all callers; 0: any
+  Duration Warmup_;             ///< how long an upstream stays cold
+  double WarmupRate_ = 0; ///< requests a second that a cold upstream bears
+  MSGPACK_DEFINE(HealthPath_, MaxConnections_, Warmup_, WarmupRate_)
+};
+
+/// \class CallerLimitsItem
+/// \ingroup Items
+/// \brief What callers may send and how long they may take.
+struct CallerLimitsItem {
+  std::uint64_t MaxHeaderBytes_ = 0;
+  std::uint64_t MaxBodyBytes_ = 0;
+  Duration HeaderTimeout_;
+  Duration IdleTimeout_;
+  MSGPACK_DEFINE(MaxHeaderBytes_, MaxBodyBytes_, HeaderTimeout_, IdleTimeout_)
+};
+
+/// Name of the only item of kind CallerLimitsItem.
+inline const std::string CallerLimitsName = "limits";
+
+/// \class Held
+/// \ingroup Items
+/// \brief An item as stored: its newest version, which may be a removal.
+/// \tparam Item RouteItem, TeamItem, ServiceItem or CallerLimitsItem
+template <class Item> struct Held {
+  ItemVersion Version_;
+  bool Removed_ = false;
+  Item Value_;
+  std::string Source_; ///< as the operator wrote it, for reading back
+  Revision ChangedAt_; ///< revision of the store that set it
+  MSGPACK_DEFINE(Version_, Removed_, Value_, Source_, ChangedAt_)
+};
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Items/RouteTable.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "lagoonpoint/src/Items/ItemSet.h"
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace lagoonpoint {
+
+/// One route of a table.
+struct TableRoute {
+  std::string Name_;
+  RouteItem Item_;
+};
+
+/// \class RouteTable
+/// \ingroup Items
+/// \brief Routes by host and teams by key, made once for each set of items.
+class RouteTable {
+public:
+  RouteTable() = default;
+  explicit RouteTable(const ItemSet &Items);
+
+  /// \returns the route with the longest prefix that begins the path, or null.
+  const TableRoute *find(const std::string &Host,
+                         const std::string &Path) const;
+  /// \returns the team that holds a key, or an empty id.
+  TeamId teamOf(const std::string &Key) const;
+  bool hasTeams() const { return HasTeams_; }
+
+private:
+  std::unordered_map<std::string, std::vector<TableRoute>> ByHost_;
+  std::unordered_map<std::string, TeamId> ByKey_;
+  bool HasTeams_ = false;
+};
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Limits/DemandShare.cpp
@@ -0,0 +1,53 @@
+#include "lagoonpoint/src/Limits/DemandShare.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lagoonpoint {
+
+namespace {
+
+/// Weight of the newest span in a smoothed rate halves what is older by this.
+constexpr Duration SmoothedOver = Duration::seconds(2);
+constexpr double ShortestSpan = 0.05; ///< seconds
+
+} // namespace
+
+void count(DemandMeter &M, double Events) { M.Count_ += Events; }
+
+void settle(DemandMeter &M, Time Now) {
+  double Span = (Now - M.Since_).inSeconds();
+  if (Span < ShortestSpan)
+    return;
+  double Kept = std::exp2(-Span / SmoothedOver.inSeconds());
+  M.Rate_ = M.Rate_ * Kept + M.Count_ / Span * (1 - Kept);
+  M.Count_ = 0;
+  M.Since_ = Now;
+}
+
+void setShare(SharedBucket &B, double AllDemand, std::size_t Vms) {
+  double Even = 1.0 / static_cast<double>(std::max<std::size_t>(Vms, 1));
+  double All = std::max(AllDemand, B.Asked_.Rate_);
+  double ByDemand = All > 0 ? B.Asked_.Rate_ / All : Even;
+  B.Share_ = EvenPart * Even + (1 - EvenPart) * ByDemand;
+}
+
+Duration take(SharedBucket &B, double Rate, double Burst, Time Now) {
+  if (Rate <= 0)
+    return Duration();
+  double Own = Rate * B.Share_;
+  double Most = std::max(1.0, Burst * B.Share_);
+  double Span = (Now - B.Filled_).inSeconds();
+  B.Tokens_ = std::min(Most, B.Tokens_ + std::max(0.0, Span) * Own);
+  B.Filled_ = Now;
+  if (B.Tokens_ >= 1) {
+    B.Tokens_ -= 1;
+    return Duration();
+  }
+  constexpr double LongestWait = 5; // seconds
+  double Wait = Own > 0 ? (1 - B.Tokens_) / Own : LongestWait;
+  return Duration::millis(
+      static_cast<std::int64_t>(std::min(Wait, LongestWait) * 1000) + 1);
+}
+
+} // namespace lagoonpoint
--- a/lagoonpoint/src/Node/CallFront.cpp
+++ b/lagoonpoint/src/Node/CallFront.cpp
@@ -16,7 +16,7 @@
   return std::min(Wanted, Route.MaxDeadline_);
 }
 
-const RouteDecl &routeOf(const InForce &F, const std::string &Path) {
+const RouteDecl &declaredRoute(const InForce &F, const std::string &Path) {
   const RouteDecl *Route = findRoute(F, Path);
   if (!Route)
     throw Refusal(RefusalReason::NoSuchRoute, Ran::No, Step,
@@ -73,7 +73,7 @@
 }
 
 RouteDecl CallFront::route(const std::string &Path) {
-  return routeOf(*current(), Path);
+  return declaredRoute(*current(), Path);
 }
 
 TeamId CallFront::teamOf(const InForce &F, const RouteDecl &Route,
@@ -101,7 +101,7 @@
   Admission A;
   A.InForce_ = current();
   const InForce &F = *A.InForce_;
-  A.Route_ = routeOf(F, C.Path_);
+  A.Route_ = declaredRoute(F, C.Path_);
   A.Team_ = teamOf(F, A.Route_, C);
   A.Deadline_ = C.Arrived_ + allowedTime(A.Route_, C);
   A.Forwarded_ = C.Forwarded_;
--- a/lagoonpoint/src/Node/ChangeRouter.cpp
+++ b/lagoonpoint/src/Node/ChangeRouter.cpp
@@ -49,7 +49,7 @@
   Time Deadline = Clock_.now() + Wait;
   VmId Hint = Host_ ? Self_ : VmId();
   for (std::size_t Try = 0; Clock_.now() < Deadline; ++Try) {
-    VmId Target = Hint.empty() ? Voters_[Try % Voters_.size()] : Hint;
+    VmId Target = Hint.empty() ? voterAt(Try) : Hint;
     Duration Left = Deadline - Clock_.now();
     SubmitResult Result = tryAt(Target, C, std::min(TryWait, Left));
     if (Result.Judged_)
@@ -62,6 +62,17 @@
                          "the same change id to learn its outcome");
 }
 
+void ChangeRouter::setVoters(std::vector<VmId> Voters) {
+  std::lock_guard Guard(Lock_);
+  if (!Voters.empty())
+    Voters_ = std::move(Voters);
+}
+
+VmId ChangeRouter::voterAt(std::size_t Try) {
+  std::lock_guard Guard(Lock_);
+  return Voters_.empty() ? Self_ : Voters_[Try % Voters_.size()];
+}
+
 SubmitResult ChangeRouter::tryAt(const VmId &Vm, const Change &C,
                                  Duration Wait) {
   std::uint64_t Number;
--- a/lagoonpoint/src/Node/ChangeRouter.h
+++ b/lagoonpoint/src/Node/ChangeRouter.h
@@ -29,6 +29,9 @@
   /// \throws UnavailableError after \p Wait
   ChangeReply submit(const Change &C, Duration Wait);
 
+  /// Replaces the VMs to try while the leader is unknown.
+  void setVoters(std::vector<VmId> Voters);
+
   /// Handles a message of Channel::Forward.
   void receive(const Envelope &Message);
 
@@ -38,6 +41,7 @@
     SubmitResult Result_;
   };
 
+  VmId voterAt(std::size_t Try);
   SubmitResult tryAt(const VmId &Vm, const Change &C, Duration Wait);
   void sendTo(const VmId &Vm, std::uint64_t Number, const Change &C);
   void finish(std::uint64_t Number, SubmitResult Result);
--- a/lagoonpoint/src/Node/ReplicaHost.cpp
+++ b/lagoonpoint/src/Node/ReplicaHost.cpp
@@ -111,10 +111,13 @@
 }
 
 void ReplicaHost::settle() {
+  // Whoever counts on a message of this VM can count on its view, too.
+  publishView();
   for (Envelope &Message : Replica_->takeOutbox())
     Transport_.send(std::move(Message));
   for (const CommittedItem &Item : Replica_->takeCommitted())
     applyItem(Item);
+  Delivered_ = Replica_->state().Commit_;
   answerWaiting();
   if (Replica_->wantsSnapshot())
     Replica_->snapshot(encode(Catalog_), Clock_.now());
@@ -166,6 +169,11 @@
   View_.Voters_.clear();
   for (const Voter &V : Status.Config_.Voters_)
     View_.Voters_.insert(V.Vm_);
+  View_.Applied_ = Delivered_;
+  View_.Last_ = Status.LastIndex_;
+  View_.ConfigAt_ = Replica_->state().Log_.configIndex();
+  View_.Config_ = Status.Config_;
+  View_.Disk_ = Status.Disk_;
   View_.LeadsUntil_ = leaseEnd(Replica_->state(), Now).value_or(Time());
 }
 
--- a/lagoonpoint/src/Node/ReplicaHost.h
+++ b/lagoonpoint/src/Node/ReplicaHost.h
@@ -28,6 +28,11 @@
   Time LeadsUntil_;      ///< no other VM can lead before; while leading
   Revision Revision_;    ///< committed here
   std::set<VmId> Voters_;
+  LogIndex Applied_; ///< highest entry that the catalog includes
+  LogIndex Last_;    ///< highest entry on this disk, committed or not
+  LogIndex ConfigAt_;
+  VoterConfig Config_;
+  DiskId Disk_;
 };
 
 /// \class ReplicaHost
@@ -58,6 +63,11 @@
   std::string addVoter(const VmId &Vm);
   std::string removeVoter(const VmId &Vm);
 
+  /// Calls \p F with the catalog on the replica's thread and waits for it.
+  template <class Function> auto read(Function F) {
+    return Worker_.call([this, F = std::move(F)] { return F(Catalog_); });
+  }
+
   LeaderView leaderView() const;
   ReplicaStatus status();
 
@@ -82,7 +92,8 @@
   DiskStorage Storage_;
   std::unique_ptr<Replica> Replica_;
   Catalog Catalog_;
-  LogIndex Applied_;
+  LogIndex Applied_;   ///< of the last command applied
+  LogIndex Delivered_; ///< everything up to here is in the catalog
   std::multimap<LogIndex, Waiting> Waiting_;
   mutable std::mutex ViewLock_;
   LeaderView View_;
--- a/lagoonpoint/src/Replication/Reconfiguration.h
+++ b/lagoonpoint/src/Replication/Reconfiguration.h
@@ -5,7 +5,7 @@
 namespace lagoonpoint {
 
 /// Voters there may be at most; one more while one is being replaced.
-inline constexpr std::size_t MaxVoters = 5;
+inline constexpr std::size_t MaxVoters = 9;
 
 /// Starts to replicate to a VM that doesn't vote.
 /// \ingroup Replication
--- a/lagoonpoint/src/Retry/Retry.h
+++ b/lagoonpoint/src/Retry/Retry.h
@@ -17,12 +17,17 @@
   bool AnswerBegun_ = false;   ///< bytes of the answer have gone to the caller
 };
 
+/// Most tries of one call where nothing else is said, the first one included.
+/// \ingroup Retry
+constexpr unsigned MaxTries = 3;
+
 /// \class RetryState
 /// \ingroup Retry
 /// \brief One call's tries so far.
 struct RetryState {
   RouteKind Kind_ = RouteKind::Plain;
   unsigned Tries_ = 0;      ///< ended
+  unsigned MaxTries_ = MaxTries;
   bool MayHaveRun_ = false; ///< at some upstream, in any of the tries
   bool Over_ = false;       ///< no more tries
 };
@@ -40,10 +45,6 @@
   NoBudget,    ///< the team's retry budget is used up
 };
 
-/// Most tries of one call, the first one included.
-/// \ingroup Retry
-constexpr unsigned MaxTries = 3;
-
 /// Less time than this until the deadline is not worth another try.
 /// \ingroup Retry
 constexpr Duration MinTimeForRetry = Duration::millis(5);
--- /dev/null
+++ b/lagoonpoint/src/Steering/KeyedChoice.cpp
@@ -0,0 +1,122 @@
+#include "lagoonpoint/src/Steering/KeyedChoice.h"
+
+#include "lagoonpoint/src/Core/util/StableHash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lagoonpoint {
+
+namespace {
+
+/// Spreads the bits of a hash: FNV alone leaves similar texts close.
+std::uint64_t mixed(std::uint64_t H) {
+  H = (H ^ (H >> 33)) * 0xff51afd7ed558ccdULL;
+  H = (H ^ (H >> 33)) * 0xc4ceb9fe1a85ec53ULL;
+  return H ^ (H >> 33);
+}
+
+/// Weight of an upstream for an object; the highest is its first choice.
+double rendezvous(const std::string &Object, const SharedUpstream &U) {
+  std::uint64_t H = mixed(internal::stableHash(Object + "@" + U.Id_.str()));
+  double Unit = (static_cast<double>(H >> 11) + 0.5) / 9007199254740992.0;
+  return -static_cast<double>(U.Slots_) / std::log(Unit);
+}
+
+bool isCold(const SharedUpstream &U, Time Now) { return Now < U.ColdUntil_; }
+
+bool mayWarm(const SharedGroup &G, const SharedUpstream &U, Time Now) {
+  if (G.ColdRate_ <= 0 || !U.Warmer_)
+    return false;
+  auto Every = Duration::millis(static_cast<std::int64_t>(1000 / G.ColdRate_));
+  return Now - U.ColdSentAt_ >= Every;
+}
+
+bool usable(const SharedGroup &G, const SharedUpstream &U,
+            const KeyedWish &Wish, Time Now) {
+  if (!U.Open_ || Now < U.DownUntil_ || Wish.Tried_.count(U.Id_))
+    return false;
+  return !isCold(U, Now) || mayWarm(G, U, Now);
+}
+
+/// Usable upstreams of a region, the preferred one first.
+std::vector<SharedUpstream *> ranked(SharedGroup &G, const RegionId &Region,
+                                     const KeyedWish &Wish,
+                                     const KeyedRules &Rules, Time Now) {
+  std::vector<std::pair<double, SharedUpstream *>> Found;
+  for (SharedUpstream &U : G.Upstreams_) {
+    if (U.Region_ != Region || !usable(G, U, Wish, Now))
+      continue;
+    double Rank = Wish.Object_.empty()
+                      ? -expectedLoad(U, Rules, Now) / U.Slots_
+                      : rendezvous(Wish.Object_, U);
+    Found.push_back({U.Silent_ ? Rank - 1e9 : Rank, &U});
+  }
+  std::sort(Found.begin(), Found.end(),
+            [](const auto &A, const auto &B) { return A.first > B.first; });
+  std::vector<SharedUpstream *> Out;
+  for (const auto &[Rank, U] : Found)
+    Out.push_back(U);
+  return Out;
+}
+
+bool hasRoom(const SharedUpstream &U, double Queued, const KeyedRules &Rules,
+             Time Now) {
+  return expectedLoad(U, Rules, Now) + 1 <= U.Slots_ + Queued;
+}
+
+} // namespace
+
+double expectedLoad(const SharedUpstream &U, const KeyedRules &Rules,
+                    Time Now) {
+  double Age = (Now - U.ToldAt_).inSeconds();
+  double Fade = std::exp2(-Age / Rules.ToldHalfLife_.inSeconds());
+  return U.InFlight_ + U.Others_ * Fade;
+}
+
+SharedUpstream *chooseShared(SharedGroup &G, const KeyedWish &Wish,
+                             const KeyedRules &Rules, Time Now) {
+  bool First = true;
+  for (const RegionId &Region : Wish.Regions_) {
+    for (SharedUpstream *U : ranked(G, Region, Wish, Rules, Now)) {
+      double Queued = First ? Rules.QueuedAtFirst_ : Rules.QueuedElsewhere_;
+      First = false;
+      if (!hasRoom(*U, Queued, Rules, Now))
+        continue;
+      if (isCold(*U, Now))
+        U->ColdSentAt_ = Now;
+      return U;
+    }
+  }
+  return nullptr;
+}
+
+bool anyOpen(const SharedGroup &G, const KeyedWish &Wish, Time Now) {
+  return std::any_of(
+      G.Upstreams_.begin(), G.Upstreams_.end(), [&](const SharedUpstream &U) {
+        bool Allowed = std::find(Wish.Regions_.begin(), Wish.Regions_.end(),
+                                 U.Region_) != Wish.Regions_.end();
+        return Allowed && U.Open_ && Now >= U.DownUntil_ &&
+               !Wish.Tried_.count(U.Id_);
+      });
+}
+
+void release(SharedUpstream &U, const SharedEnd &End, const KeyedRules &Rules,
+             Time Now) {
+  U.InFlight_ -= U.InFlight_ > 0 ? 1 : 0;
+  if (End.Held_) {
+    U.Others_ = std::max(0.0, *End.Held_ - U.InFlight_);
+    U.ToldAt_ = Now;
+  }
+  if (End.Answered_)
+    U.Failures_ = 0;
+  if (!End.NotConnected_ && !End.Failed_)
+    return;
+  ++U.Failures_;
+  if (!End.NotConnected_ && U.Failures_ < Rules.FailuresToPause_)
+    return;
+  Duration Pause = Rules.FirstPause_ * (1LL << std::min(U.Failures_ - 1, 6U));
+  U.DownUntil_ = Now + std::min(Pause, Rules.LongestPause_);
+}
+
+} // namespace lagoonpoint
--- /dev/null
+++ b/lagoonpoint/src/Steering/KeyedChoice.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "lagoonpoint/Config"
+#include "lagoonpoint/Core"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lagoonpoint {
+
+/// \class SharedUpstream
+/// \ingroup Steering
+/// \brief One upstream that many entry VMs send to, as this VM sees it.
+struct SharedUpstream {
+  UpstreamId Id_;
+  std::uint64_t BornAt_ = 0; ///< Unix milliseconds; tells restarts apart
+  Address Address_;
+  ZoneId Zone_;
+  RegionId Region_;
+  unsigned Slots_ = 1;
+  bool Open_ = true;   ///< serves, and its zone isn't drained
+  bool Silent_ = false; ///< announces no more
+  Time ColdUntil_;
+  bool Warmer_ = false; ///< only this VM sends to it while it is cold
+
+  unsigned InFlight_ = 0;  ///< sent by this VM and not ended
+  double Others_ = 0;      ///< requests of other VMs there, when last told
+  Time ToldAt_;            ///< when Others_ was told
+  Time DownUntil_;         ///< not tried before, after failures
+  unsigned Failures_ = 0;  ///< in a row
+  Time ColdSentAt_;        ///< last request sent while it was cold
+};
+
+/// Tunes the choice among shared upstreams.
+struct KeyedRules {
+  /// Requests beyond its slots that an upstream may hold before a call goes to
+  /// the next one; a warm run is shorter than a cold one elsewhere.
+  double QueuedAtFirst_ = 2;
+  /// The same for upstreams that are not the object's first choice.
+  double QueuedElsewhere_ = 0;
+  /// What other VMs were told to have there halves in this time.
+  Duration ToldHalfLife_ = Duration::millis(400);
+  Duration FirstPause_ = Duration::millis(500); ///< after a failure; doubles
+  Duration LongestPause_ = Duration::seconds(8);
+  unsigned FailuresToPause_ = 2; ///< after a connection was made
+};
+
+/// \class SharedGroup
+/// \ingroup Steering
+/// \brief The upstreams of one service.
+struct SharedGroup {
+  std::vector<SharedUpstream> Upstreams_;
+  double ColdRate_ = 0; ///< requests a second that a cold upstream bears
+};
+
+/// What one call asks of the choice.
+struct KeyedWish {
+  std::string Object_;             ///< empty: any upstream is as good
+  std::vector<RegionId> Regions_;  ///< in order of preference
+  std::set<UpstreamId> Tried_;
+};
+
+/// \returns requests that an upstream is thought to hold now.
+/// \ingroup Steering
+double expectedLoad(const SharedUpstream &U, const KeyedRules &Rules, Time Now);
+
+/// Chooses an upstream: the object's first one by weighted rendezvous hashing
+/// in the first region while it has room, then the next ones. All VMs that know
+/// the same upstreams choose alike.
+/// \ingroup Steering
+/// \returns null if all are full, down or tried
+SharedUpstream *chooseShared(SharedGroup &G, const KeyedWish &Wish,
+                             const KeyedRules &Rules, Time Now);
+
+/// \returns true if some upstream could take the call once it has room.
+/// \ingroup Steering
+bool anyOpen(const SharedGroup &G, const KeyedWish &Wish, Time Now);
+
+/// How a request to a shared upstream ended.
+struct SharedEnd {
+  bool Answered_ = false;
+  bool NotConnected_ = false;
+  bool Failed_ = false; ///< broken, or no answer in time
+  std::optional<double> Held_; ///< requests there, as its answer told
+};
+
+/// Takes in how a request ended.
+/// \ingroup Steering
+void release(SharedUpstream &U, const SharedEnd &End, const KeyedRules &Rules,
+             Time Now);
+
+} // namespace lagoonpoint
