Take out upstreams that only say that they depart

Cause: a departure call without a body carries no start time, so the notice lost against the one held and changed nothing, but was confirmed. Change: a core VM completes it from the last announcement; one that doesn't know the upstream answers that another VM has to be asked.

--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -440,6 +440,19 @@
                             : AnnounceResult::Unconfirmed;
 }
 
+AnnounceResult CoreVm::depart(const UpstreamId &Id) {
+  UpstreamNotice Last;
+  {
+    std::lock_guard Guard(Parts_->Lock_);
+    auto Found = Parts_->Upstreams_.Upstreams_.find(Id);
+    if (Found == Parts_->Upstreams_.Upstreams_.end())
+      return AnnounceResult::Unconfirmed; // another core VM may know it
+    Last = Found->second.Said_;
+  }
+  Last.Phase_ = NoticePhase::Gone;
+  return announce(Last);
+}
+
 std::vector<std::string> CoreVm::lookup(const std::string &Host,
                                         const RegionId &Region,
                                         const ZoneId &Zone) {
--- a/lagoonpoint/src/Gateway/CoreVm.h
+++ b/lagoonpoint/src/Gateway/CoreVm.h
@@ -37,6 +37,8 @@
   /// Takes in what an upstream says. One that leaves is answered only once all
   /// entry VMs in contact have confirmed that they know.
   AnnounceResult announce(const UpstreamNotice &A);
+  /// The same for one that says no more than that it leaves.
+  AnnounceResult depart(const UpstreamId &Id);
   /// \returns addresses of entry VMs for callers of \p Host.
   std::vector<std::string> lookup(const std::string &Host,
                                   const RegionId &Region, const ZoneId &Zone);
