Let resends of one large change share one log entry

Cause: each resend of a change of 422 routes was proposed anew, and each commit was encoded once for every entry VM.

--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -88,7 +88,7 @@
   Beat beat();
   BeatReply replyTo(const Beat &B, Time Now);
   void sendTo(const VmId &To, const FleetMessage &M);
-  void sendItems(const VmId &To, Revision Since);
+  void sendItems(const std::vector<VmId> &To, Revision Since);
   void pushItems();
   void spread(std::uint64_t Number, const std::vector<UpstreamNotice> &Said);
   std::set<VmId> entriesInContact(Time Now);
@@ -174,28 +174,30 @@
   Peers_.send({Self_, To, Channel::Fleet, encodeMessage(M)});
 }
 
-void CoreVm::Parts::sendItems(const VmId &To, Revision Since) {
+void CoreVm::Parts::sendItems(const std::vector<VmId> &To, Revision Since) {
   auto Now = items();
   ItemNews News;
   News.Since_ = Since;
   News.Upto_ = Now->Revision_;
   News.Items_ = itemsSince(Now->Items_, Since);
   News.Drains_ = Now->Drains_;
-  sendTo(To, News);
+  std::string Body = encodeMessage(News);
+  for (const VmId &Vm : To)
+    Peers_.send({Self_, Vm, Channel::Fleet, Body});
 }
 
 /// The leader knows first; what its messages miss, the next beats bring.
 void CoreVm::Parts::pushItems() {
   if (!Host_.leaderView().Leading_)
     return;
-  std::vector<std::pair<VmId, Revision>> To;
+  std::map<Revision, std::vector<VmId>> To;
   {
     std::lock_guard Guard(Lock_);
     for (const HeardNode *Node : liveEntries(Roster_, LiveFor, Clock_.now()))
-      To.push_back({Node->Record_.Vm_, Node->Holds_});
+      To[Node->Holds_].push_back(Node->Record_.Vm_);
   }
-  for (const auto &[Vm, Holds] : To)
-    sendItems(Vm, Holds);
+  for (const auto &[Holds, Vms] : To)
+    sendItems(Vms, Holds);
 }
 
 Beat CoreVm::Parts::beat() {
@@ -261,7 +263,7 @@
   if (!Missing.empty())
     sendTo(From, NoticeNews{0, Missing});
   if (!B.Self_.Core_ && B.Holds_ < items()->Revision_)
-    sendItems(From, B.Holds_);
+    sendItems({From}, B.Holds_);
 }
 
 void CoreVm::Parts::onReply(const BeatReply &R) { Book_.addCores(R.Cores_); }
@@ -415,6 +417,13 @@
     throw UnavailableError("core.submit", "", "the voters are being formed");
   Change Named = C;
   Named.Id_ = freshChangeId();
+  if (C.Kind_ == ChangeKind::PatchItems && !C.Items_.empty()) {
+    auto Now = Parts_->items();
+    std::string Fault = patchFault(Now->Items_, C.Items_);
+    if (Fault.empty() && holdsAll(Now->Items_, C.Items_))
+      return {ChangeVerdict::Accepted, Now->Revision_, "nothing newer"};
+    Named.Id_ = ChangeId("p" + sha256Hex(encode(C.Items_)));
+  }
   return Parts_->Router_.submit(Named, Wait);
 }
 
--- a/lagoonpoint/src/Items/ItemChecks.cpp
+++ b/lagoonpoint/src/Items/ItemChecks.cpp
@@ -57,24 +57,42 @@
   return "";
 }
 
-/// Names of the services that routes use and the set doesn't hold.
-std::string unknownService(const ItemSet &Items, const RouteItem &R) {
+/// \returns the item of a name once a patch is merged, null if there is none.
+template <class Item>
+const Item *merged(const ItemMap<Item> &Held, const ItemMap<Item> &Patch,
+                   const std::string &Name) {
+  auto New = Patch.find(Name);
+  auto Old = Held.find(Name);
+  bool Newer = New != Patch.end() &&
+               (Old == Held.end() ||
+                New->second.Version_ > Old->second.Version_);
+  return findItem(Newer ? Patch : Held, Name);
+}
+
+std::string unknownService(const ItemSet &Held, const ItemSet &Patch,
+                           const RouteItem &R) {
   for (const SplitPart &Part : R.Split_)
-    if (!findItem(Items.Services_, Part.Service_.str()))
+    if (!merged(Held.Services_, Patch.Services_, Part.Service_.str()))
       return "unknown service \"" + Part.Service_.str() + "\"";
   return "";
 }
 
-std::string sharedKey(const ItemSet &Items) {
+std::string sharedKey(const ItemSet &Held, const ItemSet &Patch) {
+  std::set<std::string> Names;
+  for (const auto &[Name, Team] : Held.Teams_)
+    Names.insert(Name);
+  for (const auto &[Name, Team] : Patch.Teams_)
+    Names.insert(Name);
   std::map<std::string, std::string> Owners;
-  for (const auto &[Name, Team] : Items.Teams_) {
-    if (Team.Removed_)
+  for (const std::string &Name : Names) {
+    const TeamItem *Team = merged(Held.Teams_, Patch.Teams_, Name);
+    if (!Team)
       continue;
-    for (const std::string &Key : Team.Value_.Keys_) {
+    for (const std::string &Key : Team->Keys_) {
       auto [At, Fresh] = Owners.emplace(Key, Name);
       if (!Fresh && At->second != Name)
-        return naming("team", Name, "shares a key with team \"" + At->second +
-                                        "\"");
+        return naming("team", Name,
+                      "shares a key with team \"" + At->second + "\"");
     }
   }
   return "";
@@ -100,12 +118,11 @@
   std::string Fault = itemFault(Patch);
   if (!Fault.empty())
     return Fault;
-  ItemSet Merged = Held;
-  mergeItems(Merged, Patch, Revision());
   for (const auto &[Name, R] : Patch.Routes_)
-    if (!R.Removed_ && !(Fault = unknownService(Merged, R.Value_)).empty())
+    if (!R.Removed_ &&
+        !(Fault = unknownService(Held, Patch, R.Value_)).empty())
       return naming("route", Name, Fault);
-  return sharedKey(Merged);
+  return Patch.Teams_.empty() ? "" : sharedKey(Held, Patch);
 }
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Items/ItemSet.cpp
+++ b/lagoonpoint/src/Items/ItemSet.cpp
@@ -1,5 +1,7 @@
 #include "lagoonpoint/src/Items/ItemSet.h"
 
+#include <algorithm>
+
 namespace lagoonpoint {
 
 namespace {
@@ -29,6 +31,15 @@
   return Changed;
 }
 
+template <class Item>
+bool holdsKind(const ItemMap<Item> &Held, const ItemMap<Item> &Patch) {
+  return std::all_of(Patch.begin(), Patch.end(), [&](const auto &Entry) {
+    auto Found = Held.find(Entry.first);
+    return Found != Held.end() &&
+           Found->second.Version_ >= Entry.second.Version_;
+  });
+}
+
 template <class Item>
 void copySince(const ItemMap<Item> &All, Revision After, ItemMap<Item> &Out) {
   for (const auto &[Name, Item_] : All)
@@ -46,6 +57,13 @@
   return mergeAll(Into, From, nullptr);
 }
 
+bool holdsAll(const ItemSet &Held, const ItemSet &Patch) {
+  return holdsKind(Held.Routes_, Patch.Routes_) &&
+         holdsKind(Held.Teams_, Patch.Teams_) &&
+         holdsKind(Held.Services_, Patch.Services_) &&
+         holdsKind(Held.Limits_, Patch.Limits_);
+}
+
 ItemSet itemsSince(const ItemSet &All, Revision After) {
   ItemSet Out;
   copySince(All.Routes_, After, Out.Routes_);
--- a/lagoonpoint/src/Items/ItemSet.h
+++ b/lagoonpoint/src/Items/ItemSet.h
@@ -40,6 +40,10 @@
 /// \returns true if any item changed
 bool adoptItems(ItemSet &Into, const ItemSet &From);
 
+/// \returns true if a patch would change nothing.
+/// \ingroup Items
+bool holdsAll(const ItemSet &Held, const ItemSet &Patch);
+
 /// \returns the items that changed after a revision, removals included.
 /// \ingroup Items
 ItemSet itemsSince(const ItemSet &All, Revision After);
--- a/lagoonpoint/src/Node/ReplicaHost.cpp
+++ b/lagoonpoint/src/Node/ReplicaHost.cpp
@@ -52,7 +52,15 @@
       return Done(NotHere);
     if (auto Kept = keptReply(Catalog_, C.Id_))
       return Done({true, *Kept, {}});
-    std::string Fault = invalidity(C);
+    // A resend of a change that is on its way waits for the same entry.
+    for (const auto &[Index, Other] : Waiting_)
+      if (Other.Id_ == C.Id_) {
+        Waiting_.emplace(Index, Waiting{C.Id_, Done});
+        return;
+      }
+    std::string Fault = C.Kind_ == ChangeKind::PatchItems
+                            ? patchFault(Catalog_.Items_, C.Items_)
+                            : invalidity(C);
     if (!Fault.empty())
       return Done(
           {true, {ChangeVerdict::Invalid, Catalog_.Revision_, Fault}, {}});
