Tell a full send buffer from a lost connection

Cause: POCO 1.11's sendBytes() throws IOException for EAGAIN on a non-blocking socket. The peers closed each connection that could not take a message at once, and the proxy took a caller or upstream whose buffer was full for gone; a change of 422 routes never reached the followers.

--- a/lagoonpoint/src/Http/util/Wire.cpp
+++ b/lagoonpoint/src/Http/util/Wire.cpp
@@ -1,5 +1,7 @@
 #include "lagoonpoint/src/Http/util/Wire.h"
 
+#include "lagoonpoint/src/Core/util/TrySend.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
 
@@ -99,15 +101,7 @@
 // Returns the bytes taken, 0 if none fit now, -1 if the connection is lost.
 int Wire::sendSome(std::string_view Bytes) {
   constexpr std::size_t MaxSend = 1 << 20;
-  try {
-    int Length = static_cast<int>(std::min(Bytes.size(), MaxSend));
-    int Count = Socket_.sendBytes(Bytes.data(), Length, MSG_NOSIGNAL);
-    return std::max(Count, 0);
-  } catch (const Poco::TimeoutException &) {
-    return 0;
-  } catch (const Poco::Exception &) {
-    return -1;
-  }
+  return trySend(fd(), Bytes.substr(0, MaxSend));
 }
 
 WireEnd Wire::wait(short Events, const Until &Limit, Watch Other) const {
--- a/lagoonpoint/src/Peer/PeerConnection.cpp
+++ b/lagoonpoint/src/Peer/PeerConnection.cpp
@@ -1,5 +1,7 @@
 #include "lagoonpoint/src/Peer/PeerConnection.h"
 
+#include "lagoonpoint/src/Core/util/TrySend.h"
+
 #include <sys/socket.h>
 
 #include <array>
@@ -80,9 +82,10 @@
       Session->takeOutput(Output_, OutputBytes);
     if (Output_.empty())
       break;
-    int Count = Socket_.sendBytes(
-        Output_.data(), static_cast<int>(Output_.size()), MSG_NOSIGNAL);
-    if (Count <= 0)
+    int Count = trySend(Socket_.impl()->sockfd(), Output_);
+    if (Count < 0)
+      throw Error("peer.write", peer().str(), "the connection is lost");
+    if (Count == 0)
       break;
     Output_.erase(0, static_cast<std::size_t>(Count));
     Total += static_cast<std::size_t>(Count);
--- a/test/Core.cpp
+++ b/test/Core.cpp
@@ -3,8 +3,13 @@
 #include "fakes/FakeNetwork.h"
 #include "lagoonpoint/Codec"
 
+#include "lagoonpoint/src/Core/util/TrySend.h"
+
 #include <catch2/catch.hpp>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace lagoonpoint;
 
 namespace {
@@ -77,3 +82,28 @@
     CHECK(Net.due(Time(5)).size() == 2);
   }
 }
+
+TEST_CASE("A socket whose send buffer is full") {
+  int Ends[2];
+  REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, Ends) == 0);
+  std::string Bytes(1 << 16, 'x');
+  int Last = 1;
+  while (Last > 0)
+    Last = internal::trySend(Ends[0], Bytes);
+
+  SECTION("takes nothing now, and isn't lost") { CHECK(Last == 0); }
+  SECTION("takes bytes again once the peer has read") {
+    std::string Read(1 << 20, ' ');
+    while (::read(Ends[1], Read.data(), Read.size()) > 0) {
+    }
+    CHECK(internal::trySend(Ends[0], Bytes) > 0);
+  }
+  SECTION("is lost once the peer is gone") {
+    ::close(Ends[1]);
+    Ends[1] = -1;
+    CHECK(internal::trySend(Ends[0], Bytes) == -1);
+  }
+  ::close(Ends[0]);
+  if (Ends[1] >= 0)
+    ::close(Ends[1]);
+}
