--- a/lagoonpoint/src/Config/FleetSettings.cpp
+++ b/lagoonpoint/src/Config/FleetSettings.cpp
@@ -118,6 +118,8 @@
        plainKey("retry_window", "10s", DurationUnit, &S::RetryWindow_),
        plainKey("retry_slack", "0", NumberUnit, &S::RetrySlack_),
        plainKey("quota_window", "5s", DurationUnit, &S::QuotaWindow_),
+       plainKey("quota_overage", "0", NumberUnit, &S::QuotaOverage_),
+       plainKey("quota_slack", "0", NumberUnit, &S::QuotaSlack_),
        plainKey("max_region_shift", "0.15", NumberUnit, &S::MaxRegionShift_)}};
   return Spec;
 }
--- a/lagoonpoint/src/Config/FleetSettings.h
+++ b/lagoonpoint/src/Config/FleetSettings.h
@@ -40,6 +40,8 @@
   Duration RetryWindow_ = Duration::seconds(10);
   double RetrySlack_ = 0; ///< further sends a window, fleet-wide
   Duration QuotaWindow_ = Duration::seconds(5);
+  double QuotaOverage_ = 0;  ///< part that teams may get beyond their rate
+  double QuotaSlack_ = 0;    ///< requests a window beyond that
   double MaxRegionShift_ = 0.15; ///< share of requests that change region
   std::string LogLevel_ = "info";
 };
--- a/lagoonpoint/src/Fleet/Currency.h
+++ b/lagoonpoint/src/Fleet/Currency.h
@@ -22,6 +22,8 @@
     LogProof Proof_;
   };
   LogIndex Applied_; ///< entry up to which the items are complete
+  LogIndex ConfigAt_;
+  VoterConfig Config_; ///< newest that any core VM told of
   std::map<VmId, Answer> Answers_;
 };
 
--- a/lagoonpoint/src/Fleet/Directory.cpp
+++ b/lagoonpoint/src/Fleet/Directory.cpp
@@ -11,7 +11,7 @@
                               const Accept &Accepts) {
   std::vector<std::string> Out;
   for (const HeardNode *Node : Live)
-    if (Node->Record_.Ready_ && Accepts(Node->Record_) &&
+    if (Node->Ready_ && Accepts(Node->Record_) &&
         Out.size() < MaxNamed)
       Out.push_back(Node->Record_.Callers_);
   return Out;
--- a/lagoonpoint/src/Fleet/FleetMessage.h
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -19,9 +19,8 @@
   RegionId Region_;
   std::string Callers_;    ///< entry VM: where callers connect, "host:port"
   std::uint64_t BornAt_ = 0; ///< Unix milliseconds of the process's start
-  bool Ready_ = false;     ///< entry VM: takes new callers
   DiskId Disk_;            ///< core VM: of its data folder
-  MSGPACK_DEFINE(Vm_, Core_, Zone_, Region_, Callers_, BornAt_, Ready_, Disk_)
+  MSGPACK_DEFINE(Vm_, Core_, Zone_, Region_, Callers_, BornAt_, Disk_)
 };
 
 /// Requests a second by name.
@@ -35,18 +34,23 @@
   MSGPACK_DEFINE(Id_, Sequence_, Age_)
 };
 
-/// Sent by every VM to every core VM that it knows.
+/// Sent by every VM to every core VM that it knows. What the receiver holds
+/// already is left out.
 struct Beat {
-  NodeRecord Self_;
+  std::uint64_t BornAt_ = 0; ///< Unix milliseconds of the sender's start
+  std::vector<NodeRecord> Self_; ///< one, unless the receiver holds it
+  bool Ready_ = false;           ///< entry VM: takes new callers
   std::int64_t Asked_ = 0; ///< sender's clock; only echoed
   Revision Holds_;         ///< of the items that the sender holds
-  std::uint64_t Upstreams_ = 0;   ///< digest of the sender's announcements
-  std::vector<VmId> Cores_;       ///< that the sender knows
-  RateMap TeamRates_;             ///< asked of the sender by callers
-  RateMap ServiceRates_;          ///< asked of the sender by callers
+  LogIndex ConfigAt_; ///< entry that set the newest voters the sender knows of
+  std::uint64_t Upstreams_ = 0; ///< digest of the sender's announcements
+  std::vector<VmId> Cores_;     ///< that the sender knows; empty: as before
+  bool WantsRates_ = false;     ///< the answer should sum up the fleet's rates
+  RateMap TeamRates_;           ///< asked of the sender by callers
+  RateMap ServiceRates_;        ///< asked of the sender by callers
   std::vector<Sighting> Sighted_; ///< between core VMs
-  MSGPACK_DEFINE(Self_, Asked_, Holds_, Upstreams_, Cores_, TeamRates_,
-                 ServiceRates_, Sighted_)
+  MSGPACK_DEFINE(BornAt_, Self_, Ready_, Asked_, Holds_, ConfigAt_, Upstreams_, Cores_,
+                 WantsRates_, TeamRates_, ServiceRates_, Sighted_)
 };
 
 /// How far one core VM's part of the log reaches.
@@ -54,25 +58,31 @@
   DiskId Disk_;
   LogIndex Last_;     ///< highest entry on its disk, committed or not
   LogIndex Applied_;  ///< highest entry that its items include
-  LogIndex ConfigAt_; ///< entry that set Config_
-  VoterConfig Config_;
+  LogIndex ConfigAt_; ///< entry that set the newest voters it knows of
+  std::vector<VoterConfig> Config_; ///< one, unless the receiver knows it
   MSGPACK_DEFINE(Disk_, Last_, Applied_, ConfigAt_, Config_)
 };
 
+/// What entry VMs are asked for together.
+struct FleetRates {
+  std::vector<VmId> Entries_; ///< live entry VMs
+  RateMap TeamRates_;         ///< summed over them
+  std::map<std::string, RateMap> RegionRates_; ///< service rates by region
+  MSGPACK_DEFINE(Entries_, TeamRates_, RegionRates_)
+};
+
 /// Answer of a core VM to a Beat.
 struct BeatReply {
-  std::int64_t Asked_ = 0; ///< of the beat
-  NodeRecord Self_;
+  std::int64_t Asked_ = 0;  ///< of the beat
+  bool KnowsSender_ = true; ///< else the sender should describe itself
   Revision Holds_;
   std::uint64_t Upstreams_ = 0; ///< digest of the announcements it holds
   std::vector<UpstreamId> Silent_; ///< announced nothing to any core VM lately
   LogProof Proof_;
-  std::vector<VmId> Cores_;
-  std::vector<VmId> Entries_; ///< live entry VMs
-  RateMap TeamRates_;         ///< summed over live entry VMs
-  std::map<std::string, RateMap> RegionRates_; ///< service rates by region
-  MSGPACK_DEFINE(Asked_, Self_, Holds_, Upstreams_, Silent_, Proof_, Cores_,
-                 Entries_, TeamRates_, RegionRates_)
+  std::vector<VmId> Cores_;       ///< where the sender's list differs
+  std::vector<FleetRates> Rates_; ///< one, if asked for
+  MSGPACK_DEFINE(Asked_, KnowsSender_, Holds_, Upstreams_, Silent_, Proof_,
+                 Cores_, Rates_)
 };
 
 /// Items that an entry VM lacks.
--- a/lagoonpoint/src/Fleet/Roster.cpp
+++ b/lagoonpoint/src/Fleet/Roster.cpp
@@ -15,18 +15,25 @@
 
 } // namespace
 
-bool note(Roster &R, const Beat &B, Time Now) {
-  auto Found = R.Nodes_.find(B.Self_.Vm_);
-  if (Found != R.Nodes_.end() &&
-      B.Self_.BornAt_ < Found->second.Record_.BornAt_)
-    return false;
-  HeardNode &Node = R.Nodes_[B.Self_.Vm_];
-  Node.Record_ = B.Self_;
+BeatNote note(Roster &R, const VmId &From, const Beat &B, Time Now) {
+  auto Found = R.Nodes_.find(From);
+  bool Known = Found != R.Nodes_.end();
+  if (Known && B.BornAt_ < Found->second.Record_.BornAt_)
+    return BeatNote::Outdated;
+  bool Same = Known && B.BornAt_ == Found->second.Record_.BornAt_;
+  if (B.Self_.empty() && !Same)
+    return BeatNote::Unknown;
+  HeardNode &Node = R.Nodes_[From];
+  if (!B.Self_.empty())
+    Node.Record_ = B.Self_.front();
   Node.HeardAt_ = Now;
   Node.Holds_ = B.Holds_;
-  Node.TeamRates_ = B.TeamRates_;
-  Node.ServiceRates_ = B.ServiceRates_;
-  return true;
+  Node.Ready_ = B.Ready_;
+  if (!B.TeamRates_.empty() || !B.ServiceRates_.empty()) {
+    Node.TeamRates_ = B.TeamRates_;
+    Node.ServiceRates_ = B.ServiceRates_;
+  }
+  return BeatNote::Taken;
 }
 
 void forget(Roster &R, Duration Silence, Time Now) {
--- a/lagoonpoint/src/Fleet/Roster.h
+++ b/lagoonpoint/src/Fleet/Roster.h
@@ -10,6 +10,7 @@
 struct HeardNode {
   NodeRecord Record_;
   Time HeardAt_;
+  bool Ready_ = false; ///< entry VM: takes new callers
   Revision Holds_;
   RateMap TeamRates_;
   RateMap ServiceRates_;
@@ -22,10 +23,16 @@
   std::map<VmId, HeardNode> Nodes_;
 };
 
-/// Takes in a beat; one of an earlier start of the sender is dropped.
+/// How a beat was taken.
+enum class BeatNote {
+  Taken,
+  Unknown, ///< the sender has to describe itself
+  Outdated ///< of an earlier start of the sender
+};
+
+/// Takes in a beat.
 /// \ingroup Fleet
-/// \returns false if it was dropped
-bool note(Roster &R, const Beat &B, Time Now);
+BeatNote note(Roster &R, const VmId &From, const Beat &B, Time Now);
 
 /// Drops VMs not heard of for a span.
 /// \ingroup Fleet
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -15,11 +15,12 @@
 
 namespace {
 
-constexpr Duration BeatEvery = Duration::millis(300);
-/// An entry VM beats every 400 ms: three beats may be lost.
-constexpr Duration LiveFor = Duration::millis(1800);
-/// Callers are told of an entry VM until it misses this many beats.
-constexpr Duration NamedFor = Duration::millis(2500);
+constexpr Duration TickEvery = Duration::millis(250);
+constexpr Duration BeatEvery = Duration::seconds(1);
+/// VMs beat once a second: two beats may be lost.
+constexpr Duration LiveFor = Duration::millis(2700);
+/// Callers are told of an entry VM for as long.
+constexpr Duration NamedFor = LiveFor;
 constexpr Duration ForgetNodes = Duration::seconds(60);
 constexpr Duration ForgetUpstreams = Duration::seconds(60);
 /// An upstream tries the next VM after a second without an answer.
@@ -73,20 +74,22 @@
         Host_(ReplicaSettings_, Clock_, Peers_,
               [this](const Catalog &C, const Change *) { observe(C); }),
         Router_(Self_, seedVms(S), &Host_, Clock_, Peers_),
-        Ticker_("core.tick", BeatEvery, [this] { tick(); }) {}
+        Ticker_("core.tick", TickEvery, [this] { tick(); }) {}
 
   void receive(Envelope Message);
   void observe(const Catalog &C);
   void tick();
 
   void onBeat(const VmId &From, const Beat &B);
-  void onReply(const BeatReply &R);
+  void onReply(const VmId &From, const BeatReply &R);
   void onNews(const VmId &From, const NoticeNews &N);
   void onSeen(const VmId &From, const NoticesSeen &S);
 
   NodeRecord self();
   Beat beat();
-  BeatReply replyTo(const Beat &B, Time Now);
+  BeatReply replyTo(const VmId &From, const Beat &B, Time Now);
+  FleetRates rates(Time Now);
+  void sendBeats();
   void sendTo(const VmId &To, const FleetMessage &M);
   void sendItems(const std::vector<VmId> &To, Revision Since);
   void pushItems();
@@ -116,6 +119,8 @@
   Roster Roster_;
   UpstreamBook Upstreams_;
   std::map<UpstreamId, Sighting> Sighted_; ///< here, since the last beat
+  std::set<VmId> Introduced_; ///< core VMs that hold this VM's record
+  Time NextBeat_;
   std::map<std::uint64_t, std::set<VmId>> Unconfirmed_;
   std::uint64_t NextNumber_ = 1;
 
@@ -135,7 +140,7 @@
   if (const auto *B = std::get_if<Beat>(&M))
     onBeat(Message.From_, *B);
   else if (const auto *R = std::get_if<BeatReply>(&M))
-    onReply(*R);
+    onReply(Message.From_, *R);
   else if (const auto *N = std::get_if<NoticeNews>(&M))
     onNews(Message.From_, *N);
   else if (const auto *S = std::get_if<NoticesSeen>(&M))
@@ -202,10 +207,9 @@
 
 Beat CoreVm::Parts::beat() {
   Beat Out;
-  Out.Self_ = self();
+  Out.BornAt_ = BornAt_;
   Out.Asked_ = Clock_.now().count();
   Out.Holds_ = items()->Revision_;
-  Out.Cores_ = Book_.cores();
   std::lock_guard Guard(Lock_);
   Out.Upstreams_ = digestOf(Upstreams_);
   for (auto &[Id, S] : Sighted_)
@@ -214,59 +218,76 @@
   return Out;
 }
 
-BeatReply CoreVm::Parts::replyTo(const Beat &B, Time Now) {
+/// Called with Lock_ held.
+FleetRates CoreVm::Parts::rates(Time Now) {
+  FleetRates Out;
+  for (const HeardNode *Node : liveEntries(Roster_, LiveFor, Now)) {
+    Out.Entries_.push_back(Node->Record_.Vm_);
+    for (const auto &[Team, Rate] : Node->TeamRates_)
+      Out.TeamRates_[Team] += Rate;
+    RateMap &Region = Out.RegionRates_[Node->Record_.Region_.str()];
+    for (const auto &[Service, Rate] : Node->ServiceRates_)
+      Region[Service] += Rate;
+  }
+  return Out;
+}
+
+BeatReply CoreVm::Parts::replyTo(const VmId &From, const Beat &B, Time Now) {
   BeatReply Out;
   Out.Asked_ = B.Asked_;
-  Out.Self_ = self();
   LeaderView View = Host_.leaderView();
   Out.Holds_ = View.Revision_;
-  Out.Proof_ = {View.Disk_, View.Last_, View.Applied_, View.ConfigAt_,
-                View.Config_};
-  Out.Cores_ = Book_.cores();
+  Out.Proof_ = {View.Disk_, View.Last_, View.Applied_, View.ConfigAt_, {}};
+  if (B.ConfigAt_ != View.ConfigAt_)
+    Out.Proof_.Config_.push_back(View.Config_);
+  Out.Cores_ = Book_.coresFor(From);
   std::lock_guard Guard(Lock_);
   Out.Upstreams_ = digestOf(Upstreams_);
   for (const auto &[Id, Known] : Upstreams_.Upstreams_)
     if (Known.Silent_)
       Out.Silent_.push_back(Id);
-  if (B.Self_.Core_)
-    return Out;
-  for (const HeardNode *Node : liveEntries(Roster_, LiveFor, Now)) {
-    Out.Entries_.push_back(Node->Record_.Vm_);
-    for (const auto &[Team, Rate] : Node->TeamRates_)
-      Out.TeamRates_[Team] += Rate;
-    RateMap &Region = Out.RegionRates_[Node->Record_.Region_.str()];
-    for (const auto &[Service, Rate] : Node->ServiceRates_)
-      Region[Service] += Rate;
-  }
+  if (B.WantsRates_)
+    Out.Rates_.push_back(rates(Now));
   return Out;
 }
 
 void CoreVm::Parts::onBeat(const VmId &From, const Beat &B) {
-  if (B.Self_.Vm_ != From)
-    return;
   Time Now = Clock_.now();
   std::vector<UpstreamNotice> Missing;
+  BeatNote Taken = BeatNote::Taken;
+  bool FromCore = false;
   {
     std::lock_guard Guard(Lock_);
-    if (!note(Roster_, B, Now))
+    Taken = note(Roster_, From, B, Now);
+    if (Taken == BeatNote::Outdated)
       return;
+    if (Taken == BeatNote::Taken)
+      FromCore = Roster_.Nodes_[From].Record_.Core_;
     for (const Sighting &S : B.Sighted_)
       heard(Upstreams_, S.Id_, S.Sequence_, S.Age_, Now);
     if (B.Upstreams_ != digestOf(Upstreams_))
       Missing = noticesOf(Upstreams_, Now);
   }
-  if (B.Self_.Core_)
+  if (FromCore)
     Book_.addCores({From});
   Book_.add({From});
   Book_.addCores(B.Cores_);
-  sendTo(From, replyTo(B, Now));
+  BeatReply Reply = replyTo(From, B, Now);
+  Reply.KnowsSender_ = Taken == BeatNote::Taken;
+  sendTo(From, Reply);
   if (!Missing.empty())
     sendTo(From, NoticeNews{0, Missing});
-  if (!B.Self_.Core_ && B.Holds_ < items()->Revision_)
+  if (!FromCore && B.Holds_ < items()->Revision_)
     sendItems({From}, B.Holds_);
 }
 
-void CoreVm::Parts::onReply(const BeatReply &R) { Book_.addCores(R.Cores_); }
+void CoreVm::Parts::onReply(const VmId &From, const BeatReply &R) {
+  Book_.addCores(R.Cores_);
+  if (R.KnowsSender_)
+    return;
+  std::lock_guard Guard(Lock_);
+  Introduced_.erase(From);
+}
 
 void CoreVm::Parts::onNews(const VmId &From, const NoticeNews &N) {
   {
@@ -379,12 +400,25 @@
   for (const Voter &V : Host_.leaderView().Config_.Voters_)
     Voters.push_back(V.Vm_);
   Router_.setVoters(Voters);
-  Beat B = beat();
-  for (const VmId &Vm : Book_.cores())
-    sendTo(Vm, B);
+  if (Now >= NextBeat_) {
+    NextBeat_ = Now + BeatEvery;
+    sendBeats();
+  }
   repairVoters();
 }
 
+void CoreVm::Parts::sendBeats() {
+  Beat B = beat();
+  for (const VmId &Vm : Book_.cores()) {
+    Beat Each = B;
+    Each.Cores_ = Book_.coresFor(Vm);
+    std::lock_guard Guard(Lock_);
+    if (Introduced_.insert(Vm).second)
+      Each.Self_.push_back(self());
+    sendTo(Vm, Each);
+  }
+}
+
 bool CoreVm::Parts::formed() {
   Time Now = Clock_.now();
   if (!Settings_.Bootstrap_ || Now - StartedAt_ > FormWithin)
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -18,10 +18,11 @@
 namespace {
 
 constexpr const char *Step = "call.admit";
-constexpr Duration BeatEvery = Duration::millis(400);
+constexpr Duration TickEvery = Duration::millis(500);
+constexpr Duration BeatEvery = Duration::seconds(1);
 constexpr Duration ForgetUpstreams = Duration::seconds(120);
 /// What core VMs said longer ago doesn't tell which upstreams are silent.
-constexpr Duration HeardWithin = Duration::seconds(2);
+constexpr Duration HeardWithin = Duration::seconds(3);
 /// Between a check of the keys and the arrival of the request upstream.
 constexpr Duration RevokeMargin = Duration::millis(400);
 constexpr Duration ComeBackSoon = Duration::millis(500);
@@ -119,7 +120,7 @@
         Peers_(
             fleetPeerOptions(S), [this](Envelope E) { receive(std::move(E)); },
             Clock_, [](const Error &E) { logError(E, LogLevel::Debug); }),
-        Book_(S, Peers_), Dispatcher_(S, Clock_), Teams_(Clock_),
+        Book_(S, Peers_), Dispatcher_(S, Clock_), Teams_(S, Clock_),
         Services_{Clock_,
                   Dispatcher_,
                   Retries_,
@@ -128,7 +129,7 @@
                   [this] { return retryLimits(); },
                   [this](const TeamId &T) { Teams_.giveBack(T); }},
         Server_(*this, CallerSettings_, Clock_, &Metrics_, std::move(D)),
-        Ticker_("entry.tick", BeatEvery, [this] { tick(); }) {}
+        Ticker_("entry.tick", TickEvery, [this] { tick(); }) {}
 
   LookupReply lookup(const LookupQuery &) override {
     throw Refusal(RefusalReason::NoSuchRoute, Ran::No, "lookup",
@@ -144,7 +145,9 @@
   void onReply(const VmId &From, const BeatReply &R);
   void onItems(const ItemNews &News);
   void onNews(const VmId &From, const NoticeNews &N);
-  Beat beat();
+  NodeRecord self() const;
+  void sendBeats();
+  VmId accountant(Time Now) const;
   void sendTo(const VmId &To, const FleetMessage &M);
   void teachDispatcher();
   void markSilent(Time Now);
@@ -183,6 +186,8 @@
   std::map<VmId, std::pair<Time, std::set<UpstreamId>>> Silent_;
   std::map<std::string, RateMap> RegionRates_;
   Time RebalancedAt_;
+  std::set<VmId> Introduced_; ///< core VMs that hold this VM's record
+  Time NextBeat_;             ///< used by the ticker only
 
   CallerServer Server_;
   Worker Ticker_;
@@ -220,14 +225,18 @@
     note(Currency_, From, Time(R.Asked_), R.Proof_);
     if (Held >= R.Holds_)
       Currency_.Applied_ = std::max(Currency_.Applied_, R.Proof_.Applied_);
-    if (!R.Entries_.empty())
-      Entries_ = R.Entries_;
+    if (!R.KnowsSender_)
+      Introduced_.erase(From);
+    if (!R.Rates_.empty()) {
+      Entries_ = R.Rates_.front().Entries_;
+      RegionRates_ = R.Rates_.front().RegionRates_;
+    }
     Silent_[From] = {Now, {R.Silent_.begin(), R.Silent_.end()}};
-    RegionRates_ = R.RegionRates_;
     if (R.Upstreams_ != digestOf(Upstreams_))
       Lacking = noticesOf(Upstreams_, Now);
   }
-  Teams_.learn(R.TeamRates_, R.Entries_.size());
+  if (!R.Rates_.empty())
+    Teams_.learn(R.Rates_.front().TeamRates_, R.Rates_.front().Entries_.size());
   // A core VM that has just started knows no upstreams yet.
   if (!Lacking.empty())
     sendTo(From, NoticeNews{0, Lacking});
@@ -291,32 +300,59 @@
   age(Upstreams_, ForgetUpstreams, ForgetUpstreams, Now);
 }
 
-Beat EntryVm::Parts::beat() {
-  Beat Out;
-  Out.Self_.Vm_ = Self_;
-  Out.Self_.Zone_ = Settings_.Zone_;
-  Out.Self_.Region_ = Settings_.Region_;
-  Out.Self_.Callers_ = Settings_.Callers_;
-  Out.Self_.BornAt_ = BornAt_;
-  Out.Self_.Ready_ = configured() && !Draining_;
-  Out.Asked_ = Clock_.now().count();
-  Out.Holds_ = current()->Revision_;
-  Teams_.rates(Out.TeamRates_, Out.ServiceRates_);
-  std::lock_guard Guard(Lock_);
-  Out.Upstreams_ = digestOf(Upstreams_);
+NodeRecord EntryVm::Parts::self() const {
+  NodeRecord Out;
+  Out.Vm_ = Self_;
+  Out.Zone_ = Settings_.Zone_;
+  Out.Region_ = Settings_.Region_;
+  Out.Callers_ = Settings_.Callers_;
+  Out.BornAt_ = BornAt_;
   return Out;
 }
 
+/// The core VM that answered last among those asked sums up the rates.
+void EntryVm::Parts::sendBeats() {
+  Beat B;
+  B.BornAt_ = BornAt_;
+  B.Asked_ = Clock_.now().count();
+  B.Holds_ = current()->Revision_;
+  B.Ready_ = configured() && !Draining_;
+  Teams_.rates(B.TeamRates_, B.ServiceRates_);
+  NodeRecord Own = self();
+  std::lock_guard Guard(Lock_);
+  B.ConfigAt_ = Currency_.ConfigAt_;
+  B.Upstreams_ = digestOf(Upstreams_);
+  Time Now = Clock_.now();
+  VmId Accountant = accountant(Now);
+  for (const VmId &Core : Book_.cores()) {
+    Beat Each = B;
+    Each.Cores_ = Book_.coresFor(Core);
+    Each.WantsRates_ = Core == Accountant;
+    if (Introduced_.insert(Core).second)
+      Each.Self_.push_back(Own);
+    sendTo(Core, Each);
+  }
+}
+
+/// \returns the core VM to ask for the fleet's rates: the first that answers.
+VmId EntryVm::Parts::accountant(Time Now) const {
+  for (const auto &[Core, Said] : Silent_)
+    if (Now - Said.first <= HeardWithin)
+      return Core;
+  return VmId();
+}
+
 void EntryVm::Parts::tick() {
   Time Now = Clock_.now();
-  Beat B = beat();
-  for (const VmId &Core : Book_.cores())
-    sendTo(Core, B);
+  if (Now >= NextBeat_ || !Parts::configured()) {
+    NextBeat_ = Now + BeatEvery;
+    sendBeats();
+  }
   std::lock_guard Guard(Lock_);
   markSilent(Now);
   teachDispatcher();
   Dispatcher_.rebalance(RegionRates_, RebalancedAt_ == Time()
-                                          ? BeatEvery
+                                          ? TickEvery
                                           : Now - RebalancedAt_);
   RebalancedAt_ = Now;
 }
@@ -455,9 +491,7 @@
 void EntryVm::drain() {
   log({.Step_ = "entry.drain", .Message_ = "draining"});
   Parts_->Draining_ = true;
-  Beat B = Parts_->beat();
-  for (const VmId &Core : Parts_->Book_.cores())
-    Parts_->sendTo(Core, B);
+  Parts_->sendBeats();
   Duration Wait =
       std::min(Parts_->Settings_.LookupTtl_ + DrainSlack,
                Parts_->Settings_.Grace_ / 2);
--- a/lagoonpoint/src/Gateway/PeerBook.cpp
+++ b/lagoonpoint/src/Gateway/PeerBook.cpp
@@ -9,6 +9,8 @@
 constexpr Duration HandshakeTimeout = Duration::millis(1500);
 /// Older messages say less than the next beat.
 constexpr Duration QueueAge = Duration::seconds(2);
+/// Messages without the list of core VMs; the one with it may have been lost.
+constexpr unsigned NameAgainAfter = 16;
 
 } // namespace
 
@@ -61,11 +63,13 @@
   return {Cores_.begin(), Cores_.end()};
 }
 
-void PeerBook::keepCores(const std::set<VmId> &Alive) {
+std::vector<VmId> PeerBook::coresFor(const VmId &Peer) {
   std::lock_guard Guard(Lock_);
-  std::erase_if(Cores_, [&](const VmId &Vm) {
-    return !Alive.count(Vm) && !Seeds_.count(Vm);
-  });
+  Naming &Last = Named_[Peer];
+  if (Last.Cores_ == Cores_.size() && ++Last.Skipped_ < NameAgainAfter)
+    return {};
+  Last = {Cores_.size(), 0};
+  return {Cores_.begin(), Cores_.end()};
 }
 
 bool PeerBook::insert(const VmId &Vm) {
--- a/lagoonpoint/src/Gateway/PeerBook.h
+++ b/lagoonpoint/src/Gateway/PeerBook.h
@@ -24,10 +24,17 @@
   void addCores(const std::vector<VmId> &Vms);
   /// \returns all core VMs known, without this one.
   std::vector<VmId> cores() const;
-  /// Drops core VMs that are neither seeds nor in \p Alive.
-  void keepCores(const std::set<VmId> &Alive);
+  /// \returns the core VMs to name to a peer: none if they were named to it
+  /// lately and are the same.
+  std::vector<VmId> coresFor(const VmId &Peer);
 
 private:
+  /// What a peer was told of the core VMs.
+  struct Naming {
+    std::size_t Cores_ = 0;
+    unsigned Skipped_ = 0; ///< messages since then
+  };
+
   bool insert(const VmId &Vm);
   void publish();
 
@@ -38,6 +45,7 @@
   std::map<VmId, Address> Peers_;
   std::set<VmId> Seeds_;
   std::set<VmId> Cores_;
+  std::map<VmId, Naming> Named_;
 };
 
 /// \returns the ids of the VMs that the settings name as seeds.
--- a/lagoonpoint/src/Gateway/TeamShares.cpp
+++ b/lagoonpoint/src/Gateway/TeamShares.cpp
@@ -19,9 +19,11 @@
   SharedBucket &B = Teams_[Team];
   count(B.Asked_);
   auto Found = Totals_.find(Team.str());
-  setShare(B, Found == Totals_.end() ? 0 : Found->second,
-           Vms_ ? Vms_ : AssumedVms);
-  Duration Wait = lagoonpoint::take(B, Rate, Burst, Clock_.now());
+  std::size_t Vms = Vms_ ? Vms_ : AssumedVms;
+  setShare(B, Found == Totals_.end() ? 0 : Found->second, Vms);
+  SharedRate Whole{Rate, Burst, Settings_.QuotaWindow_,
+                   Settings_.QuotaOverage_, Settings_.QuotaSlack_};
+  Duration Wait = lagoonpoint::take(B, Whole, Vms, Clock_.now());
   if (Wait > Duration())
     throw Refusal(RefusalReason::OverRate, Ran::No, "call.limit",
                   "the team is over its rate", Wait);
@@ -45,7 +47,8 @@
   Time Now = Clock_.now();
   for (auto &[Team, B] : Teams_) {
     settle(B.Asked_, Now);
-    Teams[Team.str()] = B.Asked_.Rate_;
+    B.Told_ = B.Asked_.Rate_;
+    Teams[Team.str()] = B.Told_;
   }
   for (auto &[Service, M] : Services_) {
     settle(M, Now);
--- a/lagoonpoint/src/Gateway/TeamShares.h
+++ b/lagoonpoint/src/Gateway/TeamShares.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lagoonpoint/Config"
 #include "lagoonpoint/Fleet"
 #include "lagoonpoint/Limits"
 
@@ -14,7 +15,8 @@
 /// Thread-safe.
 class TeamShares {
 public:
-  explicit TeamShares(const Clock &C) : Clock_(C) {}
+  TeamShares(const FleetSettings &S, const Clock &C)
+      : Settings_(S), Clock_(C) {}
 
   /// Counts a request for a service.
   void countService(const ServiceId &Service);
@@ -30,6 +32,7 @@
   void rates(RateMap &Teams, RateMap &Services);
 
 private:
+  const FleetSettings &Settings_;
   const Clock &Clock_;
   std::mutex Lock_;
   std::map<TeamId, SharedBucket> Teams_;
--- a/lagoonpoint/src/Limits/DemandShare.cpp
+++ b/lagoonpoint/src/Limits/DemandShare.cpp
@@ -27,16 +27,19 @@
 
 void setShare(SharedBucket &B, double AllDemand, std::size_t Vms) {
   double Even = 1.0 / static_cast<double>(std::max<std::size_t>(Vms, 1));
-  double All = std::max(AllDemand, B.Asked_.Rate_);
-  double ByDemand = All > 0 ? B.Asked_.Rate_ / All : Even;
+  double All = std::max(AllDemand, B.Told_);
+  double ByDemand = All > 0 ? B.Told_ / All : Even;
   B.Share_ = EvenPart * Even + (1 - EvenPart) * ByDemand;
 }
 
-Duration take(SharedBucket &B, double Rate, double Burst, Time Now) {
-  if (Rate <= 0)
+Duration take(SharedBucket &B, const SharedRate &R, std::size_t Vms, Time Now) {
+  if (R.Rate_ <= 0)
     return Duration();
-  double Own = Rate * B.Share_;
-  double Most = std::max(1.0, Burst * B.Share_);
+  double Own = R.Rate_ * B.Share_;
+  double Beyond = R.Overage_ * (R.Rate_ * R.Window_.inSeconds() + R.Burst_);
+  double Most = (R.Burst_ + Beyond * OverageUsed) * B.Share_ +
+                R.Slack_ * SlackUsed / static_cast<double>(Vms);
+  Most = std::max(Most, 1.0);
   double Span = (Now - B.Filled_).inSeconds();
   B.Tokens_ = std::min(Most, B.Tokens_ + std::max(0.0, Span) * Own);
   B.Filled_ = Now;
--- a/lagoonpoint/src/Limits/DemandShare.h
+++ b/lagoonpoint/src/Limits/DemandShare.h
@@ -29,6 +29,7 @@
 /// it up. No VM has to ask another before it spends.
 struct SharedBucket {
   DemandMeter Asked_;
+  double Told_ = 0;  ///< demand that the core VMs were told last
   double Share_ = 0; ///< of the whole
   double Tokens_ = 0;
   Time Filled_;
@@ -38,13 +39,31 @@
 /// team has just come can serve it.
 inline constexpr double EvenPart = 0.25;
 
-/// Sets the share from this VM's demand and that of all VMs.
+/// \class SharedRate
+/// \ingroup Limits
+/// \brief A rate and burst of all VMs together, and what may be spent beyond
+/// them in a window.
+struct SharedRate {
+  double Rate_ = 0;  ///< units a second
+  double Burst_ = 0; ///< units
+  Duration Window_;
+  double Overage_ = 0; ///< part of a window's units
+  double Slack_ = 0;   ///< units a window
+};
+
+/// Parts of the overage and the slack that VMs use: shares that are told at
+/// different times may sum up to more than one.
+inline constexpr double OverageUsed = 0.4;
+inline constexpr double SlackUsed = 0.6;
+
+/// Sets the share from the demand that this VM told and the sum over all VMs
+/// that it was told in turn.
 /// \ingroup Limits
 void setShare(SharedBucket &B, double AllDemand, std::size_t Vms);
 
-/// Takes one token of a rate and burst.
+/// Takes one token of this VM's share.
 /// \ingroup Limits
 /// \returns how long to wait for one, zero if it was taken
-Duration take(SharedBucket &B, double Rate, double Burst, Time Now);
+Duration take(SharedBucket &B, const SharedRate &R, std::size_t Vms, Time Now);
 
 } // namespace lagoonpoint
