--- a/lagoonpoint/src/Fleet/Currency.cpp
+++ b/lagoonpoint/src/Fleet/Currency.cpp
@@ -15,7 +15,22 @@
   C.Config_ = Proof.Config_.front();
 }
 
-std::optional<Time> provenAt(const Currency &C) {
+namespace {
+
+/// True if a core VM has nothing on its disk that this VM lacks and that could
+/// change the team's items.
+bool vouches(const Currency &C, const LogProof &Proof, const TeamId &Team) {
+  if (Proof.Last_ <= C.Applied_)
+    return true;
+  const std::vector<std::string> &Doubtful = Proof.Doubtful_;
+  return Proof.Applied_ <= C.Applied_ &&
+         std::find(Doubtful.begin(), Doubtful.end(), Team.str()) ==
+             Doubtful.end();
+}
+
+} // namespace
+
+std::optional<Time> provenAt(const Currency &C, const TeamId &Team) {
   if (C.Config_.Voters_.empty())
     return std::nullopt;
   std::vector<Time> Asked;
@@ -27,7 +42,7 @@
     // An answer that knows of newer voters has to bring them first.
     if (Proof.ConfigAt_ > C.ConfigAt_)
       return std::nullopt;
-    if (Proof.Disk_ == V.Disk_ && Proof.Last_ <= C.Applied_)
+    if (Proof.Disk_ == V.Disk_ && vouches(C, Proof, Team))
       Asked.push_back(Found->second.AskedAt_);
   }
   if (Asked.size() < C.Config_.quorum())
--- a/lagoonpoint/src/Fleet/Currency.h
+++ b/lagoonpoint/src/Fleet/Currency.h
@@ -31,9 +31,11 @@
 /// \ingroup Fleet
 void note(Currency &C, const VmId &Core, Time AskedAt, const LogProof &Proof);
 
-/// \returns the newest time for which the items are proven to be complete,
-/// nothing if no quorum has answered.
+/// \returns the newest time for which the items of a team are proven to be
+/// complete, nothing if no quorum has answered. Entries that aren't committed,
+/// as in the halves of a split core, leave only the teams that they concern in
+/// doubt.
 /// \ingroup Fleet
-std::optional<Time> provenAt(const Currency &C);
+std::optional<Time> provenAt(const Currency &C, const TeamId &Team);
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Fleet/FleetMessage.h
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -58,9 +58,11 @@
   DiskId Disk_;
   LogIndex Last_;     ///< highest entry on its disk, committed or not
   LogIndex Applied_;  ///< highest entry that its items include
+  /// Teams whose items entries between Applied_ and Last_ may change.
+  std::vector<std::string> Doubtful_;
   LogIndex ConfigAt_; ///< entry that set the newest voters it knows of
   std::vector<VoterConfig> Config_; ///< one, unless the receiver knows it
-  MSGPACK_DEFINE(Disk_, Last_, Applied_, ConfigAt_, Config_)
+  MSGPACK_DEFINE(Disk_, Last_, Applied_, Doubtful_, ConfigAt_, Config_)
 };
 
 /// What entry VMs are asked for together.
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -237,7 +237,8 @@
   Out.Asked_ = B.Asked_;
   LeaderView View = Host_.leaderView();
   Out.Holds_ = View.Revision_;
-  Out.Proof_ = {View.Disk_, View.Last_, View.Applied_, View.ConfigAt_, {}};
+  Out.Proof_ = {View.Disk_,     View.Last_,     View.Applied_,
+                View.Doubtful_, View.ConfigAt_, {}};
   if (B.ConfigAt_ != View.ConfigAt_)
     Out.Proof_.Config_.push_back(View.Config_);
   Out.Cores_ = Book_.coresFor(From);
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -125,7 +125,7 @@
                   Dispatcher_,
                   Retries_,
                   Metrics_,
-                  [this] { checkKeys(); },
+                  [this](const TeamId &T) { checkKeys(T); },
                   [this] { return retryLimits(); },
                   [this](const TeamId &T) { Teams_.giveBack(T); }},
         Server_(*this, CallerSettings_, Clock_, &Metrics_, std::move(D)),
@@ -156,8 +156,8 @@
   const TableRoute &find(const Configuration &C, const Call &Call_) const;
   TeamId teamOf(const Configuration &C, const RouteItem &Route,
                 const Call &Call_);
-  std::optional<Time> proven() const;
-  void checkKeys() const;
+  std::optional<Time> proven(const TeamId &Team) const;
+  void checkKeys(const TeamId &Team) const;
   RetryBudgetLimits retryLimits() const;
   bool configured() const { return current()->Revision_ != Revision(); }
 
@@ -357,15 +357,15 @@
   RebalancedAt_ = Now;
 }
 
-std::optional<Time> EntryVm::Parts::proven() const {
+std::optional<Time> EntryVm::Parts::proven(const TeamId &Team) const {
   std::lock_guard Guard(Lock_);
-  return provenAt(Currency_);
+  return provenAt(Currency_, Team);
 }
 
-void EntryVm::Parts::checkKeys() const {
+void EntryVm::Parts::checkKeys(const TeamId &Team) const {
   if (!Settings_.StrictRevocation_)
     return;
-  auto At = proven();
+  auto At = proven(Team);
   if (At && Clock_.now() - *At < Settings_.Revoke_ - RevokeMargin)
     return;
   throw Refusal(RefusalReason::KeysNotCurrent, Ran::No, Step,
@@ -400,7 +400,7 @@
       C.Table_.find(hostOf(Call_.Host_), pathOf(Call_.Path_));
   if (Route)
     return *Route;
-  checkKeys(); // an old configuration proves nothing
+  checkKeys(TeamId()); // an old configuration proves nothing
   throw Refusal(RefusalReason::NoSuchRoute, Ran::No, Step,
                 "no route matches this host and path");
 }
@@ -429,11 +429,11 @@
                               const Call &Call_) {
   if (Route.Open_ || !C.Table_.hasTeams())
     return TeamId();
-  checkKeys();
+  TeamId Team = C.Table_.teamOf(Call_.Key_);
+  checkKeys(Team);
   if (Call_.Key_.empty())
     throw Refusal(RefusalReason::KeyMissing, Ran::No, Step,
                   "this route needs a key");
-  TeamId Team = C.Table_.teamOf(Call_.Key_);
   if (Team.empty())
     throw Refusal(RefusalReason::KeyUnknown, Ran::No, Step, "unknown key");
   return Team;
--- a/lagoonpoint/src/Gateway/KeyedCall.cpp
+++ b/lagoonpoint/src/Gateway/KeyedCall.cpp
@@ -57,7 +57,7 @@
     Held_ = Services_.Dispatcher_.acquire(Wish);
     Holding_ = true;
     if (Admission_.Keyed_)
-      Services_.CheckKeys_();
+      Services_.CheckKeys_(Admission_.Team_);
   } catch (const Refusal &R) {
     countRefusal(Services_.Metrics_, Admission_.Team_, R.reason(),
                  ranOf(Retry_));
--- a/lagoonpoint/src/Gateway/KeyedCall.h
+++ b/lagoonpoint/src/Gateway/KeyedCall.h
@@ -16,8 +16,8 @@
   SharedDispatcher &Dispatcher_;
   RetryBudgets &Retries_;
   MetricRegistry &Metrics_;
-  /// Throws a Refusal if this VM's keys may be out of date.
-  std::function<void()> CheckKeys_;
+  /// Throws a Refusal if a team's keys here may be out of date.
+  std::function<void(const TeamId &)> CheckKeys_;
   std::function<RetryBudgetLimits()> RetryLimits_;
   std::function<void(const TeamId &)> GiveBack_; ///< a token not spent
 };
--- a/lagoonpoint/src/Gateway/SharedDispatcher.cpp
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.cpp
@@ -150,17 +150,18 @@
       All.push_back({Service, Slot.get()});
   }
   for (const auto &[Service, S] : All) {
-    std::map<RegionId, double> Demand;
+    std::map<RegionId, double> Seen;
     for (const auto &[Zone, Region] : Settings_.Zones_)
-      Demand[Region] = 1; // before any demand is known all are alike
+      Seen[Region];
     for (const auto &[Region, Rates] : RegionRates) {
       auto Found = Rates.find(Service.str());
       if (Found != Rates.end())
-        Demand[RegionId(Region)] += Found->second;
+        Seen[RegionId(Region)] += Found->second;
     }
     std::lock_guard Guard(S->Lock_);
+    smoothDemand(S->Demand_, Seen, Since);
     RegionShares Target =
-        targetShares(Settings_.Region_, slotsOf(S->Group_), Demand);
+        targetShares(Settings_.Region_, slotsOf(S->Group_), S->Demand_);
     if (!Target.empty())
       S->Shares_ = approach(S->Shares_, Target, MaxMoved);
   }
--- a/lagoonpoint/src/Node/ReplicaHost.cpp
+++ b/lagoonpoint/src/Node/ReplicaHost.cpp
@@ -160,6 +160,18 @@
   }
 }
 
+std::vector<std::string> ReplicaHost::teamsOfTail() const {
+  std::vector<std::string> Out;
+  for (const LogEntry &E : Replica_->state().Log_.tailAfter(Delivered_)) {
+    if (E.Kind_ != EntryKind::Command)
+      continue;
+    Change C = decode<Change>(E.Bytes_, "replica.tail", "");
+    for (const auto &[Name, Team] : C.Items_.Teams_)
+      Out.push_back(Name);
+  }
+  return Out;
+}
+
 void ReplicaHost::publishView() {
   Time Now = Clock_.now();
   ReplicaStatus Status = Replica_->status(Now);
@@ -169,7 +181,9 @@
          .Step_ = "replica.stop",
          .Message_ = Status.Fault_});
   }
+  std::vector<std::string> Doubtful = teamsOfTail();
   std::lock_guard Guard(ViewLock_);
+  View_.Doubtful_ = std::move(Doubtful);
   View_.Leader_ = Status.Leader_;
   View_.Term_ = Status.Term_;
   View_.Leading_ = Replica_->isLeader() && Replica_->leaseValid(Now);
--- a/lagoonpoint/src/Node/ReplicaHost.h
+++ b/lagoonpoint/src/Node/ReplicaHost.h
@@ -30,6 +30,8 @@
   std::set<VmId> Voters_;
   LogIndex Applied_; ///< highest entry that the catalog includes
   LogIndex Last_;    ///< highest entry on this disk, committed or not
+  std::vector<std::string> Doubtful_; ///< teams that the entries between
+                                      ///< these two may change
   LogIndex ConfigAt_;
   VoterConfig Config_;
   DiskId Disk_;
@@ -83,6 +85,7 @@
   void answerWaiting();
   void promoteLearners();
   void publishView();
+  std::vector<std::string> teamsOfTail() const;
   std::string outcome(const ProposeResult &Result);
 
   const Clock &Clock_;
--- a/lagoonpoint/src/Steering/KeyedChoice.h
+++ b/lagoonpoint/src/Steering/KeyedChoice.h
@@ -39,7 +39,7 @@
 struct KeyedRules {
   /// Requests beyond its slots that an upstream may hold before a call goes to
   /// the next one; a warm run is shorter than a cold one elsewhere.
-  double QueuedAtFirst_ = 2;
+  double QueuedAtFirst_ = 5;
   /// The same for upstreams that are not the object's first choice.
   double QueuedElsewhere_ = 0;
   /// What other VMs were told to have there halves in this time.
--- a/lagoonpoint/src/Steering/RegionShares.cpp
+++ b/lagoonpoint/src/Steering/RegionShares.cpp
@@ -24,7 +24,7 @@
 /// What a region may be asked for: its part of all demand by its slots.
 double roomOf(const RegionId &R, const std::map<RegionId, double> &Slots,
               double AllSlots, double AllDemand) {
-  return AllDemand * valueOf(Slots, R) / AllSlots * LocalPreference;
+  return AllDemand * valueOf(Slots, R) / AllSlots;
 }
 
 /// Place of an object in [0, 1), spread evenly.
@@ -37,6 +37,20 @@
 
 } // namespace
 
+void smoothDemand(std::map<RegionId, double> &Parts,
+                  const std::map<RegionId, double> &Rates, Duration Since) {
+  constexpr double HalfLife = 60; // seconds; longer than a wave of a day
+  double All = sumOf(Rates);
+  if (Parts.empty())
+    for (const auto &[Region, Rate] : Rates)
+      Parts[Region] = 1.0 / static_cast<double>(Rates.size());
+  if (All <= 0)
+    return;
+  double Kept = std::exp2(-Since.inSeconds() / HalfLife);
+  for (const auto &[Region, Rate] : Rates)
+    Parts[Region] = Parts[Region] * Kept + Rate / All * (1 - Kept);
+}
+
 RegionShares targetShares(const RegionId &Own,
                           const std::map<RegionId, double> &Slots,
                           const std::map<RegionId, double> &Demand) {
--- a/lagoonpoint/src/Steering/RegionShares.h
+++ b/lagoonpoint/src/Steering/RegionShares.h
@@ -11,8 +11,13 @@
 /// Part of one region's requests that each region serves; sums to 1.
 using RegionShares = std::map<RegionId, double>;
 
-/// Load of a region above its fair part before its requests go elsewhere.
-inline constexpr double LocalPreference = 1.3;
+/// Smooths the regions' parts of all demand, so that shares follow lasting
+/// changes and not the waves of a day: moved objects meet cold upstreams.
+/// \ingroup Steering
+/// \param Parts as smoothed so far; empty at first
+/// \param Rates requests a second, as seen lately
+void smoothDemand(std::map<RegionId, double> &Parts,
+                  const std::map<RegionId, double> &Rates, Duration Since);
 
 /// Divides the requests of one region so that no region's upstreams are asked
 /// for much more than their part of all slots.
