Fetch items from the nearest core VM that tells of newer ones

Cause: each of six core VMs sent all items to an entry VM that had started, and its whole list of upstreams whenever one notice was on its way.

--- a/lagoonpoint/src/Fleet/FleetMessage.h
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -45,12 +45,13 @@
   LogIndex ConfigAt_; ///< entry that set the newest voters the sender knows of
   std::uint64_t Upstreams_ = 0; ///< digest of the sender's announcements
   std::vector<VmId> Cores_;     ///< that the sender knows; empty: as before
+  bool WantsItems_ = false;     ///< and announcements, where they differ
   bool WantsRates_ = false;     ///< the answer should sum up the fleet's rates
   RateMap TeamRates_;           ///< asked of the sender by callers
   RateMap ServiceRates_;        ///< asked of the sender by callers
   std::vector<Sighting> Sighted_; ///< between core VMs
   MSGPACK_DEFINE(BornAt_, Self_, Ready_, Asked_, Holds_, ConfigAt_, Upstreams_, Cores_,
-                 WantsRates_, TeamRates_, ServiceRates_, Sighted_)
+                 WantsItems_, WantsRates_, TeamRates_, ServiceRates_, Sighted_)
 };
 
 /// How far one core VM's part of the log reaches.
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -88,6 +88,7 @@
   NodeRecord self();
   Beat beat();
   BeatReply replyTo(const VmId &From, const Beat &B, Time Now);
+  bool differsForLong(const VmId &From, const Beat &B);
   FleetRates rates(Time Now);
   void sendBeats();
   void sendTo(const VmId &To, const FleetMessage &M);
@@ -119,6 +120,7 @@
   Roster Roster_;
   UpstreamBook Upstreams_;
   std::map<UpstreamId, Sighting> Sighted_; ///< here, since the last beat
+  std::map<VmId, unsigned> Differing_; ///< beats in a row with other digests
   std::set<VmId> Introduced_; ///< core VMs that hold this VM's record
   Time NextBeat_;
   std::map<std::uint64_t, std::set<VmId>> Unconfirmed_;
@@ -266,7 +268,7 @@
       FromCore = Roster_.Nodes_[From].Record_.Core_;
     for (const Sighting &S : B.Sighted_)
       heard(Upstreams_, S.Id_, S.Sequence_, S.Age_, Now);
-    if (B.Upstreams_ != digestOf(Upstreams_))
+    if (differsForLong(From, B))
       Missing = noticesOf(Upstreams_, Now);
   }
   if (FromCore)
@@ -278,10 +280,18 @@
   sendTo(From, Reply);
   if (!Missing.empty())
     sendTo(From, NoticeNews{0, Missing});
-  if (!FromCore && B.Holds_ < items()->Revision_)
+  if (B.WantsItems_ && B.Holds_ < items()->Revision_)
     sendItems({From}, B.Holds_);
 }
 
+/// News are on their way when digests differ once. Called with Lock_ held.
+bool CoreVm::Parts::differsForLong(const VmId &From, const Beat &B) {
+  bool Differs = B.Upstreams_ != digestOf(Upstreams_);
+  unsigned &Count = Differing_[From];
+  Count = Differs ? Count + 1 : 0;
+  return Differs && (B.WantsItems_ || Count % 2 == 0);
+}
+
 void CoreVm::Parts::onReply(const VmId &From, const BeatReply &R) {
   Book_.addCores(R.Cores_);
   if (R.KnowsSender_)
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -22,6 +22,7 @@
 constexpr Duration BeatEvery = Duration::seconds(1);
 constexpr Duration ForgetUpstreams = Duration::seconds(120);
 /// What core VMs said longer ago doesn't tell which upstreams are silent.
+constexpr Duration AskItemsEvery = Duration::millis(400);
 constexpr Duration HeardWithin = Duration::seconds(3);
 /// Between a check of the keys and the arrival of the request upstream.
 constexpr Duration RevokeMargin = Duration::millis(400);
@@ -40,6 +41,14 @@
 constexpr double RetryRatioUsed = 0.75;
 constexpr double RetrySlackUsed = 0.4;
 
+/// What a core VM said last.
+struct CoreSaid {
+  Time At_;
+  Duration RoundTrip_;
+  std::set<UpstreamId> Silent_; ///< upstreams that announce no more
+  unsigned Differing_ = 0;      ///< answers in a row with another digest
+};
+
 /// What is in force at this VM.
 struct Configuration {
   Revision Revision_;
@@ -146,8 +155,8 @@
   void onItems(const ItemNews &News);
   void onNews(const VmId &From, const NoticeNews &N);
   NodeRecord self() const;
-  void sendBeats();
-  VmId accountant(Time Now) const;
+  void sendBeats(const std::vector<VmId> &Only = {});
+  VmId nearestCore(Time Now) const;
   void sendTo(const VmId &To, const FleetMessage &M);
   void teachDispatcher();
   void markSilent(Time Now);
@@ -183,7 +192,8 @@
   UpstreamBook Upstreams_;
   Currency Currency_;
   std::vector<VmId> Entries_;
-  std::map<VmId, std::pair<Time, std::set<UpstreamId>>> Silent_;
+  std::map<VmId, CoreSaid> Said_;
+  Time NextAsk_; ///< for items
   std::map<std::string, RateMap> RegionRates_;
   Time RebalancedAt_;
   std::set<VmId> Introduced_; ///< core VMs that hold this VM's record
@@ -220,6 +230,7 @@
   Revision Held = current()->Revision_;
   Time Now = Clock_.now();
   std::vector<UpstreamNotice> Lacking;
+  bool AskItems = false;
   {
     std::lock_guard Guard(Lock_);
     note(Currency_, From, Time(R.Asked_), R.Proof_);
@@ -231,10 +242,20 @@
       Entries_ = R.Rates_.front().Entries_;
       RegionRates_ = R.Rates_.front().RegionRates_;
     }
-    Silent_[From] = {Now, {R.Silent_.begin(), R.Silent_.end()}};
-    if (R.Upstreams_ != digestOf(Upstreams_))
+    CoreSaid &Said = Said_[From];
+    Said.At_ = Now;
+    Said.RoundTrip_ = Now - Time(R.Asked_);
+    Said.Silent_ = {R.Silent_.begin(), R.Silent_.end()};
+    bool Differs = R.Upstreams_ != digestOf(Upstreams_);
+    Said.Differing_ = Differs ? Said.Differing_ + 1 : 0;
+    if (Differs && Said.Differing_ % 2 == 0)
       Lacking = noticesOf(Upstreams_, Now);
+    AskItems = Held < R.Holds_ && Now >= NextAsk_;
+    if (AskItems)
+      NextAsk_ = Now + AskItemsEvery;
   }
+  if (AskItems)
+    sendBeats({From});
   if (!R.Rates_.empty())
     Teams_.learn(R.Rates_.front().TeamRates_, R.Rates_.front().Entries_.size());
   // A core VM that has just started knows no upstreams yet.
@@ -287,11 +308,11 @@
   for (auto &[Id, Known] : Upstreams_.Upstreams_) {
     std::size_t Heard = 0;
     std::size_t Silent = 0;
-    for (const auto &[Core, Said] : Silent_) {
-      if (Now - Said.first > HeardWithin)
+    for (const auto &[Core, Said] : Said_) {
+      if (Now - Said.At_ > HeardWithin)
         continue;
       ++Heard;
-      Silent += Said.second.count(Id);
+      Silent += Said.Silent_.count(Id);
     }
     Known.Silent_ = Heard > 0 && Silent == Heard;
     if (Heard > 0 && !Known.Silent_)
@@ -310,9 +331,11 @@
   return Out;
 }
 
-/// The core VM that answered last among those asked sums up the rates.
-void EntryVm::Parts::sendBeats() {
+/// Only the nearest core VM sums up the rates. Items are asked of the VMs named
+/// in \p Only: the first that tells of newer ones.
+void EntryVm::Parts::sendBeats(const std::vector<VmId> &Only) {
   Beat B;
+  B.WantsItems_ = !Only.empty();
   B.BornAt_ = BornAt_;
   B.Asked_ = Clock_.now().count();
   B.Holds_ = current()->Revision_;
@@ -323,23 +346,30 @@
   B.ConfigAt_ = Currency_.ConfigAt_;
   B.Upstreams_ = digestOf(Upstreams_);
   Time Now = Clock_.now();
-  VmId Accountant = accountant(Now);
-  for (const VmId &Core : Book_.cores()) {
+  VmId Nearest = nearestCore(Now);
+  for (const VmId &Core : Only.empty() ? Book_.cores() : Only) {
     Beat Each = B;
     Each.Cores_ = Book_.coresFor(Core);
-    Each.WantsRates_ = Core == Accountant;
+    Each.WantsRates_ = Core == Nearest;
     if (Introduced_.insert(Core).second)
       Each.Self_.push_back(Own);
     sendTo(Core, Each);
   }
 }
 
-/// \returns the core VM to ask for the fleet's rates: the first that answers.
-VmId EntryVm::Parts::accountant(Time Now) const {
-  for (const auto &[Core, Said] : Silent_)
-    if (Now - Said.first <= HeardWithin)
-      return Core;
-  return VmId();
+/// \returns the core VM that answers soonest of those that answer.
+VmId EntryVm::Parts::nearestCore(Time Now) const {
+  VmId Nearest;
+  Duration Least;
+  for (const auto &[Core, Said] : Said_) {
+    if (Now - Said.At_ > HeardWithin)
+      continue;
+    if (!Nearest.empty() && Said.RoundTrip_ >= Least)
+      continue;
+    Nearest = Core;
+    Least = Said.RoundTrip_;
+  }
+  return Nearest;
 }
 
 void EntryVm::Parts::tick() {
