--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -8,6 +8,7 @@
 #include "lagoonpoint/src/Node/Worker.h"
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <thread>
 
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr Duration TickEvery = Duration::millis(250);
+constexpr Duration IdleTick = Duration::seconds(60);
 constexpr Duration BeatEvery = Duration::seconds(1);
 /// VMs beat once a second: two beats may be lost.
 constexpr Duration LiveFor = Duration::millis(2700);
@@ -71,7 +73,7 @@
             fleetPeerOptions(S), [this](Envelope E) { receive(std::move(E)); },
             Clock_, [](const Error &E) { logError(E, LogLevel::Debug); }),
         Book_(S, Peers_),
-        Host_(ReplicaSettings_, Clock_, Peers_,
+        Pusher_("core.push", IdleTick, [] {}), Host_(ReplicaSettings_, Clock_, Peers_,
               [this](const Catalog &C, const Change *) { observe(C); }),
         Router_(Self_, seedVms(S), &Host_, Clock_, Peers_),
         Ticker_("core.tick", TickEvery, [this] { tick(); }) {}
@@ -126,6 +128,8 @@
   std::map<std::uint64_t, std::set<VmId>> Unconfirmed_;
   std::uint64_t NextNumber_ = 1;
 
+  std::atomic<bool> PushQueued_{false};
+  Worker Pusher_;    ///< before Host_, whose start observes what is stored
   ReplicaHost Host_;
   ChangeRouter Router_;
   Worker Ticker_;
@@ -158,7 +162,9 @@
     std::lock_guard Guard(ItemsLock_);
     Items_ = std::move(Next);
   }
-  pushItems();
+  // A restart replays many changes at once: one push covers them all.
+  if (!PushQueued_.exchange(true) && !Pusher_.post([this] { pushItems(); }))
+    PushQueued_ = false;
 }
 
 std::shared_ptr<const HeldItems> CoreVm::Parts::items() const {
@@ -195,6 +201,7 @@
 
 /// The leader knows first; what its messages miss, the next beats bring.
 void CoreVm::Parts::pushItems() {
+  PushQueued_ = false;
   if (!Host_.leaderView().Leading_)
     return;
   std::map<Revision, std::vector<VmId>> To;
@@ -447,6 +454,7 @@
 void CoreVm::start() {
   Parts_->Peers_.start();
   Parts_->Host_.start();
+  Parts_->Pusher_.start();
   Parts_->Ticker_.start();
   log({.Step_ = "core.start", .Message_ = "running"});
 }
@@ -454,6 +462,7 @@
 void CoreVm::stop() {
   Parts_->Ticker_.stop();
   Parts_->Host_.stop();
+  Parts_->Pusher_.stop();
   Parts_->Peers_.stop();
 }
 
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -257,7 +257,8 @@
   if (AskItems)
     sendBeats({From});
   if (!R.Rates_.empty())
-    Teams_.learn(R.Rates_.front().TeamRates_, R.Rates_.front().Entries_.size());
+    Teams_.learn(R.Rates_.front().TeamRates_, R.Rates_.front().Entries_.size(),
+                 Time(R.Asked_));
   // A core VM that has just started knows no upstreams yet.
   if (!Lacking.empty())
     sendTo(From, NoticeNews{0, Lacking});
--- a/lagoonpoint/src/Gateway/TeamShares.cpp
+++ b/lagoonpoint/src/Gateway/TeamShares.cpp
@@ -18,12 +18,13 @@
   std::lock_guard Guard(Lock_);
   SharedBucket &B = Teams_[Team];
   count(B.Asked_);
-  auto Found = Totals_.find(Team.str());
   std::size_t Vms = Vms_ ? Vms_ : AssumedVms;
-  setShare(B, Found == Totals_.end() ? 0 : Found->second, Vms);
+  Time Now = Clock_.now();
+  if (B.Share_ == 0)
+    B.Share_ = EvenPart / static_cast<double>(Vms);
   SharedRate Whole{Rate, Burst, Settings_.QuotaWindow_,
                    Settings_.QuotaOverage_, Settings_.QuotaSlack_};
-  Duration Wait = lagoonpoint::take(B, Whole, Vms, Clock_.now());
+  Duration Wait = lagoonpoint::take(B, Whole, Vms, Now - TotalsAt_, Now);
   if (Wait > Duration())
     throw Refusal(RefusalReason::OverRate, Ran::No, "call.limit",
                   "the team is over its rate", Wait);
@@ -36,10 +37,17 @@
     Found->second.Tokens_ += 1;
 }
 
-void TeamShares::learn(const RateMap &TeamRates, std::size_t Vms) {
+void TeamShares::learn(const RateMap &TeamRates, std::size_t Vms,
+                       Time AskedAt) {
   std::lock_guard Guard(Lock_);
-  Totals_ = TeamRates;
+  if (AskedAt <= TotalsAt_)
+    return;
+  TotalsAt_ = AskedAt;
   Vms_ = Vms;
+  for (auto &[Team, B] : Teams_) {
+    auto Found = TeamRates.find(Team.str());
+    setShare(B, Found == TeamRates.end() ? 0 : Found->second, Vms);
+  }
 }
 
 void TeamShares::rates(RateMap &Teams, RateMap &Services) {
--- a/lagoonpoint/src/Gateway/TeamShares.h
+++ b/lagoonpoint/src/Gateway/TeamShares.h
@@ -27,7 +27,8 @@
   void giveBack(const TeamId &Team);
 
   /// Takes in what all entry VMs are asked for.
-  void learn(const RateMap &TeamRates, std::size_t Vms);
+  /// \param AskedAt when they were asked for
+  void learn(const RateMap &TeamRates, std::size_t Vms, Time AskedAt);
   /// Tells what this VM is asked for.
   void rates(RateMap &Teams, RateMap &Services);
 
@@ -37,7 +38,7 @@
   std::mutex Lock_;
   std::map<TeamId, SharedBucket> Teams_;
   std::map<ServiceId, DemandMeter> Services_;
-  RateMap Totals_;
+  Time TotalsAt_; ///< when the newest sums were asked for
   std::size_t Vms_ = 0;
 };
 
--- a/lagoonpoint/src/Limits/DemandShare.cpp
+++ b/lagoonpoint/src/Limits/DemandShare.cpp
@@ -29,15 +29,25 @@
   double Even = 1.0 / static_cast<double>(std::max<std::size_t>(Vms, 1));
   double All = std::max(AllDemand, B.Told_);
   double ByDemand = All > 0 ? B.Told_ / All : Even;
-  B.Share_ = EvenPart * Even + (1 - EvenPart) * ByDemand;
+  double Sure = std::min(ByDemand, B.ByDemand_);
+  B.ByDemand_ = ByDemand;
+  B.Share_ = EvenPart * Even + (1 - EvenPart) * Sure;
 }
 
-Duration take(SharedBucket &B, const SharedRate &R, std::size_t Vms, Time Now) {
+double shareLeft(Duration Age) {
+  double Left =
+      (ShareEnds - Age).inSeconds() / (ShareEnds - ShareKept).inSeconds();
+  return std::clamp(Left, 0.0, 1.0);
+}
+
+Duration take(SharedBucket &B, const SharedRate &R, std::size_t Vms,
+              Duration Age, Time Now) {
   if (R.Rate_ <= 0)
     return Duration();
-  double Own = R.Rate_ * B.Share_;
+  double Share = B.Share_ * shareLeft(Age);
+  double Own = R.Rate_ * Share;
   double Beyond = R.Overage_ * (R.Rate_ * R.Window_.inSeconds() + R.Burst_);
-  double Most = (R.Burst_ + Beyond * OverageUsed) * B.Share_ +
+  double Most = (R.Burst_ + Beyond * OverageUsed) * Share +
                 R.Slack_ * SlackUsed / static_cast<double>(Vms);
   Most = std::max(Most, 1.0);
   double Span = (Now - B.Filled_).inSeconds();
--- a/lagoonpoint/src/Limits/DemandShare.h
+++ b/lagoonpoint/src/Limits/DemandShare.h
@@ -29,8 +29,9 @@
 /// it up. No VM has to ask another before it spends.
 struct SharedBucket {
   DemandMeter Asked_;
-  double Told_ = 0;  ///< demand that the core VMs were told last
-  double Share_ = 0; ///< of the whole
+  double Told_ = 0;     ///< demand that the core VMs were told last
+  double ByDemand_ = 0; ///< part of all demand, by the newest sum
+  double Share_ = 0;    ///< of the whole
   double Tokens_ = 0;
   Time Filled_;
 };
@@ -56,14 +57,26 @@
 inline constexpr double OverageUsed = 0.4;
 inline constexpr double SlackUsed = 0.6;
 
+/// A VM that hears no sums for this long is counted by the others no more.
+inline constexpr Duration ShareKept = Duration::millis(2200);
+/// It gives its share up until then.
+inline constexpr Duration ShareEnds = Duration::seconds(5);
+
 /// Sets the share from the demand that this VM told and the sum over all VMs
-/// that it was told in turn.
+/// that it was told in turn. A share shrinks at once and grows a sum later: at
+/// a surge the first VM to tell of it finds a sum that lacks the others' part.
 /// \ingroup Limits
 void setShare(SharedBucket &B, double AllDemand, std::size_t Vms);
 
+/// \returns what is left of a share whose sum is of that age.
+/// \ingroup Limits
+double shareLeft(Duration Age);
+
 /// Takes one token of this VM's share.
 /// \ingroup Limits
+/// \param Age of the sum that the share follows from
 /// \returns how long to wait for one, zero if it was taken
-Duration take(SharedBucket &B, const SharedRate &R, std::size_t Vms, Time Now);
+Duration take(SharedBucket &B, const SharedRate &R, std::size_t Vms,
+              Duration Age, Time Now);
 
 } // namespace lagoonpoint
