--- /dev/null
+++ b/test/DemandShare.cpp
@@ -0,0 +1,138 @@
+#include "lagoonpoint/Limits"
+
+#include <catch2/catch.hpp>
+
+#include <numeric>
+#include <vector>
+
+using namespace lagoonpoint;
+
+namespace {
+
+/// Entry VMs that share one rate, with a core that sums up what they tell.
+struct Sharers {
+  explicit Sharers(std::size_t Count) : Buckets_(Count), Asked_(Count, 0) {}
+
+  /// Each VM tells its demand in turn and is told the sum at that moment.
+  void round(Time Now) {
+    for (std::size_t Vm = 0; Vm < Buckets_.size(); ++Vm) {
+      settle(Buckets_[Vm].Asked_, Now);
+      Buckets_[Vm].Told_ = Buckets_[Vm].Asked_.Rate_;
+      if (!Cut_[Vm]) {
+        Known_[Vm] = Buckets_[Vm].Told_;
+        SumAt_[Vm] = Now;
+        setShare(Buckets_[Vm], sum(), live());
+      }
+    }
+  }
+  double sum() const {
+    double Out = 0;
+    for (std::size_t Vm = 0; Vm < Known_.size(); ++Vm)
+      Out += Cut_[Vm] ? 0 : Known_[Vm];
+    return Out;
+  }
+  std::size_t live() const {
+    return static_cast<std::size_t>(
+        std::count(Cut_.begin(), Cut_.end(), false));
+  }
+  /// Plays a span with callers at each VM. \returns requests let through
+  std::vector<int> play(Time From, int Millis, const std::vector<double> &Rates,
+                        const SharedRate &R) {
+    std::vector<int> PerSecond;
+    for (int Ms = 0; Ms < Millis; ++Ms) {
+      Time Now = From + Duration::millis(Ms);
+      if (Ms % 1000 == 0) {
+        round(Now);
+        PerSecond.push_back(0);
+      }
+      for (std::size_t Vm = 0; Vm < Buckets_.size(); ++Vm) {
+        Asked_[Vm] += Rates[Vm] / 1000;
+        if (Asked_[Vm] < 1)
+          continue;
+        Asked_[Vm] -= 1;
+        count(Buckets_[Vm].Asked_);
+        Duration Age = Now - SumAt_[Vm];
+        if (take(Buckets_[Vm], R, live(), Age, Now) == Duration())
+          ++PerSecond.back();
+      }
+    }
+    return PerSecond;
+  }
+
+  std::vector<SharedBucket> Buckets_;
+  std::vector<double> Asked_;
+  std::vector<double> Known_ = std::vector<double>(Buckets_.size(), 0.0);
+  std::vector<Time> SumAt_ = std::vector<Time>(Buckets_.size());
+  std::vector<bool> Cut_ = std::vector<bool>(Buckets_.size(), false);
+};
+
+constexpr Time Start = Time(1'000'000);
+const SharedRate Quota{60, 60, Duration::seconds(5), 0.1, 20};
+
+/// Most that any five seconds in a row let through.
+int worstWindow(const std::vector<int> &PerSecond) {
+  int Worst = 0;
+  for (std::size_t At = 0; At + 5 <= PerSecond.size(); ++At)
+    Worst = std::max(Worst, std::accumulate(PerSecond.begin() + At,
+                                            PerSecond.begin() + At + 5, 0));
+  return Worst;
+}
+
+const double Allowed = (60 * 5 + 60) * 1.1 + 20;
+
+} // namespace
+
+TEST_CASE("VMs divide a team's rate by demand") {
+  Sharers S(9);
+  std::vector<double> Rates(9, 2);
+  Rates[0] = 20;
+
+  SECTION("what is asked within the rate passes, also where it is uneven") {
+    std::vector<int> Passed = S.play(Start, 20'000, Rates, Quota);
+    int Late = std::accumulate(Passed.end() - 10, Passed.end(), 0);
+    CHECK(Late >= 0.99 * 360);
+  }
+  SECTION("a surge at all of them never gets more than a window allows") {
+    std::vector<int> Passed = S.play(Start, 10'000, Rates, Quota);
+    for (double &Rate : Rates)
+      Rate *= 8;
+    std::vector<int> More =
+        S.play(Start + Duration::seconds(10), 20'000, Rates, Quota);
+    Passed.insert(Passed.end(), More.begin(), More.end());
+    CHECK(worstWindow(Passed) <= Allowed);
+    CHECK(std::accumulate(Passed.end() - 10, Passed.end(), 0) >= 0.9 * 600);
+  }
+  SECTION("VMs that are cut off give their parts up") {
+    for (double &Rate : Rates)
+      Rate *= 8;
+    std::vector<int> Passed = S.play(Start, 15'000, Rates, Quota);
+    S.Cut_[1] = S.Cut_[2] = S.Cut_[3] = true;
+    std::vector<int> More =
+        S.play(Start + Duration::seconds(15), 15'000, Rates, Quota);
+    Passed.insert(Passed.end(), More.begin(), More.end());
+    CHECK(worstWindow(Passed) <= Allowed);
+  }
+}
+
+TEST_CASE("A share follows the age of its sum") {
+  CHECK(shareLeft(Duration::millis(1000)) == 1);
+  CHECK(shareLeft(ShareKept) == 1);
+  CHECK(shareLeft(Duration::millis(3600)) == Approx(0.5));
+  CHECK(shareLeft(ShareEnds) == 0);
+  CHECK(shareLeft(Duration::seconds(60)) == 0);
+}
+
+TEST_CASE("A caller over the rate is told when to come back") {
+  SharedBucket B;
+  B.Share_ = 0.5;
+  SharedRate R{4, 2, Duration::seconds(5), 0, 0};
+  REQUIRE(take(B, R, 2, Duration(), Start) == Duration());
+  Duration Wait = take(B, R, 2, Duration(), Start);
+  REQUIRE(Wait > Duration());
+  CHECK(take(B, R, 2, Duration(), Start + Wait) == Duration());
+  SECTION("and a team without a rate is never over it") {
+    R.Rate_ = 0;
+    for (int N = 0; N < 100; ++N)
+      CHECK(take(B, R, 2, Duration(), Start) == Duration());
+  }
+}
--- /dev/null
+++ b/test/Fleet.cpp
@@ -0,0 +1,278 @@
+#include "lagoonpoint/Fleet"
+
+#include <catch2/catch.hpp>
+
+using namespace lagoonpoint;
+
+namespace {
+
+constexpr Time Start = Time(100'000);
+constexpr Duration Within = Duration::seconds(3);
+
+UpstreamNotice notice(const char *Id, std::uint64_t Born, std::uint64_t Seq,
+                      const char *At = "10.0.0.9:8080") {
+  UpstreamNotice A;
+  A.Id_ = UpstreamId(Id);
+  A.BornAt_ = Born;
+  A.Sequence_ = Seq;
+  A.Service_ = ServiceId("register");
+  A.Address_ = At;
+  A.Zone_ = ZoneId("a");
+  A.Slots_ = 3;
+  return A;
+}
+
+UpstreamNotice ending(UpstreamNotice A, NoticePhase Phase) {
+  A.Phase_ = Phase;
+  return A;
+}
+
+NoticePhase phaseOf(const UpstreamBook &Book, const char *Id) {
+  return Book.Upstreams_.at(UpstreamId(Id)).Said_.Phase_;
+}
+
+NodeRecord node(const char *Vm, bool Core, const char *Region,
+                std::uint64_t Disk = 0) {
+  NodeRecord N;
+  N.Vm_ = VmId(Vm);
+  N.Core_ = Core;
+  N.Region_ = RegionId(Region);
+  N.Callers_ = std::string(Vm) + ":80";
+  N.BornAt_ = 7;
+  N.Disk_ = DiskId(Disk);
+  return N;
+}
+
+Beat beatOf(const NodeRecord &N, bool Ready = true) {
+  Beat B;
+  B.BornAt_ = N.BornAt_;
+  B.Self_ = {N};
+  B.Ready_ = Ready;
+  return B;
+}
+
+VoterConfig voters(std::initializer_list<int> Numbers) {
+  VoterConfig C;
+  for (int N : Numbers)
+    C.Voters_.push_back({VmId("c" + std::to_string(N)), DiskId(N)});
+  return C;
+}
+
+LogProof proofOf(int Number, std::uint64_t Last, std::uint64_t Applied,
+                 const VoterConfig &Config) {
+  LogProof P;
+  P.Disk_ = DiskId(Number);
+  P.Last_ = LogIndex(Last);
+  P.Applied_ = LogIndex(Applied);
+  P.ConfigAt_ = LogIndex(1);
+  P.Config_ = {Config};
+  return P;
+}
+
+} // namespace
+
+TEST_CASE("An upstream announces itself") {
+  UpstreamBook Book;
+  REQUIRE(learn(Book, notice("i1", 50, 3), Start));
+
+  SECTION("again, and nothing is new") {
+    CHECK_FALSE(learn(Book, notice("i1", 50, 4), Start));
+  }
+  SECTION("and leaves; late announcements don't bring it back") {
+    CHECK(learn(Book, ending(notice("i1", 50, 5), NoticePhase::Leaving),
+                Start));
+    CHECK_FALSE(learn(Book, notice("i1", 50, 6), Start));
+    CHECK(phaseOf(Book, "i1") == NoticePhase::Leaving);
+    CHECK(learn(Book, ending(notice("i1", 50, 5), NoticePhase::Gone), Start));
+    CHECK(phaseOf(Book, "i1") == NoticePhase::Gone);
+  }
+  SECTION("and starts again under its id, with counts from the beginning") {
+    learn(Book, ending(notice("i1", 50, 9), NoticePhase::Gone), Start);
+    CHECK(learn(Book, notice("i1", 60, 1), Start));
+    CHECK(phaseOf(Book, "i1") == NoticePhase::Serving);
+    CHECK_FALSE(learn(Book, notice("i1", 50, 10), Start));
+  }
+  SECTION("and another one is started at its address") {
+    CHECK(learn(Book, notice("i2", 70, 1), Start));
+    CHECK(phaseOf(Book, "i1") == NoticePhase::Gone);
+    SECTION("a delayed announcement of the dead one takes nothing back") {
+      learn(Book, notice("i1", 50, 11), Start);
+      CHECK(phaseOf(Book, "i1") == NoticePhase::Gone);
+      CHECK(phaseOf(Book, "i2") == NoticePhase::Serving);
+    }
+  }
+  SECTION("and turns cold") {
+    UpstreamNotice Cold = notice("i1", 50, 4);
+    Cold.ColdFor_ = Duration::seconds(2);
+    CHECK(learn(Book, Cold, Start));
+    auto Passed = noticesOf(Book, Start + Duration::millis(500));
+    CHECK(Passed.front().ColdFor_ == Duration::millis(1500));
+    CHECK(Passed.front().Age_ == Duration::millis(500));
+  }
+  SECTION("no more: it is silent, then forgotten") {
+    Duration Silent = Duration::seconds(5);
+    Duration Forget = Duration::seconds(60);
+    heard(Book, UpstreamId("i1"), 4, Duration::millis(100),
+          Start + Duration::seconds(1));
+    age(Book, Silent, Forget, Start + Duration::millis(5800));
+    CHECK_FALSE(Book.Upstreams_.at(UpstreamId("i1")).Silent_);
+    age(Book, Silent, Forget, Start + Duration::millis(6000));
+    CHECK(Book.Upstreams_.at(UpstreamId("i1")).Silent_);
+    age(Book, Silent, Forget, Start + Duration::seconds(61));
+    CHECK(Book.Upstreams_.empty());
+  }
+}
+
+TEST_CASE("Books that were told the same in any order have one digest") {
+  UpstreamBook One;
+  UpstreamBook Two;
+  UpstreamNotice A = notice("i1", 50, 3, "10.0.0.1:80");
+  UpstreamNotice B =
+      ending(notice("i2", 50, 3, "10.0.0.2:80"), NoticePhase::Leaving);
+  learn(One, A, Start);
+  learn(One, B, Start);
+  learn(Two, B, Start);
+  CHECK(digestOf(One) != digestOf(Two));
+  learn(Two, A, Start);
+  CHECK(digestOf(One) == digestOf(Two));
+}
+
+TEST_CASE("A core VM hears of entry VMs") {
+  Roster R;
+  NodeRecord E1 = node("e1", false, "north");
+  REQUIRE(note(R, E1.Vm_, beatOf(E1), Start) == BeatNote::Taken);
+
+  SECTION("a short beat is enough once it holds the record") {
+    Beat Short = beatOf(E1);
+    Short.Self_.clear();
+    CHECK(note(R, E1.Vm_, Short, Start) == BeatNote::Taken);
+    Short.BornAt_ = 8; // it was started again
+    CHECK(note(R, E1.Vm_, Short, Start) == BeatNote::Unknown);
+    Short.BornAt_ = 6;
+    CHECK(note(R, E1.Vm_, Short, Start) == BeatNote::Outdated);
+  }
+  SECTION("callers are sent to their region first") {
+    NodeRecord E2 = node("e2", false, "south");
+    note(R, E2.Vm_, beatOf(E2), Start);
+    auto Named = [&](const char *Region, std::vector<RegionId> Allowed,
+                     Time Now) {
+      return chooseEntries(R, {RegionId(Region), ZoneId("a"), Allowed}, Within,
+                           Now);
+    };
+    CHECK(Named("south", {}, Start) == std::vector<std::string>{"e2:80"});
+    CHECK(Named("west", {RegionId("north")}, Start) ==
+          std::vector<std::string>{"e1:80"});
+    CHECK(Named("west", {}, Start).size() == 2);
+    SECTION("unless its VMs leave or are silent") {
+      note(R, E2.Vm_, beatOf(E2, false), Start);
+      CHECK(Named("south", {}, Start) == std::vector<std::string>{"e1:80"});
+      CHECK(Named("south", {}, Start + Duration::seconds(4)).empty());
+    }
+  }
+}
+
+TEST_CASE("The voters are repaired") {
+  VoterConfig Config = voters({1, 2, 3});
+  std::vector<NodeRecord> Live{node("c1", true, "r", 1),
+                               node("c2", true, "r", 2)};
+  SECTION("not while all is well or a voter is away for a while") {
+    CHECK_FALSE(nextVoterStep(Config, Live, {}));
+  }
+  SECTION("a new core VM is added") {
+    Live.push_back(node("c4", true, "r", 4));
+    auto Step = nextVoterStep(Config, Live, {});
+    REQUIRE(Step);
+    CHECK(Step->Add_);
+    CHECK(Step->Vm_ == VmId("c4"));
+    Config.Learners_.push_back(VmId("c4"));
+    CHECK_FALSE(nextVoterStep(Config, Live, {}));
+  }
+  SECTION("one that lost its disk is removed before it is added again") {
+    Live.push_back(node("c3", true, "r", 33));
+    auto Step = nextVoterStep(Config, Live, {});
+    REQUIRE(Step);
+    CHECK_FALSE(Step->Add_);
+    CHECK(Step->Vm_ == VmId("c3"));
+    Step = nextVoterStep(voters({1, 2}), Live, {});
+    REQUIRE(Step);
+    CHECK(Step->Add_);
+  }
+  SECTION("one that is silent for long is removed") {
+    auto Step = nextVoterStep(Config, Live, {VmId("c3")});
+    REQUIRE(Step);
+    CHECK_FALSE(Step->Add_);
+    CHECK(Step->Vm_ == VmId("c3"));
+  }
+}
+
+TEST_CASE("An entry VM proves that its items are current") {
+  VoterConfig Config = voters({1, 2, 3, 4, 5, 6});
+  TeamId Team("rangers");
+  Currency C;
+  C.Applied_ = LogIndex(20);
+  auto Answer = [&](int Number, std::int64_t At, std::uint64_t Last,
+                    std::uint64_t Applied) {
+    note(C, VmId("c" + std::to_string(Number)), Time(At),
+         proofOf(Number, Last, Applied, Config));
+  };
+  for (int Number = 1; Number <= 3; ++Number)
+    Answer(Number, 1000 + Number, 20, 20);
+  REQUIRE_FALSE(provenAt(C, Team));
+
+  SECTION("by a quorum, since the oldest of its questions") {
+    Answer(4, 900, 20, 20);
+    CHECK(provenAt(C, Team) == Time(900));
+    Answer(5, 1100, 20, 20);
+    CHECK(provenAt(C, Team) == Time(1001));
+  }
+  SECTION("not by a voter that holds entries this VM lacks") {
+    Answer(4, 1100, 21, 21);
+    CHECK_FALSE(provenAt(C, Team));
+    C.Applied_ = LogIndex(21);
+    CHECK(provenAt(C, Team));
+  }
+  SECTION("not by a disk that isn't the voter's") {
+    LogProof Other = proofOf(44, 20, 20, Config);
+    note(C, VmId("c4"), Time(1100), Other);
+    CHECK_FALSE(provenAt(C, Team));
+  }
+  SECTION("not by the old voters once an answer knows of newer ones") {
+    Answer(4, 1100, 20, 20);
+    REQUIRE(provenAt(C, Team));
+    LogProof Newer = proofOf(4, 20, 20, Config);
+    Newer.ConfigAt_ = LogIndex(19);
+    Newer.Config_.clear();
+    note(C, VmId("c4"), Time(1200), Newer);
+    CHECK_FALSE(provenAt(C, Team));
+  }
+  SECTION("in a split core, but for the teams of uncommitted entries") {
+    LogProof Tail = proofOf(4, 22, 20, Config);
+    Tail.Doubtful_ = {"agents"};
+    note(C, VmId("c4"), Time(1100), Tail);
+    CHECK(provenAt(C, Team) == Time(1001));
+    CHECK_FALSE(provenAt(C, TeamId("agents")));
+    SECTION("and not from a tail whose beginning this VM lacks") {
+      Tail.Applied_ = LogIndex(21);
+      note(C, VmId("c4"), Time(1200), Tail);
+      CHECK_FALSE(provenAt(C, Team));
+    }
+  }
+  SECTION("and a late answer takes nothing back") {
+    Answer(4, 1100, 20, 20);
+    Answer(4, 1000, 25, 25);
+    CHECK(provenAt(C, Team) == Time(1001));
+  }
+}
+
+TEST_CASE("Messages of the fleet survive coding, and others are refused") {
+  Beat B = beatOf(node("e1", false, "north"));
+  B.TeamRates_ = {{"rangers", 4.5}};
+  FleetMessage Read = decodeFleetMessage(encodeMessage(B), VmId("e1"));
+  REQUIRE(std::holds_alternative<Beat>(Read));
+  CHECK(std::get<Beat>(Read).TeamRates_ == B.TeamRates_);
+  CHECK_THROWS_AS(decodeFleetMessage("", VmId("e1")), CodecError);
+  CHECK_THROWS_AS(decodeFleetMessage("\x7fxx", VmId("e1")), CodecError);
+  std::string Cut = encodeMessage(B);
+  Cut.pop_back();
+  CHECK_THROWS_AS(decodeFleetMessage(Cut, VmId("e1")), CodecError);
+}
--- /dev/null
+++ b/test/Items.cpp
@@ -0,0 +1,207 @@
+#include "lagoonpoint/Catalog"
+#include "lagoonpoint/Items"
+
+#include <catch2/catch.hpp>
+
+using namespace lagoonpoint;
+
+namespace {
+
+Held<RouteItem> route(std::uint64_t Version, const char *Prefix,
+                      const char *Service) {
+  Held<RouteItem> H;
+  H.Version_ = ItemVersion(Version);
+  H.Value_.Host_ = "tags.example";
+  H.Value_.Prefix_ = Prefix;
+  H.Value_.Split_ = {{ServiceId(Service), 1}};
+  H.Value_.Timeout_ = Duration::millis(1200);
+  H.Value_.Objective_ = Duration::millis(500);
+  H.Source_ = std::string(Prefix) + " to " + Service;
+  return H;
+}
+
+Held<ServiceItem> service(std::uint64_t Version) {
+  Held<ServiceItem> H;
+  H.Version_ = ItemVersion(Version);
+  H.Value_.HealthPath_ = "/health";
+  return H;
+}
+
+Held<TeamItem> team(std::uint64_t Version, std::vector<std::string> Keys) {
+  Held<TeamItem> H;
+  H.Version_ = ItemVersion(Version);
+  H.Value_.Keys_ = std::move(Keys);
+  return H;
+}
+
+template <class Item> Held<Item> removal(std::uint64_t Version) {
+  Held<Item> H;
+  H.Version_ = ItemVersion(Version);
+  H.Removed_ = true;
+  return H;
+}
+
+ItemSet basics() {
+  ItemSet Out;
+  Out.Services_["register"] = service(1);
+  Out.Services_["ledger"] = service(1);
+  Out.Routes_["lookup"] = route(3, "/lookup/", "register");
+  Out.Teams_["rangers"] = team(2, {"k1", "k2"});
+  return Out;
+}
+
+ItemSet onlyRoute(const char *Name, const Held<RouteItem> &R) {
+  ItemSet Out;
+  Out.Routes_[Name] = R;
+  return Out;
+}
+
+Change patch(const char *Id, ItemSet Items) {
+  Change C;
+  C.Id_ = ChangeId(Id);
+  C.Kind_ = ChangeKind::PatchItems;
+  C.Items_ = std::move(Items);
+  return C;
+}
+
+} // namespace
+
+TEST_CASE("Items of several versions are merged") {
+  ItemSet Held;
+  REQUIRE(mergeItems(Held, basics(), Revision(1)));
+
+  SECTION("the higher version stays, whatever the order") {
+    ItemSet Newer = onlyRoute("lookup", route(9, "/lookup/", "ledger"));
+    ItemSet Older = onlyRoute("lookup", route(4, "/old/", "register"));
+    ItemSet Other = Held;
+    CHECK(mergeItems(Held, Newer, Revision(2)));
+    CHECK_FALSE(mergeItems(Held, Older, Revision(3)));
+    mergeItems(Other, Older, Revision(2));
+    mergeItems(Other, Newer, Revision(3));
+    CHECK(Held.Routes_["lookup"].Source_ == "/lookup/ to ledger");
+    CHECK(Other.Routes_["lookup"].Source_ == "/lookup/ to ledger");
+  }
+  SECTION("a removal is a version, so that an older one can't come back") {
+    ItemSet Removed = onlyRoute("lookup", removal<RouteItem>(5));
+    CHECK(mergeItems(Held, Removed, Revision(2)));
+    CHECK(findItem(Held.Routes_, "lookup") == nullptr);
+    CHECK_FALSE(mergeItems(
+        Held, onlyRoute("lookup", route(4, "/lookup/", "ledger")), Revision(3)));
+    CHECK(findItem(Held.Routes_, "lookup") == nullptr);
+  }
+  SECTION("another content under the version held changes nothing") {
+    CHECK_FALSE(mergeItems(
+        Held, onlyRoute("lookup", route(3, "/lookup/", "ledger")), Revision(2)));
+    CHECK(Held.Routes_["lookup"].Source_ == "/lookup/ to register");
+  }
+  SECTION("a receiver of what changed since its revision ends up equal") {
+    ItemSet Behind = Held;
+    mergeItems(Held, onlyRoute("lookup", removal<RouteItem>(5)), Revision(2));
+    mergeItems(Held, onlyRoute("more", route(1, "/more/", "ledger")),
+               Revision(3));
+    ItemSet News = itemsSince(Held, Revision(1));
+    CHECK(News.Routes_.size() == 2);
+    CHECK(News.Teams_.empty());
+    adoptItems(Behind, News);
+    adoptItems(Behind, News);
+    CHECK(encode(Behind) == encode(Held));
+  }
+  SECTION("a resend is recognized by its versions") {
+    CHECK(holdsAll(Held, basics()));
+    CHECK_FALSE(
+        holdsAll(Held, onlyRoute("lookup", route(4, "/lookup/", "ledger"))));
+    CHECK_FALSE(holdsAll(Held, onlyRoute("new", route(1, "/n/", "ledger"))));
+  }
+}
+
+TEST_CASE("Items that are invalid are refused with their name") {
+  ItemSet Held = basics();
+  Held.Services_["gone"] = removal<ServiceItem>(4);
+  auto R = route(9, "/lookup/", "register");
+
+  SECTION("an unknown service") {
+    R.Value_.Split_ = {{ServiceId("nowhere"), 1}};
+    CHECK_THAT(patchFault(Held, onlyRoute("lookup", R)),
+               Catch::Contains("route \"lookup\"") &&
+                   Catch::Contains("nowhere"));
+  }
+  SECTION("a removed service") {
+    R.Value_.Split_ = {{ServiceId("gone"), 1}};
+    CHECK_FALSE(patchFault(Held, onlyRoute("lookup", R)).empty());
+  }
+  SECTION("a service that the same patch brings") {
+    R.Value_.Split_ = {{ServiceId("fresh"), 1}};
+    ItemSet Patch = onlyRoute("lookup", R);
+    Patch.Services_["fresh"] = service(1);
+    CHECK(patchFault(Held, Patch).empty());
+  }
+  SECTION("a weight below 0") {
+    R.Value_.Split_ = {{ServiceId("register"), 2}, {ServiceId("ledger"), -1}};
+    CHECK_FALSE(patchFault(Held, onlyRoute("lookup", R)).empty());
+  }
+  SECTION("a timeout of 0") {
+    R.Value_.Timeout_ = Duration();
+    CHECK_FALSE(patchFault(Held, onlyRoute("lookup", R)).empty());
+  }
+  SECTION("an objective a minute above the timeout") {
+    R.Value_.Objective_ = R.Value_.Timeout_ + Duration::seconds(60);
+    CHECK_FALSE(patchFault(Held, onlyRoute("lookup", R)).empty());
+    R.Value_.Objective_ = R.Value_.Objective_ - Duration::millis(1);
+    CHECK(patchFault(Held, onlyRoute("lookup", R)).empty());
+  }
+  SECTION("a key that two teams would share") {
+    ItemSet Patch;
+    Patch.Teams_["agents"] = team(1, {"k2"});
+    CHECK_THAT(patchFault(Held, Patch), Catch::Contains("shares a key"));
+    SECTION("unless the same patch takes it from the other") {
+      Patch.Teams_["rangers"] = team(3, {"k1"});
+      CHECK(patchFault(Held, Patch).empty());
+    }
+    SECTION("also if the patch's version of the other is too old") {
+      Patch.Teams_["rangers"] = team(1, {"k1"});
+      CHECK_FALSE(patchFault(Held, Patch).empty());
+    }
+  }
+}
+
+TEST_CASE("The catalog takes patches of items") {
+  Catalog State;
+  REQUIRE(applyChange(State, patch("p1", basics())).Verdict_ ==
+          ChangeVerdict::Accepted);
+  REQUIRE(State.Revision_ == Revision(1));
+
+  SECTION("none of an invalid one comes into force") {
+    ItemSet Bad = onlyRoute("new", route(1, "/new/", "register"));
+    Bad.Routes_["bad"] = route(1, "/bad/", "nowhere");
+    CHECK(applyChange(State, patch("p2", Bad)).Verdict_ ==
+          ChangeVerdict::Invalid);
+    CHECK(findItem(State.Items_.Routes_, "new") == nullptr);
+    CHECK(State.Revision_ == Revision(1));
+  }
+  SECTION("an overtaken one is acknowledged and changes nothing") {
+    ItemSet Older = onlyRoute("lookup", route(2, "/old/", "register"));
+    CHECK(applyChange(State, patch("p2", Older)).Verdict_ ==
+          ChangeVerdict::Accepted);
+    CHECK(State.Revision_ == Revision(1));
+    CHECK(State.Items_.Routes_["lookup"].Value_.Prefix_ == "/lookup/");
+  }
+  SECTION("a snapshot keeps them") {
+    Catalog Read = decode<Catalog>(encode(State), "test", "");
+    CHECK(encode(Read.Items_) == encode(State.Items_));
+  }
+}
+
+TEST_CASE("A request finds its route") {
+  ItemSet Items = basics();
+  Items.Routes_["deep"] = route(1, "/lookup/deep/", "ledger");
+  Items.Routes_["gone"] = removal<RouteItem>(2);
+  RouteTable Table(Items);
+
+  CHECK(Table.find("tags.example", "/lookup/7")->Name_ == "lookup");
+  CHECK(Table.find("tags.example", "/lookup/deep/7")->Name_ == "deep");
+  CHECK(Table.find("tags.example", "/lookup") == nullptr);
+  CHECK(Table.find("other.example", "/lookup/7") == nullptr);
+  CHECK(Table.teamOf("k2") == TeamId("rangers"));
+  CHECK(Table.teamOf("k3").empty());
+  CHECK(Table.hasTeams());
+}
--- /dev/null
+++ b/test/KeyedChoice.cpp
@@ -0,0 +1,215 @@
+#include "lagoonpoint/Steering"
+
+#include <catch2/catch.hpp>
+
+using namespace lagoonpoint;
+
+namespace {
+
+constexpr Time Now = Time(50'000);
+const RegionId North("north");
+const RegionId South("south");
+
+SharedUpstream upstream(const std::string &Id, const RegionId &Region) {
+  SharedUpstream U;
+  U.Id_ = UpstreamId(Id);
+  U.Region_ = Region;
+  U.Slots_ = 3;
+  return U;
+}
+
+SharedGroup group(int Count, const RegionId &Region) {
+  SharedGroup G;
+  for (int N = 0; N < Count; ++N)
+    G.Upstreams_.push_back(upstream("u" + std::to_string(N), Region));
+  return G;
+}
+
+KeyedWish wishFor(const std::string &Object,
+                  std::vector<RegionId> Regions = {North}) {
+  KeyedWish W;
+  W.Object_ = Object;
+  W.Regions_ = std::move(Regions);
+  return W;
+}
+
+std::string chosen(SharedGroup &G, const KeyedWish &W, Time At = Now) {
+  SharedUpstream *U = chooseShared(G, W, {}, At);
+  return U ? U->Id_.str() : "";
+}
+
+SharedUpstream &byId(SharedGroup &G, const std::string &Id) {
+  for (SharedUpstream &U : G.Upstreams_)
+    if (U.Id_.str() == Id)
+      return U;
+  throw std::out_of_range(Id);
+}
+
+} // namespace
+
+TEST_CASE("Requests for one object go to one upstream") {
+  SharedGroup G = group(9, North);
+  KeyedRules Rules;
+  std::string First = chosen(G, wishFor("17"));
+
+  SECTION("on each VM, whatever the order in which it learned of them") {
+    std::reverse(G.Upstreams_.begin(), G.Upstreams_.end());
+    CHECK(chosen(G, wishFor("17")) == First);
+  }
+  SECTION("also after others came or went") {
+    int Moved = 0;
+    SharedGroup More = G;
+    More.Upstreams_.push_back(upstream("new", North));
+    for (int N = 0; N < 200; ++N) {
+      KeyedWish W = wishFor(std::to_string(N));
+      Moved += chosen(G, W) != chosen(More, W);
+    }
+    CHECK(Moved > 5); // the new one gets its part, a tenth of 200,
+    CHECK(Moved < 40); // and no other object moves
+  }
+  SECTION("spread over all, by slots") {
+    byId(G, "u0").Slots_ = 9;
+    std::map<std::string, int> Count;
+    for (int N = 0; N < 1100; ++N)
+      ++Count[chosen(G, wishFor(std::to_string(N)))];
+    CHECK(Count.size() == 9);
+    CHECK(Count["u0"] > 2 * Count["u1"]);
+  }
+  SECTION("waiting there for some time before another one is used") {
+    SharedUpstream &U = byId(G, First);
+    U.InFlight_ = 3 + 4;
+    CHECK(chosen(G, wishFor("17")) == First);
+    U.InFlight_ = 3 + 5;
+    std::string Second = chosen(G, wishFor("17"));
+    CHECK(Second != First);
+    byId(G, Second).InFlight_ = 3; // no queue where the object is cold
+    CHECK(chosen(G, wishFor("17")) != Second);
+  }
+  SECTION("what other VMs sent there counts, less as it grows old") {
+    SharedUpstream &U = byId(G, First);
+    release(U, {.Answered_ = true, .Held_ = 8}, Rules, Now);
+    CHECK(chosen(G, wishFor("17")) != First);
+    CHECK(chosen(G, wishFor("17"), Now + Duration::seconds(2)) == First);
+  }
+  SECTION("not where it was tried, drained, failed or nothing is open") {
+    KeyedWish W = wishFor("17");
+    W.Tried_ = {UpstreamId(First)};
+    CHECK(chosen(G, W) != First);
+    byId(G, First).Open_ = false;
+    CHECK(chosen(G, wishFor("17")) != First);
+    for (SharedUpstream &U : G.Upstreams_)
+      U.Open_ = false;
+    CHECK(chosen(G, wishFor("17")).empty());
+    CHECK_FALSE(anyOpen(G, wishFor("17"), Now));
+  }
+  SECTION("a silent one is the last resort") {
+    byId(G, First).Silent_ = true;
+    CHECK(chosen(G, wishFor("17")) != First);
+    for (SharedUpstream &U : G.Upstreams_)
+      U.Silent_ = true;
+    CHECK(chosen(G, wishFor("17")) == First);
+  }
+}
+
+TEST_CASE("Regions are used in the order given") {
+  SharedGroup G = group(2, North);
+  G.Upstreams_.push_back(upstream("s0", South));
+  CHECK(chosen(G, wishFor("1", {South, North})) == "s0");
+  byId(G, "s0").InFlight_ = 8;
+  CHECK(chosen(G, wishFor("1", {South, North})) != "s0");
+  CHECK(chosen(G, wishFor("1", {South})).empty());
+}
+
+TEST_CASE("A cold upstream gets few requests, and from one VM") {
+  SharedGroup G = group(1, North);
+  G.ColdRate_ = 2; // a second
+  SharedUpstream &U = G.Upstreams_.front();
+  U.ColdUntil_ = Now + Duration::seconds(3);
+
+  SECTION("none from the others") { CHECK(chosen(G, wishFor("1")).empty()); }
+  SECTION("at the rate that it bears") {
+    U.Warmer_ = true;
+    int Sent = 0;
+    for (int Ms = 0; Ms < 2000; Ms += 50)
+      Sent += !chosen(G, wishFor("1"), Now + Duration::millis(Ms)).empty();
+    CHECK(Sent == 4);
+  }
+  SECTION("and all of them once it is warm") {
+    CHECK(chosen(G, wishFor("1"), Now + Duration::seconds(3)) == "u0");
+  }
+}
+
+TEST_CASE("An upstream that fails is paused") {
+  SharedUpstream U = upstream("u", North);
+  KeyedRules Rules;
+  SECTION("at once if it can't be reached, longer each time") {
+    release(U, {.NotConnected_ = true}, Rules, Now);
+    CHECK(U.DownUntil_ == Now + Duration::millis(500));
+    release(U, {.NotConnected_ = true}, Rules, Now);
+    CHECK(U.DownUntil_ == Now + Duration::millis(1000));
+    for (int N = 0; N < 80; ++N)
+      release(U, {.NotConnected_ = true}, Rules, Now);
+    CHECK(U.DownUntil_ == Now + Duration::seconds(8));
+  }
+  SECTION("not for one answer that was cut") {
+    release(U, {.Failed_ = true}, Rules, Now);
+    CHECK(U.DownUntil_ == Time());
+    release(U, {.Answered_ = true}, Rules, Now);
+    release(U, {.Failed_ = true}, Rules, Now);
+    CHECK(U.DownUntil_ == Time());
+    release(U, {.Failed_ = true}, Rules, Now);
+    CHECK(U.DownUntil_ > Now);
+  }
+}
+
+TEST_CASE("Regions divide the requests of one region by their slots") {
+  std::map<RegionId, double> Slots{{North, 6}, {South, 24}};
+  std::map<RegionId, double> Demand{{North, 0.5}, {South, 0.5}};
+
+  SECTION("a region that is short keeps its part") {
+    RegionShares S = targetShares(North, Slots, Demand);
+    CHECK(S[North] == Approx(0.4));
+    CHECK(S[South] == Approx(0.6));
+  }
+  SECTION("one with room serves its own callers") {
+    RegionShares S = targetShares(South, Slots, Demand);
+    CHECK(S[South] == Approx(1));
+  }
+  SECTION("one without any sends all away") {
+    Slots[North] = 0;
+    CHECK(targetShares(North, Slots, Demand)[South] == Approx(1));
+  }
+  SECTION("shares move slowly, and sum to one on the way") {
+    RegionShares S{{North, 1}};
+    RegionShares Target{{North, 0.4}, {South, 0.6}};
+    S = approach(S, Target, 0.1);
+    CHECK(S[North] == Approx(0.9));
+    CHECK(S[South] == Approx(0.1));
+    for (int N = 0; N < 6; ++N)
+      S = approach(S, Target, 0.1);
+    CHECK(S[South] == Approx(0.6));
+  }
+  SECTION("objects fall to regions by these shares, always to the same") {
+    RegionShares Shares{{North, 0.4}, {South, 0.6}};
+    int Away = 0;
+    for (int N = 0; N < 1000; ++N) {
+      auto Order = regionOrder(North, Shares, std::to_string(N));
+      REQUIRE(Order.size() == 2);
+      Away += Order.front() == South;
+      CHECK(Order == regionOrder(North, Shares, std::to_string(N)));
+    }
+    CHECK(Away > 520);
+    CHECK(Away < 680);
+  }
+  SECTION("a wave of demand hardly changes them, a lasting change does") {
+    std::map<RegionId, double> Parts;
+    std::map<RegionId, double> Wave{{North, 30}, {South, 10}};
+    smoothDemand(Parts, Wave, Duration::millis(500));
+    for (int Half = 0; Half < 20; ++Half)
+      smoothDemand(Parts, Wave, Duration::millis(500));
+    CHECK(Parts[North] < 0.55);
+    for (int Half = 0; Half < 600; ++Half)
+      smoothDemand(Parts, Wave, Duration::millis(500));
+    CHECK(Parts[North] > 0.7);
+  }
+}
--- /dev/null
+++ b/test/Platform.cpp
@@ -0,0 +1,131 @@
+#include "platform/Wire.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lagoonpoint;
+using namespace lagoonpoint::platform;
+using Catch::Contains;
+
+namespace {
+
+const std::string First =
+    R"({"upsert":{"routes":{"columns":["name","host","pathPrefix","routeType",)"
+    R"("timeout","targetLatency","priority","trafficSplit","maxAttempts",)"
+    R"("allowAnonymous","sessionAffinity","allowedRegions","version","service"],)"
+    R"("rows":[["r1","a.example","/x/","safe","1200ms","500ms",2,)"
+    R"([{"service":"s1","weight":90},{"service":"s2","weight":10}],2,false,)"
+    R"(true,["north"],7,null],["r2","a.example","/y/","unsafe","1.5s","600ms",)"
+    R"(1,null,2,true,false,[],7,"s1"]]},"tenants":{"columns":["name","apiKeys",)"
+    R"("priority","ratePerS","burst","allowedRegions","version"],"rows":)"
+    R"([["t1",["k1","k2"],1,67,6.5,[],7]]},"services":{"columns":["name",)"
+    R"("healthPath","maxConnections","protocol","tls","warmup","warmupPerS",)"
+    R"("version"],"rows":[["s1","/health",390,"h1",false,"3s",2.9,7],)"
+    R"(["s2","/health",390,"h1",false,"3s",2.9,7]]},"limits":)"
+    R"({"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms",)"
+    R"("idleTimeout":"15000ms","version":7}},"remove":{"routes":)"
+    R"([{"name":"r3","version":9}]}})";
+
+const std::string Heartbeat =
+    R"({"service":"s1","address":"10.1.0.9:8080","zone":"a","version":"v1",)"
+    R"("slots":3,"state":"ready","warmupLeft":"1500ms","sequence":4,)"
+    R"("born":1790000000000})";
+
+std::string replaced(std::string Text, const std::string &Old,
+                     const std::string &New) {
+  std::size_t At = Text.find(Old);
+  REQUIRE(At != std::string::npos);
+  return Text.replace(At, Old.size(), New);
+}
+
+} // namespace
+
+TEST_CASE("The operator's items are decoded") {
+  ItemSet Items = decodePatch(First);
+  const RouteItem &R1 = Items.Routes_.at("r1").Value_;
+  CHECK(R1.Idempotent_);
+  CHECK(R1.Affine_);
+  CHECK(R1.Split_.size() == 2);
+  CHECK(R1.Split_[0].Weight_ == 90);
+  CHECK(R1.Timeout_ == Duration::millis(1200));
+  CHECK(R1.Objective_ == Duration::millis(500));
+  CHECK(R1.Regions_ == std::vector<RegionId>{RegionId("north")});
+  const RouteItem &R2 = Items.Routes_.at("r2").Value_;
+  CHECK_FALSE(R2.Idempotent_);
+  CHECK(R2.Open_);
+  CHECK(R2.Timeout_ == Duration::millis(1500));
+  CHECK(R2.Split_ == std::vector<SplitPart>{{ServiceId("s1"), 1}});
+  CHECK(Items.Routes_.at("r3").Removed_);
+  CHECK(Items.Routes_.at("r3").Version_ == ItemVersion(9));
+  CHECK(Items.Teams_.at("t1").Value_.Burst_ == 6.5);
+  CHECK(Items.Services_.at("s2").Value_.WarmupRate_ == 2.9);
+  CHECK(Items.Limits_.at("limits").Value_.IdleTimeout_ ==
+        Duration::seconds(15));
+
+  SECTION("and read back as they were sent, fields we don't use included") {
+    ItemSet Again = decodePatch(R"({"upsert":)" + encodeItems(Items) + "}");
+    CHECK(encodeItems(Again) == encodeItems(Items));
+    CHECK(Again.Routes_.at("r1").Value_.Split_ ==
+          Items.Routes_.at("r1").Value_.Split_);
+    CHECK_THAT(encodeItems(Items), Contains("protocol"));
+  }
+}
+
+TEST_CASE("A call that can't be read in full is refused with the field") {
+  auto Fault = [](const std::string &Body) -> std::string {
+    try {
+      decodePatch(Body);
+    } catch (const WireError &E) {
+      return E.what();
+    }
+    return "";
+  };
+  CHECK_FALSE(Fault(First.substr(0, First.size() - 30)).empty());
+  CHECK_FALSE(Fault("").empty());
+  CHECK_FALSE(Fault("[]").empty());
+  CHECK_THAT(Fault(replaced(First, "\"1200ms\"", "1200")), Contains("timeout"));
+  CHECK_THAT(Fault(replaced(First, "\"1200ms\"", "\"1200\"")),
+             Contains("timeout"));
+  CHECK_THAT(Fault(replaced(First, "\"safe\"", "\"odd\"")),
+             Contains("routeType"));
+  CHECK_THAT(Fault(replaced(First, "7,null]", "null,null]")),
+             Contains("version"));
+  CHECK_THAT(Fault(replaced(First, ",7,null]", ",7]")), Contains("rows"));
+  CHECK_THAT(Fault(replaced(First, R"({"service":"s1","weight":90})",
+                            R"({"service":"s1"})")),
+             Contains("weight"));
+  CHECK_THAT(Fault(replaced(First, R"(["k1","k2"])", R"(["k1",2])")),
+             Contains("apiKeys"));
+}
+
+TEST_CASE("An instance's heartbeat is decoded") {
+  UpstreamNotice N = decodeHeartbeat("i1", Heartbeat);
+  CHECK(N.Id_ == UpstreamId("i1"));
+  CHECK(N.BornAt_ == 1790000000000);
+  CHECK(N.Phase_ == NoticePhase::Serving);
+  CHECK(N.ColdFor_ == Duration::millis(1500));
+  CHECK(decodeHeartbeat("i1", replaced(Heartbeat, "ready", "draining"))
+            .Phase_ == NoticePhase::Leaving);
+
+  SECTION("one of another writer names no instance to use") {
+    for (auto [Old, New] :
+         {std::pair("\"ready\"", "\"dancing\""), std::pair("\"ready\"", "1"),
+          std::pair("\"slots\":3", "\"slots\":\"3\""),
+          std::pair("\"slots\":3", "\"slots\":-3"),
+          std::pair("1790000000000", "17900000000.5"),
+          std::pair("\"sequence\":4", "\"sequence\":null"),
+          std::pair("\"service\":\"s1\",", ""),
+          std::pair("\"1500ms\"", "\"soon\"")})
+      CHECK_THROWS_AS(decodeHeartbeat("i1", replaced(Heartbeat, Old, New)),
+                      WireError);
+    CHECK_THROWS_AS(decodeHeartbeat("i1", "\xff\xfe{"), WireError);
+    CHECK_THROWS_AS(decodeHeartbeat("", Heartbeat), WireError);
+  }
+}
+
+TEST_CASE("Times are numbers with a unit") {
+  CHECK(decodeTime("1500ms", "f") == Duration::millis(1500));
+  CHECK(decodeTime("2.5s", "f") == Duration::millis(2500));
+  CHECK(decodeTime("0ms", "f") == Duration());
+  for (const char *Bad : {"", "5", "ms", "-1s", "1m", "1 s", "1e99s", "nans"})
+    CHECK_THROWS_AS(decodeTime(Bad, "f"), WireError);
+}
