--- a/lagoonpoint/src/Gateway/KeyedCall.cpp
+++ b/lagoonpoint/src/Gateway/KeyedCall.cpp
@@ -51,7 +51,8 @@
                   Admission_.Regions_,
                   Tried_,
                   Admission_.Priority_,
-                  std::min(Admission_.Deadline_, Admission_.Arrived_ + Wait)};
+                  std::min(Admission_.Deadline_, Admission_.Arrived_ + Wait),
+                  Admission_.Deadline_};
   Time Asked = Services_.Clock_.now();
   try {
     Held_ = Services_.Dispatcher_.acquire(Wish);
@@ -72,18 +73,17 @@
     throw Refusal(R.reason(), ranOf(Retry_), R.step(), R.message(),
                   R.retryAfter());
   }
-  Tried_.insert(Held_.Upstream_);
+  Tried_.insert(Held_.Target_.Upstream_);
   Services_.Metrics_.observe(
       Metric::QueueSeconds,
       teamAndService(Admission_.Team_, Admission_.Route_.Service_),
       (Services_.Clock_.now() - Asked).inSeconds());
-  return Held_;
+  return Held_.Target_;
 }
 
 void KeyedCall::releaseTry(const TryReport &Report) {
   Holding_ = false;
-  Services_.Dispatcher_.release(Admission_.Route_.Service_, Held_.Upstream_,
-                                Report);
+  Services_.Dispatcher_.release(Admission_.Route_.Service_, Held_, Report);
   Services_.Metrics_.add(
       Metric::Tries,
       {Admission_.Route_.Service_.str(), nameOf(Report.End_)});
@@ -116,7 +116,7 @@
                    std::to_string(Report.Micros_ / 1000) + " ms, try " +
                    std::to_string(Retry_.Tries_) +
                    (Verdict == RetryVerdict::Again ? ", tried again" : ""),
-       .Peer_ = Held_.Upstream_.str(),
+       .Peer_ = Held_.Target_.Upstream_.str(),
        .Team_ = Admission_.Team_,
        .Request_ = Admission_.Request_});
 }
--- a/lagoonpoint/src/Gateway/KeyedCall.h
+++ b/lagoonpoint/src/Gateway/KeyedCall.h
@@ -62,7 +62,7 @@
   KeyedAdmission Admission_;
   RetryState Retry_;
   std::set<UpstreamId> Tried_;
-  CallTarget Held_;
+  SharedSlot Held_;
   bool Holding_ = false;
 };
 
--- a/lagoonpoint/src/Gateway/SharedDispatcher.cpp
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.cpp
@@ -40,6 +40,8 @@
   End.NotConnected_ = Report.End_ == TryEnd::NotConnected;
   End.Failed_ =
       Report.End_ == TryEnd::Broken || Report.End_ == TryEnd::TimedOut;
+  if (Report.End_ == TryEnd::Answered || Report.End_ == TryEnd::TimedOut)
+    End.Seconds_ = static_cast<double>(Report.Micros_) / 1e6;
   if (Report.Load_)
     End.Held_ = double(Report.Load_->Running_) + Report.Load_->Waiting_;
   return End;
@@ -116,6 +118,7 @@
     for (SharedUpstream &New : Upstreams)
       for (const SharedUpstream &Old : S.Group_.Upstreams_)
         if (Old.Id_ == New.Id_ && Old.BornAt_ == New.BornAt_) {
+          New.RunSeconds_ = Old.RunSeconds_;
           New.InFlight_ = Old.InFlight_;
           New.Others_ = Old.Others_;
           New.ToldAt_ = Old.ToldAt_;
@@ -182,7 +185,7 @@
   return Out;
 }
 
-CallTarget SharedDispatcher::acquire(const SharedWish &Wish) {
+SharedSlot SharedDispatcher::acquire(const SharedWish &Wish) {
   Shard *S = find(Wish.Service_);
   if (!S)
     throw noRoom(false);
@@ -195,14 +198,16 @@
   };
   for (;;) {
     Time Now = Clock_.now();
+    Keyed.Left_ = Wish.Deadline_ - Now;
     bool Overtakes =
         S->Waiting_.empty() || S->Waiting_.begin()->first >= Wish.Priority_;
     SharedUpstream *U =
         Overtakes ? chooseShared(S->Group_, Keyed, Rules_, Now) : nullptr;
     if (U) {
+      double Behind = expectedLoad(*U, Rules_, Now);
       ++U->InFlight_;
       Leave();
-      return {U->Id_, {}, U->Address_};
+      return {{U->Id_, {}, U->Address_}, Behind};
     }
     if (Now >= Wish.WaitUntil_) {
       Leave();
@@ -218,16 +223,18 @@
 }
 
 void SharedDispatcher::release(const ServiceId &Service,
-                               const UpstreamId &Upstream,
+                               const SharedSlot &Slot,
                                const TryReport &Report) {
   Shard *S = find(Service);
   if (!S)
     return;
   std::lock_guard Guard(S->Lock_);
   for (SharedUpstream &U : S->Group_.Upstreams_) {
-    if (U.Id_ != Upstream)
+    if (U.Id_ != Slot.Target_.Upstream_)
       continue;
-    lagoonpoint::release(U, endOf(Report), Rules_, Clock_.now());
+    SharedEnd End = endOf(Report);
+    End.Behind_ = Slot.Behind_;
+    lagoonpoint::release(U, End, Rules_, Clock_.now());
     if (Report.Misdirected_)
       U.Open_ = false;
   }
--- a/lagoonpoint/src/Gateway/SharedDispatcher.h
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.h
@@ -21,6 +21,13 @@
   std::set<UpstreamId> Tried_;
   unsigned Priority_ = 0; ///< 0 goes first
   Time WaitUntil_;        ///< for an upstream with room
+  Time Deadline_;         ///< of the answer
+};
+
+/// An upstream reserved for one try.
+struct SharedSlot {
+  CallTarget Target_;
+  double Behind_ = 0; ///< load that was there before
 };
 
 /// What the dispatcher learns of the fleet.
@@ -48,9 +55,9 @@
 
   /// Reserves an upstream.
   /// \throws Refusal if none has room in time
-  CallTarget acquire(const SharedWish &Wish);
+  SharedSlot acquire(const SharedWish &Wish);
   /// Ends a try.
-  void release(const ServiceId &Service, const UpstreamId &Upstream,
+  void release(const ServiceId &Service, const SharedSlot &Slot,
                const TryReport &Report);
 
 private:
--- a/lagoonpoint/src/Limits/DemandShare.cpp
+++ b/lagoonpoint/src/Limits/DemandShare.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Weight of the newest span in a smoothed rate halves what is older by this.
-constexpr Duration SmoothedOver = Duration::seconds(2);
+constexpr Duration SmoothedOver = Duration::seconds(5);
 constexpr double ShortestSpan = 0.05; ///< seconds
 
 } // namespace
--- a/lagoonpoint/src/Limits/DemandShare.h
+++ b/lagoonpoint/src/Limits/DemandShare.h
@@ -38,7 +38,7 @@
 
 /// Part of a rate that is divided evenly, so that a VM whose first caller of a
 /// team has just come can serve it.
-inline constexpr double EvenPart = 0.25;
+inline constexpr double EvenPart = 0.4;
 
 /// \class SharedRate
 /// \ingroup Limits
--- a/lagoonpoint/src/Steering/KeyedChoice.cpp
+++ b/lagoonpoint/src/Steering/KeyedChoice.cpp
@@ -60,9 +60,20 @@
   return Out;
 }
 
-bool hasRoom(const SharedUpstream &U, double Queued, const KeyedRules &Rules,
-             Time Now) {
-  return expectedLoad(U, Rules, Now) + 1 <= U.Slots_ + Queued;
+/// Runs that pass one after the other until a request behind a load has ended.
+double turnsBehind(const SharedUpstream &U, double Load) {
+  return 1 + std::max(0.0, Load + 1 - U.Slots_) / U.Slots_;
+}
+
+/// A request that can't end in time would waste its run.
+bool hasRoom(const SharedUpstream &U, double Queued, Duration Left,
+             const KeyedRules &Rules, Time Now) {
+  double Load = expectedLoad(U, Rules, Now);
+  if (Load + 1 > U.Slots_ + Queued)
+    return false;
+  bool Queues = Load + 1 > U.Slots_;
+  double Needed = U.RunSeconds_ * turnsBehind(U, Load);
+  return !Queues || Needed <= Left.inSeconds() * Rules.TimeUsed_;
 }
 
 } // namespace
@@ -76,12 +87,14 @@
 
 SharedUpstream *chooseShared(SharedGroup &G, const KeyedWish &Wish,
                              const KeyedRules &Rules, Time Now) {
-  bool First = true;
+  unsigned Seen = 0;
   for (const RegionId &Region : Wish.Regions_) {
     for (SharedUpstream *U : ranked(G, Region, Wish, Rules, Now)) {
-      double Queued = First ? Rules.QueuedAtFirst_ : Rules.QueuedElsewhere_;
-      First = false;
-      if (!hasRoom(*U, Queued, Rules, Now))
+      if (!Wish.Object_.empty() && Seen == Rules.Choices_)
+        return nullptr;
+      double Queued = Seen == 0 ? Rules.QueuedAtFirst_ : Rules.QueuedElsewhere_;
+      ++Seen;
+      if (!hasRoom(*U, Queued, Wish.Left_, Rules, Now))
         continue;
       if (isCold(*U, Now))
         U->ColdSentAt_ = Now;
@@ -110,6 +123,11 @@
   }
   if (End.Answered_)
     U.Failures_ = 0;
+  if (End.Seconds_ > 0) {
+    double Run = End.Seconds_ / turnsBehind(U, End.Behind_);
+    double Gain = U.RunSeconds_ > 0 ? Rules.RunGain_ : 1;
+    U.RunSeconds_ += Gain * (Run - U.RunSeconds_);
+  }
   if (!End.NotConnected_ && !End.Failed_)
     return;
   ++U.Failures_;
--- a/lagoonpoint/src/Steering/KeyedChoice.h
+++ b/lagoonpoint/src/Steering/KeyedChoice.h
@@ -27,6 +27,7 @@
   Time ColdUntil_;
   bool Warmer_ = false; ///< only this VM sends to it while it is cold
 
+  double RunSeconds_ = 0;  ///< smoothed time of one run; 0: not known yet
   unsigned InFlight_ = 0;  ///< sent by this VM and not ended
   double Others_ = 0;      ///< requests of other VMs there, when last told
   Time ToldAt_;            ///< when Others_ was told
@@ -40,8 +41,14 @@
   /// Requests beyond its slots that an upstream may hold before a call goes to
   /// the next one; a warm run is shorter than a cold one elsewhere.
   double QueuedAtFirst_ = 5;
+  /// Part of the time left that a wait and a run may be expected to take.
+  double TimeUsed_ = 0.9;
+  double RunGain_ = 0.2; ///< weight of the newest run in the smoothed time
   /// The same for upstreams that are not the object's first choice.
   double QueuedElsewhere_ = 0;
+  /// Upstreams that an object may be sent to while they are open: each one
+  /// more is one more cold run, which overload can't afford.
+  unsigned Choices_ = 2;
   /// What other VMs were told to have there halves in this time.
   Duration ToldHalfLife_ = Duration::millis(400);
   Duration FirstPause_ = Duration::millis(500); ///< after a failure; doubles
@@ -62,6 +69,7 @@
   std::string Object_;             ///< empty: any upstream is as good
   std::vector<RegionId> Regions_;  ///< in order of preference
   std::set<UpstreamId> Tried_;
+  Duration Left_ = Duration::seconds(60); ///< until the call's deadline
 };
 
 /// \returns requests that an upstream is thought to hold now.
@@ -69,7 +77,7 @@
 double expectedLoad(const SharedUpstream &U, const KeyedRules &Rules, Time Now);
 
 /// Chooses an upstream: the object's first one by weighted rendezvous hashing
-/// in the first region while it has room, then the next ones. All VMs that know
+/// in the first region while it has room, then its next one. All VMs that know
 /// the same upstreams choose alike.
 /// \ingroup Steering
 /// \returns null if all are full, down or tried
@@ -86,6 +94,8 @@
   bool NotConnected_ = false;
   bool Failed_ = false; ///< broken, or no answer in time
   std::optional<double> Held_; ///< requests there, as its answer told
+  double Behind_ = 0;          ///< load that it was sent behind
+  double Seconds_ = 0;         ///< from sending to the end of the answer
 };
 
 /// Takes in how a request ended.
