--- a/cmake/Options.cmake
+++ b/cmake/Options.cmake
@@ -3,6 +3,10 @@
 option(BUILD_CHECKS "Build the tests and the experiments" ON)
 add_compile_options(-Wall -Wextra -Wpedantic
   -Wno-missing-field-initializers) # designated initializers leave fields out
+if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU" AND CMAKE_CXX_COMPILER_VERSION VERSION_LESS 13)
+  # False at -O3: GCC bug 105651, on a text literal + std::string.
+  add_compile_options(-Wno-restrict)
+endif()
 if(WARNINGS_AS_ERRORS)
   add_compile_options(-Werror)
 endif()
--- a/lagoonpoint/src/Config/FleetSettings.cpp
+++ b/lagoonpoint/src/Config/FleetSettings.cpp
@@ -85,8 +85,7 @@
        addressKey("readiness", &S::Readiness_),
        addressKey("control", &S::Control_),
        addressKey("directory", &S::Directory_),
-       rangedKey("peer_port", Required, CountUnit, &S::PeerPort_, "1",
-                 "65535"),
+       rangedKey("peer_port", Required, CountUnit, &S::PeerPort_, "1", "65535"),
        rangedKey("metrics_port", "0", CountUnit, &S::MetricsPort_, "0",
                  "65535")}};
   return Spec;
--- a/lagoonpoint/src/Config/FleetSettings.h
+++ b/lagoonpoint/src/Config/FleetSettings.h
@@ -34,14 +34,14 @@
   Duration Drain_ = Duration::millis(2500); ///< of a leaving upstream
   Duration Grace_ = Duration::seconds(6);   ///< from SIGTERM to SIGKILL
   Duration Revoke_ = Duration::seconds(5);  ///< a withdrawn key still works
-  bool StrictRevocation_ = true; ///< also at a VM that is cut off
+  bool StrictRevocation_ = true;            ///< also at a VM that is cut off
   Duration LookupTtl_ = Duration::seconds(2);
   double RetryRatio_ = 0.2; ///< further sends per request, fleet-wide
   Duration RetryWindow_ = Duration::seconds(10);
   double RetrySlack_ = 0; ///< further sends a window, fleet-wide
   Duration QuotaWindow_ = Duration::seconds(5);
-  double QuotaOverage_ = 0;  ///< part that teams may get beyond their rate
-  double QuotaSlack_ = 0;    ///< requests a window beyond that
+  double QuotaOverage_ = 0;      ///< part that teams may get beyond their rate
+  double QuotaSlack_ = 0;        ///< requests a window beyond that
   double MaxRegionShift_ = 0.15; ///< share of requests that change region
   std::string LogLevel_ = "info";
 };
--- a/lagoonpoint/src/Config/Settings.h
+++ b/lagoonpoint/src/Config/Settings.h
@@ -53,7 +53,7 @@
   Duration BodyTimeout_ = Duration::seconds(30);  ///< for the whole body
   Duration IdleTimeout_ = Duration::seconds(15);  ///< between requests
   Duration DrainLimit_ = Duration::seconds(30);   ///< of a graceful shutdown
-  Duration UpstreamIdle_ = Duration::seconds(5); ///< reuse of a connection
+  Duration UpstreamIdle_ = Duration::seconds(5);  ///< reuse of a connection
   Duration AnswerHold_ = Duration::millis(50); ///< before an answer is relayed
   std::string LogLevel_ = "info";
 };
--- a/lagoonpoint/src/Fleet/Directory.cpp
+++ b/lagoonpoint/src/Fleet/Directory.cpp
@@ -11,8 +11,7 @@
                               const Accept &Accepts) {
   std::vector<std::string> Out;
   for (const HeardNode *Node : Live)
-    if (Node->Ready_ && Accepts(Node->Record_) &&
-        Out.size() < MaxNamed)
+    if (Node->Ready_ && Accepts(Node->Record_) && Out.size() < MaxNamed)
       Out.push_back(Node->Record_.Callers_);
   return Out;
 }
@@ -23,9 +22,8 @@
                                        const DirectoryQuery &Query,
                                        Duration Within, Time Now) {
   std::vector<const HeardNode *> Live = liveEntries(R, Within, Now);
-  std::vector<std::string> Out = pick(Live, [&](const NodeRecord &N) {
-    return N.Region_ == Query.Region_;
-  });
+  std::vector<std::string> Out = pick(
+      Live, [&](const NodeRecord &N) { return N.Region_ == Query.Region_; });
   if (!Out.empty())
     return Out;
   const std::vector<RegionId> &Allowed = Query.Allowed_;
--- a/lagoonpoint/src/Fleet/FleetMessage.h
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -17,9 +17,9 @@
   bool Core_ = false; ///< replicates the configuration, else an entry VM
   ZoneId Zone_;
   RegionId Region_;
-  std::string Callers_;    ///< entry VM: where callers connect, "host:port"
+  std::string Callers_;      ///< entry VM: where callers connect, "host:port"
   std::uint64_t BornAt_ = 0; ///< Unix milliseconds of the process's start
-  DiskId Disk_;            ///< core VM: of its data folder
+  DiskId Disk_;              ///< core VM: of its data folder
   MSGPACK_DEFINE(Vm_, Core_, Zone_, Region_, Callers_, BornAt_, Disk_)
 };
 
@@ -37,12 +37,13 @@
 /// Sent by every VM to every core VM that it knows. What the receiver holds
 /// already is left out.
 struct Beat {
-  std::uint64_t BornAt_ = 0; ///< Unix milliseconds of the sender's start
+  std::uint64_t BornAt_ = 0;     ///< Unix milliseconds of the sender's start
   std::vector<NodeRecord> Self_; ///< one, unless the receiver holds it
   bool Ready_ = false;           ///< entry VM: takes new callers
-  std::int64_t Asked_ = 0; ///< sender's clock; only echoed
-  Revision Holds_;         ///< of the items that the sender holds
+  std::int64_t Asked_ = 0;       ///< sender's clock; only echoed
+  Revision Holds_;               ///< of the items that the sender holds
   LogIndex ConfigAt_; ///< entry that set the newest voters the sender knows of
+  bool KnowsVoters_ = false;    ///< else ConfigAt_ says nothing
   std::uint64_t Upstreams_ = 0; ///< digest of the sender's announcements
   std::vector<VmId> Cores_;     ///< that the sender knows; empty: as before
   bool WantsItems_ = false;     ///< and announcements, where they differ
@@ -50,15 +51,16 @@
   RateMap TeamRates_;           ///< asked of the sender by callers
   RateMap ServiceRates_;        ///< asked of the sender by callers
   std::vector<Sighting> Sighted_; ///< between core VMs
-  MSGPACK_DEFINE(BornAt_, Self_, Ready_, Asked_, Holds_, ConfigAt_, Upstreams_, Cores_,
-                 WantsItems_, WantsRates_, TeamRates_, ServiceRates_, Sighted_)
+  MSGPACK_DEFINE(BornAt_, Self_, Ready_, Asked_, Holds_, ConfigAt_,
+                 KnowsVoters_, Upstreams_, Cores_, WantsItems_, WantsRates_,
+                 TeamRates_, ServiceRates_, Sighted_)
 };
 
 /// How far one core VM's part of the log reaches.
 struct LogProof {
   DiskId Disk_;
-  LogIndex Last_;     ///< highest entry on its disk, committed or not
-  LogIndex Applied_;  ///< highest entry that its items include
+  LogIndex Last_;    ///< highest entry on its disk, committed or not
+  LogIndex Applied_; ///< highest entry that its items include
   /// Teams whose items entries between Applied_ and Last_ may change.
   std::vector<std::string> Doubtful_;
   LogIndex ConfigAt_; ///< entry that set the newest voters it knows of
@@ -68,8 +70,8 @@
 
 /// What entry VMs are asked for together.
 struct FleetRates {
-  std::vector<VmId> Entries_; ///< live entry VMs
-  RateMap TeamRates_;         ///< summed over them
+  std::vector<VmId> Entries_;                  ///< live entry VMs
+  RateMap TeamRates_;                          ///< summed over them
   std::map<std::string, RateMap> RegionRates_; ///< service rates by region
   MSGPACK_DEFINE(Entries_, TeamRates_, RegionRates_)
 };
@@ -79,7 +81,7 @@
   std::int64_t Asked_ = 0;  ///< of the beat
   bool KnowsSender_ = true; ///< else the sender should describe itself
   Revision Holds_;
-  std::uint64_t Upstreams_ = 0; ///< digest of the announcements it holds
+  std::uint64_t Upstreams_ = 0;    ///< digest of the announcements it holds
   std::vector<UpstreamId> Silent_; ///< announced nothing to any core VM lately
   LogProof Proof_;
   std::vector<VmId> Cores_;       ///< where the sender's list differs
--- a/lagoonpoint/src/Fleet/UpstreamBook.cpp
+++ b/lagoonpoint/src/Fleet/UpstreamBook.cpp
@@ -63,8 +63,8 @@
   return News;
 }
 
-void heard(UpstreamBook &Book, const UpstreamId &Id,
-           std::uint64_t Sequence, Duration Age, Time Now) {
+void heard(UpstreamBook &Book, const UpstreamId &Id, std::uint64_t Sequence,
+           Duration Age, Time Now) {
   auto Found = Book.Upstreams_.find(Id);
   if (Found == Book.Upstreams_.end())
     return;
@@ -95,8 +95,7 @@
   return Sum;
 }
 
-std::vector<UpstreamNotice> noticesOf(const UpstreamBook &Book,
-                                          Time Now) {
+std::vector<UpstreamNotice> noticesOf(const UpstreamBook &Book, Time Now) {
   std::vector<UpstreamNotice> Out;
   for (const auto &[Id, Held] : Book.Upstreams_) {
     Out.push_back(Held.Said_);
--- a/lagoonpoint/src/Fleet/UpstreamBook.h
+++ b/lagoonpoint/src/Fleet/UpstreamBook.h
@@ -10,8 +10,8 @@
 /// An upstream as a book holds it.
 struct KnownUpstream {
   UpstreamNotice Said_;
-  Time HeardAt_;   ///< when it was last heard of by any core VM
-  Time ColdUntil_; ///< end of its warm-up by this VM's clock
+  Time HeardAt_;        ///< when it was last heard of by any core VM
+  Time ColdUntil_;      ///< end of its warm-up by this VM's clock
   bool Silent_ = false; ///< announces no more; perhaps dead
 };
 
@@ -34,8 +34,8 @@
 
 /// Notes that an upstream was heard of by another VM.
 /// \ingroup Fleet
-void heard(UpstreamBook &Book, const UpstreamId &Id,
-           std::uint64_t Sequence, Duration Age, Time Now);
+void heard(UpstreamBook &Book, const UpstreamId &Id, std::uint64_t Sequence,
+           Duration Age, Time Now);
 
 /// Marks upstreams not heard of for \p SilentAfter, and drops those that are
 /// gone or silent for \p ForgetAfter.
@@ -50,7 +50,6 @@
 
 /// \returns all announcements, with what is left of each warm-up.
 /// \ingroup Fleet
-std::vector<UpstreamNotice> noticesOf(const UpstreamBook &Book,
-                                          Time Now);
+std::vector<UpstreamNotice> noticesOf(const UpstreamBook &Book, Time Now);
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -72,8 +72,8 @@
         Peers_(
             fleetPeerOptions(S), [this](Envelope E) { receive(std::move(E)); },
             Clock_, [](const Error &E) { logError(E, LogLevel::Debug); }),
-        Book_(S, Peers_),
-        Pusher_("core.push", IdleTick, [] {}), Host_(ReplicaSettings_, Clock_, Peers_,
+        Book_(S, Peers_), Pusher_("core.push", IdleTick, [] {}),
+        Host_(ReplicaSettings_, Clock_, Peers_,
               [this](const Catalog &C, const Change *) { observe(C); }),
         Router_(Self_, seedVms(S), &Host_, Clock_, Peers_),
         Ticker_("core.tick", TickEvery, [this] { tick(); }) {}
@@ -101,6 +101,7 @@
   bool coreInContact(Time Now);
   bool confirm(const UpstreamNotice &A);
   void repairVoters();
+  void noteLeader();
   bool formed();
   std::shared_ptr<const HeldItems> items() const;
 
@@ -123,13 +124,14 @@
   UpstreamBook Upstreams_;
   std::map<UpstreamId, Sighting> Sighted_; ///< here, since the last beat
   std::map<VmId, unsigned> Differing_; ///< beats in a row with other digests
-  std::set<VmId> Introduced_; ///< core VMs that hold this VM's record
+  std::set<VmId> Introduced_;          ///< core VMs that hold this VM's record
   Time NextBeat_;
+  VmId Leader_; ///< as logged last; used by the ticker only
   std::map<std::uint64_t, std::set<VmId>> Unconfirmed_;
   std::uint64_t NextNumber_ = 1;
 
   std::atomic<bool> PushQueued_{false};
-  Worker Pusher_;    ///< before Host_, whose start observes what is stored
+  Worker Pusher_; ///< before Host_, whose start observes what is stored
   ReplicaHost Host_;
   ChangeRouter Router_;
   Worker Ticker_;
@@ -248,7 +250,7 @@
   Out.Holds_ = View.Revision_;
   Out.Proof_ = {View.Disk_,     View.Last_,     View.Applied_,
                 View.Doubtful_, View.ConfigAt_, {}};
-  if (B.ConfigAt_ != View.ConfigAt_)
+  if (!B.KnowsVoters_ || B.ConfigAt_ != View.ConfigAt_)
     Out.Proof_.Config_.push_back(View.Config_);
   Out.Cores_ = Book_.coresFor(From);
   std::lock_guard Guard(Lock_);
@@ -368,9 +370,9 @@
   while (!Whole && Clock_.now() < Deadline) {
     spread(Number, {A});
     std::unique_lock Guard(Lock_);
-    Whole = Confirmed_.wait_for(
-        Guard, std::chrono::milliseconds(ConfirmAgain.count()),
-        [&] { return Unconfirmed_[Number].empty(); });
+    Whole = Confirmed_.wait_for(Guard,
+                                std::chrono::milliseconds(ConfirmAgain.count()),
+                                [&] { return Unconfirmed_[Number].empty(); });
   }
   std::lock_guard Guard(Lock_);
   Enough = coreInContact(Clock_.now());
@@ -418,6 +420,7 @@
   for (const Voter &V : Host_.leaderView().Config_.Voters_)
     Voters.push_back(V.Vm_);
   Router_.setVoters(Voters);
+  noteLeader();
   if (Now >= NextBeat_) {
     NextBeat_ = Now + BeatEvery;
     sendBeats();
@@ -425,6 +428,20 @@
   repairVoters();
 }
 
+void CoreVm::Parts::noteLeader() {
+  LeaderView View = Host_.leaderView();
+  if (View.Leader_ == Leader_)
+    return;
+  Leader_ = View.Leader_;
+  log({.Step_ = "core.leader",
+       .Message_ = (Leader_.empty() ? "no leader is known, term "
+                                    : "leader is known, term ") +
+                   std::to_string(View.Term_.value()) + ", voters " +
+                   std::to_string(View.Config_.Voters_.size()),
+       .Peer_ = Leader_.str(),
+       .Revision_ = View.Revision_});
+}
+
 void CoreVm::Parts::sendBeats() {
   Beat B = beat();
   for (const VmId &Vm : Book_.cores()) {
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -47,6 +47,7 @@
   Duration RoundTrip_;
   std::set<UpstreamId> Silent_; ///< upstreams that announce no more
   unsigned Differing_ = 0;      ///< answers in a row with another digest
+  bool InContact_ = false;      ///< as logged last
 };
 
 /// What is in force at this VM.
@@ -63,9 +64,9 @@
   Out.Region_ = S.Region_;
   Out.Zone_ = S.Zone_;
   std::size_t Colon = S.Callers_.rfind(':');
-  Out.Callers_ = {S.Callers_.substr(0, Colon),
-                  static_cast<unsigned short>(
-                      std::stoi(S.Callers_.substr(Colon + 1)))};
+  Out.Callers_ = {
+      S.Callers_.substr(0, Colon),
+      static_cast<unsigned short>(std::stoi(S.Callers_.substr(Colon + 1)))};
   Out.CallerThreads_ = CallerThreads;
   Out.MaxCallerConnections_ = MaxCallerConnections;
   Out.MaxHeaderBytes_ = MaxHeaderBytes;
@@ -129,14 +130,15 @@
         Peers_(
             fleetPeerOptions(S), [this](Envelope E) { receive(std::move(E)); },
             Clock_, [](const Error &E) { logError(E, LogLevel::Debug); }),
-        Book_(S, Peers_), Dispatcher_(S, Clock_), Teams_(S, Clock_),
-        Services_{Clock_,
-                  Dispatcher_,
-                  Retries_,
-                  Metrics_,
-                  [this](const TeamId &T) { checkKeys(T); },
-                  [this] { return retryLimits(); },
-                  [this](const TeamId &T) { Teams_.giveBack(T); }},
+        Book_(S, Peers_), Dispatcher_(S, Clock_),
+        Teams_(S, Clock_), Services_{
+                               Clock_,
+                               Dispatcher_,
+                               Retries_,
+                               Metrics_,
+                               [this](const TeamId &T) { checkKeys(T); },
+                               [this] { return retryLimits(); },
+                               [this](const TeamId &T) { Teams_.giveBack(T); }},
         Server_(*this, CallerSettings_, Clock_, &Metrics_, std::move(D)),
         Ticker_("entry.tick", TickEvery, [this] { tick(); }) {}
 
@@ -160,6 +162,8 @@
   void sendTo(const VmId &To, const FleetMessage &M);
   void teachDispatcher();
   void markSilent(Time Now);
+  void logContact(Time Now);
+  void logProof();
 
   std::shared_ptr<const Configuration> current() const;
   const TableRoute &find(const Configuration &C, const Call &Call_) const;
@@ -193,7 +197,8 @@
   Currency Currency_;
   std::vector<VmId> Entries_;
   std::map<VmId, CoreSaid> Said_;
-  Time NextAsk_; ///< for items
+  Time NextAsk_;            ///< for items
+  bool KeysProven_ = false; ///< as logged last
   std::map<std::string, RateMap> RegionRates_;
   Time RebalancedAt_;
   std::set<VmId> Introduced_; ///< core VMs that hold this VM's record
@@ -341,10 +346,12 @@
   B.Asked_ = Clock_.now().count();
   B.Holds_ = current()->Revision_;
   B.Ready_ = configured() && !Draining_;
-  Teams_.rates(B.TeamRates_, B.ServiceRates_);
+  if (Only.empty())
+    Teams_.rates(B.TeamRates_, B.ServiceRates_);
   NodeRecord Own = self();
   std::lock_guard Guard(Lock_);
   B.ConfigAt_ = Currency_.ConfigAt_;
+  B.KnowsVoters_ = !Currency_.Config_.Voters_.empty();
   B.Upstreams_ = digestOf(Upstreams_);
   Time Now = Clock_.now();
   VmId Nearest = nearestCore(Now);
@@ -373,6 +380,42 @@
   return Nearest;
 }
 
+/// Logs each core VM that is lost or regained.
+void EntryVm::Parts::logContact(Time Now) {
+  for (auto &[Core, Said] : Said_) {
+    Duration Silence = Now - Said.At_;
+    bool InContact = Silence <= HeardWithin;
+    if (InContact == Said.InContact_)
+      continue;
+    Said.InContact_ = InContact;
+    log({.Level_ = InContact ? LogLevel::Info : LogLevel::Warning,
+         .Step_ = "entry.core",
+         .Message_ = InContact
+                         ? "core VM answers, round trip " +
+                               std::to_string(Said.RoundTrip_.count()) + " ms"
+                         : "core VM has not answered for " +
+                               std::to_string(Silence.count()) + " ms",
+         .Peer_ = Core.str()});
+  }
+}
+
+/// Logs when this VM begins or ceases to prove that its keys are current.
+void EntryVm::Parts::logProof() {
+  auto At = provenAt(Currency_, TeamId());
+  Duration Age = At ? Clock_.now() - *At : Duration();
+  bool Proven = At && Age < Settings_.Revoke_ - RevokeMargin;
+  if (Proven == KeysProven_)
+    return;
+  KeysProven_ = Proven;
+  log({.Level_ = Proven ? LogLevel::Info : LogLevel::Warning,
+       .Step_ = "entry.proof",
+       .Message_ = std::string("keys are ") + (Proven ? "" : "not ") +
+                   "proven to be current" +
+                   (At ? ", proof is " + std::to_string(Age.count()) + " ms old"
+                       : ", no quorum of core VMs has answered"),
+       .Revision_ = current()->Revision_});
+}
+
 void EntryVm::Parts::tick() {
   Time Now = Clock_.now();
   if (Now >= NextBeat_ || !Parts::configured()) {
@@ -381,10 +424,11 @@
   }
   std::lock_guard Guard(Lock_);
   markSilent(Now);
+  logContact(Now);
+  logProof();
   teachDispatcher();
-  Dispatcher_.rebalance(RegionRates_, RebalancedAt_ == Time()
-                                          ? TickEvery
-                                          : Now - RebalancedAt_);
+  Dispatcher_.rebalance(
+      RegionRates_, RebalancedAt_ == Time() ? TickEvery : Now - RebalancedAt_);
   RebalancedAt_ = Now;
 }
 
@@ -489,8 +533,8 @@
     A.MaxAttempts_ = Route.MaxAttempts_;
     A.Arrived_ = C.Arrived_;
     A.Objective_ = Route.Objective_;
-    Duration Allowed = std::min(C.Deadline_.value_or(Route.Timeout_),
-                                Route.Timeout_);
+    Duration Allowed =
+        std::min(C.Deadline_.value_or(Route.Timeout_), Route.Timeout_);
     A.Deadline_ = C.Arrived_ + Allowed - AnswerMargin;
     if (Team)
       Teams_.take(A.Team_, Team->Rate_, Team->Burst_);
@@ -523,9 +567,8 @@
   log({.Step_ = "entry.drain", .Message_ = "draining"});
   Parts_->Draining_ = true;
   Parts_->sendBeats();
-  Duration Wait =
-      std::min(Parts_->Settings_.LookupTtl_ + DrainSlack,
-               Parts_->Settings_.Grace_ / 2);
+  Duration Wait = std::min(Parts_->Settings_.LookupTtl_ + DrainSlack,
+                           Parts_->Settings_.Grace_ / 2);
   std::this_thread::sleep_for(std::chrono::milliseconds(Wait.count()));
 }
 
--- a/lagoonpoint/src/Gateway/KeyedCall.cpp
+++ b/lagoonpoint/src/Gateway/KeyedCall.cpp
@@ -31,8 +31,7 @@
     releaseTry({.End_ = TryEnd::CallerLeft});
   if (Retry_.Tries_ == 0)
     Services_.GiveBack_(Admission_.Team_);
-  double Spent =
-      (Services_.Clock_.now() - Admission_.Arrived_).inSeconds();
+  double Spent = (Services_.Clock_.now() - Admission_.Arrived_).inSeconds();
   Services_.Metrics_.observe(
       Metric::RequestSeconds,
       teamAndService(Admission_.Team_, Admission_.Route_.Service_), Spent);
@@ -44,8 +43,8 @@
 }
 
 CallTarget KeyedCall::next() {
-  auto Wait = Duration::millis(static_cast<std::int64_t>(
-      Admission_.Objective_.count() * WaitedPart));
+  auto Wait = Duration::millis(
+      static_cast<std::int64_t>(Admission_.Objective_.count() * WaitedPart));
   SharedWish Wish{Admission_.Route_.Service_,
                   Admission_.Object_,
                   Admission_.Regions_,
@@ -85,8 +84,7 @@
   Holding_ = false;
   Services_.Dispatcher_.release(Admission_.Route_.Service_, Held_, Report);
   Services_.Metrics_.add(
-      Metric::Tries,
-      {Admission_.Route_.Service_.str(), nameOf(Report.End_)});
+      Metric::Tries, {Admission_.Route_.Service_.str(), nameOf(Report.End_)});
 }
 
 bool KeyedCall::ended(const TryReport &Report) {
--- a/lagoonpoint/src/Gateway/SharedDispatcher.cpp
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.cpp
@@ -38,8 +38,8 @@
   End.Answered_ =
       Report.End_ == TryEnd::Answered || Report.End_ == TryEnd::Shed;
   End.NotConnected_ = Report.End_ == TryEnd::NotConnected;
-  End.Failed_ =
-      Report.End_ == TryEnd::Broken || Report.End_ == TryEnd::TimedOut;
+  End.Failed_ = Report.End_ == TryEnd::Broken;
+  End.TimedOut_ = Report.End_ == TryEnd::TimedOut;
   if (Report.End_ == TryEnd::Answered || Report.End_ == TryEnd::TimedOut)
     End.Seconds_ = static_cast<double>(Report.Micros_) / 1e6;
   if (Report.Load_)
@@ -122,6 +122,7 @@
           New.InFlight_ = Old.InFlight_;
           New.Others_ = Old.Others_;
           New.ToldAt_ = Old.ToldAt_;
+          New.UnansweredSince_ = Old.UnansweredSince_;
           New.DownUntil_ = Old.DownUntil_;
           New.Failures_ = Old.Failures_;
           New.ColdSentAt_ = Old.ColdSentAt_;
@@ -205,7 +206,7 @@
         Overtakes ? chooseShared(S->Group_, Keyed, Rules_, Now) : nullptr;
     if (U) {
       double Behind = expectedLoad(*U, Rules_, Now);
-      ++U->InFlight_;
+      reserve(*U, Now);
       Leave();
       return {{U->Id_, {}, U->Address_}, Behind};
     }
@@ -222,8 +223,7 @@
   }
 }
 
-void SharedDispatcher::release(const ServiceId &Service,
-                               const SharedSlot &Slot,
+void SharedDispatcher::release(const ServiceId &Service, const SharedSlot &Slot,
                                const TryReport &Report) {
   Shard *S = find(Service);
   if (!S)
--- a/lagoonpoint/src/Gateway/SharedDispatcher.h
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.h
@@ -66,7 +66,7 @@
     std::condition_variable Changed_;
     SharedGroup Group_;
     RegionShares Shares_;
-    std::map<RegionId, double> Demand_; ///< parts of all, smoothed
+    std::map<RegionId, double> Demand_;    ///< parts of all, smoothed
     std::map<unsigned, unsigned> Waiting_; ///< calls by priority
   };
 
--- a/lagoonpoint/src/Gateway/TeamShares.cpp
+++ b/lagoonpoint/src/Gateway/TeamShares.cpp
@@ -6,6 +6,8 @@
 
 /// Entry VMs assumed before any core VM has told how many there are.
 constexpr std::size_t AssumedVms = 16;
+/// A count of entry VMs is kept for as long though smaller ones are told.
+constexpr Duration VmsKept = Duration::seconds(10);
 
 } // namespace
 
@@ -22,8 +24,8 @@
   Time Now = Clock_.now();
   if (B.Share_ == 0)
     B.Share_ = EvenPart / static_cast<double>(Vms);
-  SharedRate Whole{Rate, Burst, Settings_.QuotaWindow_,
-                   Settings_.QuotaOverage_, Settings_.QuotaSlack_};
+  SharedRate Whole{Rate, Burst, Settings_.QuotaWindow_, Settings_.QuotaOverage_,
+                   Settings_.QuotaSlack_};
   Duration Wait = lagoonpoint::take(B, Whole, Vms, Now - TotalsAt_, Now);
   if (Wait > Duration())
     throw Refusal(RefusalReason::OverRate, Ran::No, "call.limit",
@@ -43,10 +45,14 @@
   if (AskedAt <= TotalsAt_)
     return;
   TotalsAt_ = AskedAt;
-  Vms_ = Vms;
+  // A core VM that is cut off hears of fewer VMs than there are.
+  if (Vms >= Vms_ || AskedAt - VmsAt_ > VmsKept) {
+    Vms_ = Vms;
+    VmsAt_ = AskedAt;
+  }
   for (auto &[Team, B] : Teams_) {
     auto Found = TeamRates.find(Team.str());
-    setShare(B, Found == TeamRates.end() ? 0 : Found->second, Vms);
+    setShare(B, Found == TeamRates.end() ? 0 : Found->second, Vms_);
   }
 }
 
@@ -54,9 +60,7 @@
   std::lock_guard Guard(Lock_);
   Time Now = Clock_.now();
   for (auto &[Team, B] : Teams_) {
-    settle(B.Asked_, Now);
-    B.Told_ = B.Asked_.Rate_;
-    Teams[Team.str()] = B.Told_;
+    Teams[Team.str()] = tellDemand(B, Now);
   }
   for (auto &[Service, M] : Services_) {
     settle(M, Now);
--- a/lagoonpoint/src/Gateway/TeamShares.h
+++ b/lagoonpoint/src/Gateway/TeamShares.h
@@ -40,6 +40,7 @@
   std::map<ServiceId, DemandMeter> Services_;
   Time TotalsAt_; ///< when the newest sums were asked for
   std::size_t Vms_ = 0;
+  Time VmsAt_; ///< when so many were told
 };
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Http/CallerServer.cpp
+++ b/lagoonpoint/src/Http/CallerServer.cpp
@@ -106,7 +106,8 @@
             },
             [this](Connection &Conn, const Refusal &R) {
               countOwn(R);
-              writeAnswer(Conn.Wire_, refusalAnswer(R, makeRequestId(), Dialect_),
+              writeAnswer(Conn.Wire_,
+                          refusalAnswer(R, makeRequestId(), Dialect_),
                           {.KeepAlive_ = false}, answerLimit());
             }) {}
 
--- a/lagoonpoint/src/Http/Dialect.h
+++ b/lagoonpoint/src/Http/Dialect.h
@@ -15,7 +15,7 @@
   std::string RequestId_ = "X-Request-Id";
   std::string Deadline_ = "X-Deadline-Ms"; ///< milliseconds that are left
   std::string Key_ = "X-Api-Key";          ///< of the caller's team
-  std::string NotRun_ = "X-Not-Run"; ///< says that a request has not run
+  std::string NotRun_ = "X-Not-Run";       ///< says that a request has not run
   std::string OnceKey_ = "Idempotency-Key";
   std::string Target_;   ///< names the upstream meant; empty: not sent
   std::string Team_;     ///< names the caller's team; empty: not sent
--- a/lagoonpoint/src/Http/util/Forwarding.h
+++ b/lagoonpoint/src/Http/util/Forwarding.h
@@ -21,8 +21,7 @@
 /// \param Left time until the call's deadline
 std::string forwardedHead(const RequestHead &Head, const Call &C,
                           const CallTarget &To, const Settings &S,
-                          const Dialect &D,
-                          const Framing &Body, Duration Left);
+                          const Dialect &D, const Framing &Body, Duration Left);
 
 /// \returns the fields of an upstream's answer that the caller may see, with
 /// the request id.
--- a/lagoonpoint/src/Http/util/ProxyAnswer.cpp
+++ b/lagoonpoint/src/Http/util/ProxyAnswer.cpp
@@ -74,7 +74,9 @@
   std::size_t Most =
       isOnce() ? Context_.Settings_.MaxBodyBytes_ : HeldAnswerBytes;
   Until Limit =
-      isOnce() ? deadline() : within(Context_.Settings_.AnswerHold_).min(Ticket_->deadline());
+      isOnce()
+          ? deadline()
+          : within(Context_.Settings_.AnswerHold_).min(Ticket_->deadline());
   while (T.Body_.size() <= Most) {
     std::string_view Piece;
     BodyEnd End = Reader.next(Piece, Limit, watched());
--- a/lagoonpoint/src/Http/util/UpstreamPool.cpp
+++ b/lagoonpoint/src/Http/util/UpstreamPool.cpp
@@ -66,9 +66,9 @@
   S.NextSweep_ = Now + MaxIdle_;
   for (auto It = S.Idle_.begin(); It != S.Idle_.end();) {
     std::vector<Idle> &List = It->second;
-    auto Kept = std::stable_partition(
-        List.begin(), List.end(),
-        [&](const Idle &I) { return Now >= I.Until_; });
+    auto Kept =
+        std::stable_partition(List.begin(), List.end(),
+                              [&](const Idle &I) { return Now >= I.Until_; });
     std::move(List.begin(), Kept, std::back_inserter(Late));
     List.erase(List.begin(), Kept);
     It = List.empty() ? S.Idle_.erase(It) : std::next(It);
--- a/lagoonpoint/src/Items/ItemChecks.cpp
+++ b/lagoonpoint/src/Items/ItemChecks.cpp
@@ -63,9 +63,9 @@
                    const std::string &Name) {
   auto New = Patch.find(Name);
   auto Old = Held.find(Name);
-  bool Newer = New != Patch.end() &&
-               (Old == Held.end() ||
-                New->second.Version_ > Old->second.Version_);
+  bool Newer =
+      New != Patch.end() &&
+      (Old == Held.end() || New->second.Version_ > Old->second.Version_);
   return findItem(Newer ? Patch : Held, Name);
 }
 
@@ -119,8 +119,7 @@
   if (!Fault.empty())
     return Fault;
   for (const auto &[Name, R] : Patch.Routes_)
-    if (!R.Removed_ &&
-        !(Fault = unknownService(Held, Patch, R.Value_)).empty())
+    if (!R.Removed_ && !(Fault = unknownService(Held, Patch, R.Value_)).empty())
       return naming("route", Name, Fault);
   return Patch.Teams_.empty() ? "" : sharedKey(Held, Patch);
 }
--- a/lagoonpoint/src/Limits/DemandShare.cpp
+++ b/lagoonpoint/src/Limits/DemandShare.cpp
@@ -25,10 +25,19 @@
   M.Since_ = Now;
 }
 
+double tellDemand(SharedBucket &B, Time Now) {
+  settle(B.Asked_, Now);
+  B.ToldBefore_ = B.Told_;
+  B.Told_ = B.Asked_.Rate_;
+  return B.Told_;
+}
+
 void setShare(SharedBucket &B, double AllDemand, std::size_t Vms) {
   double Even = 1.0 / static_cast<double>(std::max<std::size_t>(Vms, 1));
-  double All = std::max(AllDemand, B.Told_);
-  double ByDemand = All > 0 ? B.Told_ / All : Even;
+  double All = std::max({AllDemand, B.Sum_, B.Told_});
+  B.Sum_ = AllDemand;
+  double Own = std::min(B.Told_, B.ToldBefore_);
+  double ByDemand = All > 0 ? Own / All : Even;
   double Sure = std::min(ByDemand, B.ByDemand_);
   B.ByDemand_ = ByDemand;
   B.Share_ = EvenPart * Even + (1 - EvenPart) * Sure;
--- a/lagoonpoint/src/Limits/DemandShare.h
+++ b/lagoonpoint/src/Limits/DemandShare.h
@@ -29,9 +29,11 @@
 /// it up. No VM has to ask another before it spends.
 struct SharedBucket {
   DemandMeter Asked_;
-  double Told_ = 0;     ///< demand that the core VMs were told last
-  double ByDemand_ = 0; ///< part of all demand, by the newest sum
-  double Share_ = 0;    ///< of the whole
+  double Told_ = 0;       ///< demand that the core VMs were told last
+  double ToldBefore_ = 0; ///< and the time before
+  double ByDemand_ = 0;   ///< part of all demand, by the newest sum
+  double Sum_ = 0;        ///< newest sum
+  double Share_ = 0;      ///< of the whole
   double Tokens_ = 0;
   Time Filled_;
 };
@@ -40,6 +42,10 @@
 /// team has just come can serve it.
 inline constexpr double EvenPart = 0.4;
 
+/// Takes the demand to tell to the core VMs.
+/// \ingroup Limits
+double tellDemand(SharedBucket &B, Time Now);
+
 /// \class SharedRate
 /// \ingroup Limits
 /// \brief A rate and burst of all VMs together, and what may be spent beyond
@@ -54,8 +60,8 @@
 
 /// Parts of the overage and the slack that VMs use: shares that are told at
 /// different times may sum up to more than one.
-inline constexpr double OverageUsed = 0.4;
-inline constexpr double SlackUsed = 0.6;
+inline constexpr double OverageUsed = 0.3;
+inline constexpr double SlackUsed = 0.5;
 
 /// A VM that hears no sums for this long is counted by the others no more.
 inline constexpr Duration ShareKept = Duration::millis(2200);
@@ -65,6 +71,9 @@
 /// Sets the share from the demand that this VM told and the sum over all VMs
 /// that it was told in turn. A share shrinks at once and grows a sum later: at
 /// a surge the first VM to tell of it finds a sum that lacks the others' part.
+/// Of two sums the larger counts: a core VM that is cut off hears of less. Of
+/// two demands that were told the smaller counts: the other VMs' parts in a sum
+/// are older than this VM's newest.
 /// \ingroup Limits
 void setShare(SharedBucket &B, double AllDemand, std::size_t Vms);
 
--- a/lagoonpoint/src/Log/Log.cpp
+++ b/lagoonpoint/src/Log/Log.cpp
@@ -77,7 +77,7 @@
       continue;
     spdlog::init_thread_pool(QueueLines, WriterThreads);
     auto Logger =
-        spdlog::create_async_nb<spdlog::sinks::stderr_sink_mt>(LoggerName);
+        spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>(LoggerName);
     Logger->set_pattern("%v");
     Logger->set_level(Row.Spdlog_);
     return;
--- a/lagoonpoint/src/Log/Log.h
+++ b/lagoonpoint/src/Log/Log.h
@@ -23,7 +23,7 @@
   std::optional<Revision> Revision_;
 };
 
-/// Starts logging to standard error.
+/// Starts logging to standard output.
 /// \param Level "debug", "info", "warning" or "error"
 /// \throws Error if the level is none of these
 void startLog(const VmId &Vm, const std::string &Level);
--- a/lagoonpoint/src/Peer/PeerConnection.cpp
+++ b/lagoonpoint/src/Peer/PeerConnection.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 PeerConnection::PeerConnection(Poco::Net::StreamSocket Socket, Handshake Start,
-                       VmId Self, const PeerLimits &Limits, Time Now)
+                               VmId Self, const PeerLimits &Limits, Time Now)
     : Socket_(std::move(Socket)), Handshake_(std::move(Start)),
       Self_(std::move(Self)), Limits_(Limits),
       Dialed_(Handshake_.role() == Handshake::Role::Dialer), Opened_(Now),
--- a/lagoonpoint/src/Peer/PeerConnection.h
+++ b/lagoonpoint/src/Peer/PeerConnection.h
@@ -21,7 +21,7 @@
 class PeerConnection {
 public:
   PeerConnection(Poco::Net::StreamSocket Socket, Handshake Start, VmId Self,
-             const PeerLimits &Limits, Time Now);
+                 const PeerLimits &Limits, Time Now);
 
   /// Reads what has arrived, up to a bound.
   /// \returns bytes read
--- a/lagoonpoint/src/Peer/PeerLoop.cpp
+++ b/lagoonpoint/src/Peer/PeerLoop.cpp
@@ -212,7 +212,7 @@
     Handshake Start(Handshake::Role::Dialer, Options_.Self_, Peer,
                     Options_.Secret_, randomBytes(NonceBytes));
     Out.Link_ = std::make_unique<PeerConnection>(Socket, std::move(Start),
-                                             Options_.Self_, Limits, Now);
+                                                 Options_.Self_, Limits, Now);
     Dialed_[Socket] = Peer;
     Polled_.add(Socket, Poco::Net::PollSet::POLL_WRITE);
   } catch (const Poco::Exception &E) {
--- a/lagoonpoint/src/Peer/PeerLoop.h
+++ b/lagoonpoint/src/Peer/PeerLoop.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "lagoonpoint/src/Peer/PeerConnection.h"
 #include "lagoonpoint/src/Peer/Inbox.h"
+#include "lagoonpoint/src/Peer/PeerConnection.h"
 #include "lagoonpoint/src/Peer/PeerQueues.h"
 
 #include <Poco/Net/DatagramSocket.h>
--- a/lagoonpoint/src/Retry/Retry.h
+++ b/lagoonpoint/src/Retry/Retry.h
@@ -26,7 +26,7 @@
 /// \brief One call's tries so far.
 struct RetryState {
   RouteKind Kind_ = RouteKind::Plain;
-  unsigned Tries_ = 0;      ///< ended
+  unsigned Tries_ = 0; ///< ended
   unsigned MaxTries_ = MaxTries;
   bool MayHaveRun_ = false; ///< at some upstream, in any of the tries
   bool Over_ = false;       ///< no more tries
--- a/lagoonpoint/src/Steering/KeyedChoice.cpp
+++ b/lagoonpoint/src/Steering/KeyedChoice.cpp
@@ -47,9 +47,8 @@
   for (SharedUpstream &U : G.Upstreams_) {
     if (U.Region_ != Region || !usable(G, U, Wish, Now))
       continue;
-    double Rank = Wish.Object_.empty()
-                      ? -expectedLoad(U, Rules, Now) / U.Slots_
-                      : rendezvous(Wish.Object_, U);
+    double Rank = Wish.Object_.empty() ? -expectedLoad(U, Rules, Now) / U.Slots_
+                                       : rendezvous(Wish.Object_, U);
     Found.push_back({U.Silent_ ? Rank - 1e9 : Rank, &U});
   }
   std::sort(Found.begin(), Found.end(),
@@ -114,6 +113,12 @@
       });
 }
 
+void reserve(SharedUpstream &U, Time Now) {
+  ++U.InFlight_;
+  if (U.UnansweredSince_ == Time())
+    U.UnansweredSince_ = Now;
+}
+
 void release(SharedUpstream &U, const SharedEnd &End, const KeyedRules &Rules,
              Time Now) {
   U.InFlight_ -= U.InFlight_ > 0 ? 1 : 0;
@@ -121,14 +126,18 @@
     U.Others_ = std::max(0.0, *End.Held_ - U.InFlight_);
     U.ToldAt_ = Now;
   }
-  if (End.Answered_)
+  if (End.Answered_) {
     U.Failures_ = 0;
+    U.UnansweredSince_ = U.InFlight_ > 0 ? Now : Time();
+  }
   if (End.Seconds_ > 0) {
     double Run = End.Seconds_ / turnsBehind(U, End.Behind_);
     double Gain = U.RunSeconds_ > 0 ? Rules.RunGain_ : 1;
     U.RunSeconds_ += Gain * (Run - U.RunSeconds_);
   }
-  if (!End.NotConnected_ && !End.Failed_)
+  bool Unanswered =
+      End.TimedOut_ && Now - U.UnansweredSince_ >= Rules.UnansweredToPause_;
+  if (!End.NotConnected_ && !End.Failed_ && !Unanswered)
     return;
   ++U.Failures_;
   if (!End.NotConnected_ && U.Failures_ < Rules.FailuresToPause_)
--- a/lagoonpoint/src/Steering/KeyedChoice.h
+++ b/lagoonpoint/src/Steering/KeyedChoice.h
@@ -22,18 +22,19 @@
   ZoneId Zone_;
   RegionId Region_;
   unsigned Slots_ = 1;
-  bool Open_ = true;   ///< serves, and its zone isn't drained
+  bool Open_ = true;    ///< serves, and its zone isn't drained
   bool Silent_ = false; ///< announces no more
   Time ColdUntil_;
   bool Warmer_ = false; ///< only this VM sends to it while it is cold
 
-  double RunSeconds_ = 0;  ///< smoothed time of one run; 0: not known yet
-  unsigned InFlight_ = 0;  ///< sent by this VM and not ended
-  double Others_ = 0;      ///< requests of other VMs there, when last told
-  Time ToldAt_;            ///< when Others_ was told
-  Time DownUntil_;         ///< not tried before, after failures
-  unsigned Failures_ = 0;  ///< in a row
-  Time ColdSentAt_;        ///< last request sent while it was cold
+  double RunSeconds_ = 0; ///< smoothed time of one run; 0: not known yet
+  unsigned InFlight_ = 0; ///< sent by this VM and not ended
+  double Others_ = 0;     ///< requests of other VMs there, when last told
+  Time ToldAt_;           ///< when Others_ was told
+  Time UnansweredSince_;  ///< first request sent since the last answer
+  Time DownUntil_;        ///< not tried before, after failures
+  unsigned Failures_ = 0; ///< in a row
+  Time ColdSentAt_;       ///< last request sent while it was cold
 };
 
 /// Tunes the choice among shared upstreams.
@@ -54,6 +55,9 @@
   Duration FirstPause_ = Duration::millis(500); ///< after a failure; doubles
   Duration LongestPause_ = Duration::seconds(8);
   unsigned FailuresToPause_ = 2; ///< after a connection was made
+  /// A timeout is no failure while other requests are answered: an upstream
+  /// that is overloaded is not gone, and pausing it overloads the next one.
+  Duration UnansweredToPause_ = Duration::seconds(2);
 };
 
 /// \class SharedGroup
@@ -66,8 +70,8 @@
 
 /// What one call asks of the choice.
 struct KeyedWish {
-  std::string Object_;             ///< empty: any upstream is as good
-  std::vector<RegionId> Regions_;  ///< in order of preference
+  std::string Object_;            ///< empty: any upstream is as good
+  std::vector<RegionId> Regions_; ///< in order of preference
   std::set<UpstreamId> Tried_;
   Duration Left_ = Duration::seconds(60); ///< until the call's deadline
 };
@@ -92,12 +96,17 @@
 struct SharedEnd {
   bool Answered_ = false;
   bool NotConnected_ = false;
-  bool Failed_ = false; ///< broken, or no answer in time
+  bool Failed_ = false; ///< connection broken, or answer cut or malformed
+  bool TimedOut_ = false;
   std::optional<double> Held_; ///< requests there, as its answer told
   double Behind_ = 0;          ///< load that it was sent behind
   double Seconds_ = 0;         ///< from sending to the end of the answer
 };
 
+/// Notes that a request is being sent.
+/// \ingroup Steering
+void reserve(SharedUpstream &U, Time Now);
+
 /// Takes in how a request ended.
 /// \ingroup Steering
 void release(SharedUpstream &U, const SharedEnd &End, const KeyedRules &Rules,
--- a/test/DemandShare.cpp
+++ b/test/DemandShare.cpp
@@ -13,17 +13,14 @@
 struct Sharers {
   explicit Sharers(std::size_t Count) : Buckets_(Count), Asked_(Count, 0) {}
 
-  /// Each VM tells its demand in turn and is told the sum at that moment.
-  void round(Time Now) {
-    for (std::size_t Vm = 0; Vm < Buckets_.size(); ++Vm) {
-      settle(Buckets_[Vm].Asked_, Now);
-      Buckets_[Vm].Told_ = Buckets_[Vm].Asked_.Rate_;
-      if (!Cut_[Vm]) {
-        Known_[Vm] = Buckets_[Vm].Told_;
-        SumAt_[Vm] = Now;
-        setShare(Buckets_[Vm], sum(), live());
-      }
-    }
+  /// One VM tells its demand and is told the sum at that moment.
+  void tell(std::size_t Vm, Time Now) {
+    double Told = tellDemand(Buckets_[Vm], Now);
+    if (Cut_[Vm])
+      return;
+    Known_[Vm] = Told;
+    SumAt_[Vm] = Now;
+    setShare(Buckets_[Vm], sum(), live());
   }
   double sum() const {
     double Out = 0;
@@ -41,11 +38,12 @@
     std::vector<int> PerSecond;
     for (int Ms = 0; Ms < Millis; ++Ms) {
       Time Now = From + Duration::millis(Ms);
-      if (Ms % 1000 == 0) {
-        round(Now);
+      if (Ms % 1000 == 0)
         PerSecond.push_back(0);
-      }
       for (std::size_t Vm = 0; Vm < Buckets_.size(); ++Vm) {
+        // Each VM beats at a time of its own in each second.
+        if ((Ms + static_cast<int>(Vm) * 110) % 1000 == 0)
+          tell(Vm, Now);
         Asked_[Vm] += Rates[Vm] / 1000;
         if (Asked_[Vm] < 1)
           continue;
@@ -102,6 +100,18 @@
     CHECK(worstWindow(Passed) <= Allowed);
     CHECK(std::accumulate(Passed.end() - 10, Passed.end(), 0) >= 0.9 * 600);
   }
+  SECTION("parts sum to one at most while demand grows") {
+    S.play(Start, 10'000, Rates, Quota);
+    for (double &Rate : Rates)
+      Rate *= 8;
+    for (int Second = 10; Second < 30; ++Second) {
+      S.play(Start + Duration::seconds(Second), 1'000, Rates, Quota);
+      double Sum = 0;
+      for (const SharedBucket &B : S.Buckets_)
+        Sum += B.Share_;
+      CHECK(Sum <= 1.01);
+    }
+  }
   SECTION("VMs that are cut off give their parts up") {
     for (double &Rate : Rates)
       Rate *= 8;
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -79,8 +79,8 @@
     CHECK_FALSE(learn(Book, notice("i1", 50, 4), Start));
   }
   SECTION("and leaves; late announcements don't bring it back") {
-    CHECK(learn(Book, ending(notice("i1", 50, 5), NoticePhase::Leaving),
-                Start));
+    CHECK(
+        learn(Book, ending(notice("i1", 50, 5), NoticePhase::Leaving), Start));
     CHECK_FALSE(learn(Book, notice("i1", 50, 6), Start));
     CHECK(phaseOf(Book, "i1") == NoticePhase::Leaving);
     CHECK(learn(Book, ending(notice("i1", 50, 5), NoticePhase::Gone), Start));
--- /dev/null
+++ b/test/FleetVms.cpp
@@ -0,0 +1,230 @@
+#include "fakes/ScriptedUpstream.h"
+#include "lagoonpoint/Gateway"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <thread>
+#include <unistd.h>
+
+using namespace lagoonpoint;
+using Catch::Contains;
+using Catch::StartsWith;
+using fakes::RawSocket;
+using fakes::ScriptedUpstream;
+
+namespace {
+
+constexpr Duration Patience = Duration::seconds(20); ///< a hang fails
+constexpr Duration OrderWait = Duration::seconds(2);
+
+/// Waits for what must come true at some time.
+template <class Condition> bool eventually(const Condition &Holds) {
+  SystemClock C;
+  Time Limit = C.now() + Patience;
+  while (!Holds()) {
+    if (C.now() > Limit)
+      return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
+/// Settings of VM number \p N on an address of its own of the loopback net.
+FleetSettings settings(int N, bool Core, const std::string &Folder) {
+  FleetSettings S;
+  S.Name_ = "vm" + std::to_string(N);
+  S.Host_ = "127.0.21." + std::to_string(N);
+  S.Region_ = RegionId("north");
+  S.Zone_ = ZoneId("north-a");
+  S.Zones_ = {{ZoneId("north-a"), RegionId("north")}};
+  S.Core_ = Core;
+  S.Bootstrap_ = true;
+  S.DataFolder_ = Core ? Folder + "/" + S.Name_ : "";
+  S.PeerPort_ = 17560;
+  S.Seeds_ = {"127.0.21.1:1", "127.0.21.2:1", "127.0.21.3:1"};
+  S.Callers_ = S.Host_ + ":17580";
+  S.Secret_ = "a-secret-of-this-test";
+  S.Grace_ = Duration::seconds(4);
+  S.LookupTtl_ = Duration::millis(100);
+  return S;
+}
+
+/// Three core VMs and an entry VM in one process.
+struct SmallFleet {
+  SmallFleet() {
+    for (int N = 1; N <= 3; ++N) {
+      Settings_.push_back(
+          std::make_unique<FleetSettings>(settings(N, true, Folder_)));
+      Cores_.push_back(std::make_unique<CoreVm>(*Settings_.back()));
+      Cores_.back()->start();
+    }
+    Settings_.push_back(
+        std::make_unique<FleetSettings>(settings(4, false, Folder_)));
+    Dialect D;
+    D.AnswersEndByClosing_ = true;
+    Entry_ = std::make_unique<EntryVm>(*Settings_.back(), D);
+    Entry_->start();
+  }
+  ~SmallFleet() {
+    Entry_->stop();
+    for (auto &Core : Cores_)
+      Core->stop();
+    Cores_.clear();
+    std::filesystem::remove_all(Folder_);
+  }
+
+  /// Applies a patch at one core VM, resending until its fate is known.
+  ChangeReply apply(const ItemSet &Items, std::size_t Core = 0) {
+    Change C;
+    C.Kind_ = ChangeKind::PatchItems;
+    C.Items_ = Items;
+    ChangeReply Reply;
+    REQUIRE(eventually([&] {
+      try {
+        Reply = Cores_[Core]->submit(C, OrderWait);
+        return true;
+      } catch (const UnavailableError &) {
+        return false;
+      }
+    }));
+    return Reply;
+  }
+
+  /// Sends one request to the entry VM. \returns all that came back
+  std::string call(const std::string &Head) {
+    RawSocket Caller("127.0.21.4", 17580);
+    Caller.send(Head + "Host: tags.example\r\nConnection: close\r\n\r\n");
+    return Caller.readAll();
+  }
+
+  std::string Folder_ = std::filesystem::temp_directory_path() /
+                        ("lagoonpoint-fleet-" + std::to_string(::getpid()));
+  std::vector<std::unique_ptr<FleetSettings>> Settings_;
+  std::vector<std::unique_ptr<CoreVm>> Cores_;
+  std::unique_ptr<EntryVm> Entry_;
+};
+
+ItemSet items(std::uint64_t Version, std::vector<std::string> Keys) {
+  ItemSet Out;
+  Held<ServiceItem> S;
+  S.Version_ = ItemVersion(1);
+  S.Value_.HealthPath_ = "/health";
+  Out.Services_["register"] = S;
+  Held<RouteItem> R;
+  R.Version_ = ItemVersion(1);
+  R.Value_.Host_ = "tags.example";
+  R.Value_.Prefix_ = "/tags/";
+  R.Value_.Split_ = {{ServiceId("register"), 1}};
+  R.Value_.Timeout_ = Duration::seconds(5);
+  R.Value_.Objective_ = Duration::seconds(2);
+  Out.Routes_["tags"] = R;
+  Held<TeamItem> T;
+  T.Version_ = ItemVersion(Version);
+  T.Value_.Keys_ = std::move(Keys);
+  Out.Teams_["rangers"] = T;
+  return Out;
+}
+
+UpstreamNotice notice(unsigned short Port, NoticePhase Phase,
+                      std::uint64_t Sequence) {
+  UpstreamNotice A;
+  A.Id_ = UpstreamId("i1");
+  A.BornAt_ = 5;
+  A.Sequence_ = Sequence;
+  A.Service_ = ServiceId("register");
+  A.Address_ = "127.0.0.1:" + std::to_string(Port);
+  A.Zone_ = ZoneId("north-a");
+  A.Slots_ = 3;
+  A.Phase_ = Phase;
+  return A;
+}
+
+} // namespace
+
+TEST_CASE("A fleet forms by itself and serves") {
+  SmallFleet Fleet;
+  ScriptedUpstream Upstream([&](RawSocket &S) {
+    while (!Upstream.receive(S).empty())
+      S.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine");
+  });
+  unsigned short Port = Upstream.address().Port_;
+  std::string Get = "GET /tags/7 HTTP/1.1\r\nX-Api-Key: key-one\r\n";
+
+  // An entry VM without a configuration refuses, and says what is true.
+  CHECK_THAT(Fleet.call(Get), StartsWith("HTTP/1.1 503 ") &&
+                                  Contains("\"not_ready\",\"ran\":\"no\""));
+  CHECK_FALSE(Fleet.Entry_->ready());
+
+  REQUIRE(Fleet.apply(items(1, {"key-one", "key-two"})).Verdict_ ==
+          ChangeVerdict::Accepted);
+  REQUIRE(eventually([&] { return Fleet.Entry_->ready(); }));
+  REQUIRE(eventually([&] {
+    return !Fleet.Cores_[1]
+                ->lookup("tags.example", RegionId("north"), ZoneId("north-a"))
+                .empty();
+  }));
+  REQUIRE(Fleet.Cores_[2]->announce(notice(Port, NoticePhase::Serving, 1)) ==
+          AnnounceResult::Taken);
+  std::string Answer;
+  CHECK(eventually([&] {
+    Answer = Fleet.call(Get);
+    return Answer.find("mine") != std::string::npos;
+  }));
+  REQUIRE_THAT(Answer, Contains("mine"));
+  CHECK_THAT(Upstream.seen(), !Contains("key-one"));
+
+  SECTION("a withdrawn key is refused, and no other") {
+    ItemSet Patch;
+    Patch.Teams_["rangers"] = items(2, {"key-two"}).Teams_["rangers"];
+    REQUIRE(Fleet.apply(Patch, 1).Verdict_ == ChangeVerdict::Accepted);
+    CHECK(
+        eventually([&] { return Fleet.call(Get).find("HTTP/1.1 401 ") == 0; }));
+    CHECK_THAT(Fleet.call("GET /tags/7 HTTP/1.1\r\nX-Api-Key: key-two\r\n"),
+               Contains("mine"));
+  }
+  SECTION("an upstream that leaves gets nothing once that is confirmed") {
+    REQUIRE(Fleet.Cores_[0]->announce(notice(Port, NoticePhase::Leaving, 2)) ==
+            AnnounceResult::Taken);
+    int Before = Upstream.requests();
+    CHECK_THAT(Fleet.call(Get), StartsWith("HTTP/1.1 503 "));
+    // A late announcement doesn't bring it back.
+    Fleet.Cores_[1]->announce(notice(Port, NoticePhase::Serving, 1));
+    CHECK_THAT(Fleet.call(Get), StartsWith("HTTP/1.1 503 "));
+    CHECK(Upstream.requests() == Before);
+  }
+  SECTION("what is invalid is refused, and what was applied is read back") {
+    ItemSet Bad;
+    Bad.Routes_["tags"] = items(1, {}).Routes_["tags"];
+    Bad.Routes_["tags"].Version_ = ItemVersion(5);
+    Bad.Routes_["tags"].Value_.Split_ = {{ServiceId("nowhere"), 1}};
+    CHECK(Fleet.apply(Bad).Verdict_ == ChangeVerdict::Invalid);
+    ItemSet Read;
+    REQUIRE(eventually([&] {
+      try {
+        Read = Fleet.Cores_[1]->readItems(OrderWait);
+        return true;
+      } catch (const UnavailableError &) {
+        return false;
+      }
+    }));
+    CHECK(Read.Routes_["tags"].Version_ == ItemVersion(1));
+    CHECK(findItem(Read.Teams_, "rangers"));
+  }
+  SECTION("a drained zone gets nothing until it is taken back") {
+    auto Drain = [&](bool On) {
+      Change C;
+      C.Kind_ = ChangeKind::SetDrain;
+      C.Drain_ = {DrainScope::Zone, "north-a"};
+      C.Drained_ = On;
+      return Fleet.Cores_[0]->submit(C, OrderWait).Verdict_;
+    };
+    REQUIRE(Drain(true) == ChangeVerdict::Accepted);
+    CHECK(eventually([&] {
+      return Fleet.call(Get).find("no_upstream") != std::string::npos;
+    }));
+    REQUIRE(Drain(false) == ChangeVerdict::Accepted);
+    CHECK(eventually(
+        [&] { return Fleet.call(Get).find("mine") != std::string::npos; }));
+  }
+}
--- a/test/Items.cpp
+++ b/test/Items.cpp
@@ -1,5 +1,5 @@
-#include "lagoonpoint/Catalog"
 #include "lagoonpoint/Items"
+#include "lagoonpoint/Catalog"
 
 #include <catch2/catch.hpp>
 
@@ -85,13 +85,15 @@
     ItemSet Removed = onlyRoute("lookup", removal<RouteItem>(5));
     CHECK(mergeItems(Held, Removed, Revision(2)));
     CHECK(findItem(Held.Routes_, "lookup") == nullptr);
-    CHECK_FALSE(mergeItems(
-        Held, onlyRoute("lookup", route(4, "/lookup/", "ledger")), Revision(3)));
+    CHECK_FALSE(mergeItems(Held,
+                           onlyRoute("lookup", route(4, "/lookup/", "ledger")),
+                           Revision(3)));
     CHECK(findItem(Held.Routes_, "lookup") == nullptr);
   }
   SECTION("another content under the version held changes nothing") {
-    CHECK_FALSE(mergeItems(
-        Held, onlyRoute("lookup", route(3, "/lookup/", "ledger")), Revision(2)));
+    CHECK_FALSE(mergeItems(Held,
+                           onlyRoute("lookup", route(3, "/lookup/", "ledger")),
+                           Revision(2)));
     CHECK(Held.Routes_["lookup"].Source_ == "/lookup/ to register");
   }
   SECTION("a receiver of what changed since its revision ends up equal") {
--- a/test/KeyedChoice.cpp
+++ b/test/KeyedChoice.cpp
@@ -64,7 +64,7 @@
       KeyedWish W = wishFor(std::to_string(N));
       Moved += chosen(G, W) != chosen(More, W);
     }
-    CHECK(Moved > 5); // the new one gets its part, a tenth of 200,
+    CHECK(Moved > 5);  // the new one gets its part, a tenth of 200,
     CHECK(Moved < 40); // and no other object moves
   }
   SECTION("spread over all, by slots") {
@@ -172,6 +172,26 @@
       release(U, {.NotConnected_ = true}, Rules, Now);
     CHECK(U.DownUntil_ == Now + Duration::seconds(8));
   }
+  SECTION("not for timeouts while it answers others") {
+    for (int N = 0; N < 10; ++N) {
+      Time At = Now + Duration::millis(N * 500);
+      reserve(U, At);
+      reserve(U, At);
+      release(U, {.TimedOut_ = true}, Rules, At + Duration::millis(400));
+      release(U, {.Answered_ = true}, Rules, At + Duration::millis(450));
+    }
+    CHECK(U.DownUntil_ == Time());
+  }
+  SECTION("after timeouts without any answer") {
+    for (int N = 0; N < 5; ++N)
+      reserve(U, Now);
+    release(U, {.TimedOut_ = true}, Rules, Now + Duration::millis(1200));
+    release(U, {.TimedOut_ = true}, Rules, Now + Duration::millis(1200));
+    CHECK(U.DownUntil_ == Time());
+    release(U, {.TimedOut_ = true}, Rules, Now + Duration::millis(2100));
+    release(U, {.TimedOut_ = true}, Rules, Now + Duration::millis(2100));
+    CHECK(U.DownUntil_ > Now);
+  }
   SECTION("not for one answer that was cut") {
     release(U, {.Failed_ = true}, Rules, Now);
     CHECK(U.DownUntil_ == Time());
--- a/test/Platform.cpp
+++ b/test/Platform.cpp
@@ -103,8 +103,9 @@
   CHECK(N.BornAt_ == 1790000000000);
   CHECK(N.Phase_ == NoticePhase::Serving);
   CHECK(N.ColdFor_ == Duration::millis(1500));
-  CHECK(decodeHeartbeat("i1", replaced(Heartbeat, "ready", "draining"))
-            .Phase_ == NoticePhase::Leaving);
+  CHECK(
+      decodeHeartbeat("i1", replaced(Heartbeat, "ready", "draining")).Phase_ ==
+      NoticePhase::Leaving);
 
   SECTION("one of another writer names no instance to use") {
     for (auto [Old, New] :
--- a/test/fakes/RawSocket.h
+++ b/test/fakes/RawSocket.h
@@ -13,6 +13,9 @@
   explicit RawSocket(unsigned short Port)
       : RawSocket(Poco::Net::StreamSocket(
             Poco::Net::SocketAddress("127.0.0.1", Port))) {}
+  RawSocket(const std::string &Host, unsigned short Port)
+      : RawSocket(
+            Poco::Net::StreamSocket(Poco::Net::SocketAddress(Host, Port))) {}
   explicit RawSocket(Poco::Net::StreamSocket Socket) : Socket_(Socket) {
     Socket_.setReceiveTimeout(Poco::Timespan(PatienceSeconds, 0));
     Socket_.setNoDelay(true);
