--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -166,9 +166,9 @@
   void logProof();
 
   std::shared_ptr<const Configuration> current() const;
-  const TableRoute &find(const Configuration &C, const Call &Call_) const;
+  const TableRoute &find(const Configuration &C, const Call &Request) const;
   TeamId teamOf(const Configuration &C, const RouteItem &Route,
-                const Call &Call_);
+                const Call &Request);
   std::optional<Time> proven(const TeamId &Team) const;
   void checkKeys(const TeamId &Team) const;
   RetryBudgetLimits retryLimits() const;
@@ -467,12 +467,12 @@
 }
 
 const TableRoute &EntryVm::Parts::find(const Configuration &C,
-                                       const Call &Call_) const {
+                                       const Call &Request) const {
   if (C.Revision_ == Revision())
     throw Refusal(RefusalReason::NotReady, Ran::No, Step,
                   "this VM has no configuration yet", ComeBackSoon);
   const TableRoute *Route =
-      C.Table_.find(hostOf(Call_.Host_), pathOf(Call_.Path_));
+      C.Table_.find(hostOf(Request.Host_), pathOf(Request.Path_));
   if (Route)
     return *Route;
   checkKeys(TeamId()); // an old configuration proves nothing
@@ -501,12 +501,12 @@
 }
 
 TeamId EntryVm::Parts::teamOf(const Configuration &C, const RouteItem &Route,
-                              const Call &Call_) {
+                              const Call &Request) {
   if (Route.Open_ || !C.Table_.hasTeams())
     return TeamId();
-  TeamId Team = C.Table_.teamOf(Call_.Key_);
+  TeamId Team = C.Table_.teamOf(Request.Key_);
   checkKeys(Team);
-  if (Call_.Key_.empty())
+  if (Request.Key_.empty())
     throw Refusal(RefusalReason::KeyMissing, Ran::No, Step,
                   "this route needs a key");
   if (Team.empty())
--- a/lagoonpoint/src/Items/ItemSet.cpp
+++ b/lagoonpoint/src/Items/ItemSet.cpp
@@ -42,9 +42,9 @@
 
 template <class Item>
 void copySince(const ItemMap<Item> &All, Revision After, ItemMap<Item> &Out) {
-  for (const auto &[Name, Item_] : All)
-    if (Item_.ChangedAt_ > After)
-      Out.emplace(Name, Item_);
+  for (const auto &[Name, Each] : All)
+    if (Each.ChangedAt_ > After)
+      Out.emplace(Name, Each);
 }
 
 } // namespace
