--- a/lagoonpoint/src/Config/FleetSettings.cpp
+++ b/lagoonpoint/src/Config/FleetSettings.cpp
@@ -106,9 +106,6 @@
   static const SectionSpec<S> Spec{
       "bounds",
       {plainKey("announce_every", "1500ms", DurationUnit, &S::AnnounceEvery_),
-       plainKey("contact_window", "4s", DurationUnit, &S::ContactWindow_),
-       plainKey("catch_up", "4s", DurationUnit, &S::CatchUp_),
-       plainKey("drain", "2500ms", DurationUnit, &S::Drain_),
        plainKey("grace", "6s", DurationUnit, &S::Grace_),
        plainKey("revoke", "5s", DurationUnit, &S::Revoke_),
        plainKey("strict_revocation", "true", BoolUnit, &S::StrictRevocation_),
--- a/lagoonpoint/src/Config/FleetSettings.h
+++ b/lagoonpoint/src/Config/FleetSettings.h
@@ -29,12 +29,9 @@
   std::string Secret_; ///< peers prove that they hold it
 
   Duration AnnounceEvery_ = Duration::millis(1500); ///< of an upstream
-  Duration ContactWindow_ = Duration::seconds(4);
-  Duration CatchUp_ = Duration::seconds(4); ///< of a returned core VM
-  Duration Drain_ = Duration::millis(2500); ///< of a leaving upstream
-  Duration Grace_ = Duration::seconds(6);   ///< from SIGTERM to SIGKILL
-  Duration Revoke_ = Duration::seconds(5);  ///< a withdrawn key still works
-  bool StrictRevocation_ = true;            ///< also at a VM that is cut off
+  Duration Grace_ = Duration::seconds(6);           ///< from SIGTERM to SIGKILL
+  Duration Revoke_ = Duration::seconds(5); ///< a withdrawn key still works
+  bool StrictRevocation_ = true;           ///< also at a VM that is cut off
   Duration LookupTtl_ = Duration::seconds(2);
   double RetryRatio_ = 0.2; ///< further sends per request, fleet-wide
   Duration RetryWindow_ = Duration::seconds(10);
--- a/lagoonpoint/src/Http/Dialect.h
+++ b/lagoonpoint/src/Http/Dialect.h
@@ -21,7 +21,6 @@
   std::string Team_;     ///< names the caller's team; empty: not sent
   std::string Affinity_; ///< names the object concerned; empty: not read
   std::string Load_;     ///< of an upstream's answer; empty: not read
-  std::string Warmup_;   ///< of an upstream's answer; empty: not read
   /// Callers name their requests, the name is passed on, and an upstream's
   /// answer has to bear it. Otherwise this VM makes the name.
   bool CallerNamesRequest_ = false;
--- a/test/Config.cpp
+++ b/test/Config.cpp
@@ -337,3 +337,55 @@
 TEST_CASE("The reference page lists just the keys that are read") {
   CHECK(documentedKeys(fileText("docs/CONFIGURATION.md")) == knownKeys());
 }
+
+TEST_CASE("The settings of a fleet's process are checked") {
+  const std::string Entry =
+      "[vm]\nname = e1\nhost = 10.0.0.1\nregion = north\n"
+      "zone = north-a\ncore = false\nfolder =\n[listen]\n"
+      "callers = 10.0.0.1:80\nreadiness = 10.0.0.1:81\n"
+      "peer_port = 7560\n[fleet]\n"
+      "seeds = 10.0.0.2:90,10.0.0.3:90\n"
+      "zones = north-a:north,south-a:south\n"
+      "secret = sixteen-characters\n[bounds]\n"
+      "revoke = 5000ms\nretry_slack = 62\nquota_slack =\n";
+  auto Read = [](const std::string &Text, Findings &Errors) {
+    return parseFleetSettings(Text, "boot.ini", Errors);
+  };
+  auto Replaced = [&](const std::string &Old, const std::string &New) {
+    std::string Text = Entry;
+    return Text.replace(Text.find(Old), Old.size(), New);
+  };
+  Findings Errors;
+  FleetSettings S = Read(Entry, Errors);
+  REQUIRE(Errors.empty());
+  CHECK(S.Seeds_.size() == 2);
+  CHECK(S.Zones_.at(ZoneId("south-a")) == RegionId("south"));
+  CHECK(S.Revoke_ == Duration::seconds(5));
+  CHECK(S.RetrySlack_ == 62);
+
+  SECTION("a value that is left out has its default") {
+    CHECK(S.QuotaSlack_ == 0);
+    CHECK(S.StrictRevocation_);
+  }
+  SECTION("what is missing, unknown or malformed is named") {
+    for (auto [Old, New, Named] :
+         {std::tuple("host = 10.0.0.1\n", "", "host"),
+          std::tuple("callers = 10.0.0.1:80\n", "", "callers"),
+          std::tuple("peer_port = 7560", "peer_port = many", "peer_port"),
+          std::tuple("north-a:north", "north-a", "zones"),
+          std::tuple("10.0.0.2:90", "10.0.0.2", "seeds"),
+          std::tuple("revoke = 5000ms", "revoke = 5", "revoke"),
+          std::tuple("retry_slack = 62", "retry_slack = -1", "retry_slack"),
+          std::tuple("[bounds]\n", "[bounds]\nspeed = 3\n", "speed")}) {
+      Findings Found;
+      Read(Replaced(Old, New), Found);
+      REQUIRE_FALSE(Found.empty());
+      CHECK_THAT(toString(Found.front()), Catch::Contains(Named));
+    }
+  }
+  SECTION("a core VM needs a folder and its listeners") {
+    Findings Found;
+    Read(Replaced("core = false", "core = true"), Found);
+    CHECK(Found.size() == 3);
+  }
+}
