Look at warm upstreams only once when the fleet's picture changes

Each announcement and tick hashed all upstreams with all entry VMs to find who warms them (404 x 78 texts), matched old and new upstreams in pairs, copied the whole book, and each beat summed the digest anew. Ruled out: the joining ones themselves, they are cold for 3 s and other VMs don't use them. Change: only cold upstreams look for their warmer; the book keeps its digest with each change; lists are merged in order; rendezvous hashing mixes two numbers instead of hashing a text for each pair.

--- a/lagoonpoint/src/Fleet/UpstreamBook.cpp
+++ b/lagoonpoint/src/Fleet/UpstreamBook.cpp
@@ -25,13 +25,27 @@
          A.Slots_ != Old.Slots_ || WasCold != IsCold || Held.Silent_;
 }
 
+std::uint64_t partOf(const UpstreamNotice &A) {
+  return internal::stableHash(A.Id_.str() + "/" + std::to_string(A.BornAt_) +
+                              "/" + std::to_string(static_cast<int>(A.Phase_)));
+}
+
+/// Brings the digest up to date with a changed upstream.
+void settleDigest(UpstreamBook &Book, KnownUpstream &Held) {
+  std::uint64_t Part = partOf(Held.Said_);
+  Book.Digest_ += Part - Held.Part_;
+  Held.Part_ = Part;
+}
+
 /// An address is held by the process that was started last.
 void endOthersAt(UpstreamBook &Book, const UpstreamNotice &A) {
   for (auto &[Id, Held] : Book.Upstreams_) {
     if (Id == A.Id_ || Held.Said_.Address_ != A.Address_)
       continue;
-    if (Held.Said_.BornAt_ < A.BornAt_)
-      Held.Said_.Phase_ = NoticePhase::Gone;
+    if (Held.Said_.BornAt_ >= A.BornAt_)
+      continue;
+    Held.Said_.Phase_ = NoticePhase::Gone;
+    settleDigest(Book, Held);
   }
 }
 
@@ -59,6 +73,7 @@
   Held.Silent_ = false;
   if (addressTaken(Book, A))
     Held.Said_.Phase_ = NoticePhase::Gone;
+  settleDigest(Book, Held);
   endOthersAt(Book, A);
   return News;
 }
@@ -80,20 +95,16 @@
   for (auto It = Book.Upstreams_.begin(); It != Book.Upstreams_.end();) {
     Duration Quiet = Now - It->second.HeardAt_;
     It->second.Silent_ = Quiet > SilentAfter;
-    It = Quiet > ForgetAfter ? Book.Upstreams_.erase(It) : std::next(It);
+    if (Quiet <= ForgetAfter) {
+      ++It;
+      continue;
+    }
+    Book.Digest_ -= It->second.Part_;
+    It = Book.Upstreams_.erase(It);
   }
 }
 
-std::uint64_t digestOf(const UpstreamBook &Book) {
-  std::uint64_t Sum = 0;
-  for (const auto &[Id, Held] : Book.Upstreams_) {
-    std::string Text = Id.str() + "/" + std::to_string(Held.Said_.BornAt_) +
-                       "/" +
-                       std::to_string(static_cast<int>(Held.Said_.Phase_));
-    Sum += internal::stableHash(Text);
-  }
-  return Sum;
-}
+std::uint64_t digestOf(const UpstreamBook &Book) { return Book.Digest_; }
 
 std::vector<UpstreamNotice> noticesOf(const UpstreamBook &Book, Time Now) {
   std::vector<UpstreamNotice> Out;
--- a/lagoonpoint/src/Fleet/UpstreamBook.h
+++ b/lagoonpoint/src/Fleet/UpstreamBook.h
@@ -10,9 +10,10 @@
 /// An upstream as a book holds it.
 struct KnownUpstream {
   UpstreamNotice Said_;
-  Time HeardAt_;        ///< when it was last heard of by any core VM
-  Time ColdUntil_;      ///< end of its warm-up by this VM's clock
-  bool Silent_ = false; ///< announces no more; perhaps dead
+  Time HeardAt_;           ///< when it was last heard of by any core VM
+  Time ColdUntil_;         ///< end of its warm-up by this VM's clock
+  bool Silent_ = false;    ///< announces no more; perhaps dead
+  std::uint64_t Part_ = 0; ///< of the book's digest
 };
 
 /// \class UpstreamBook
@@ -25,6 +26,7 @@
 /// started later holds it.
 struct UpstreamBook {
   std::map<UpstreamId, KnownUpstream> Upstreams_;
+  std::uint64_t Digest_ = 0; ///< sum of the upstreams' parts
 };
 
 /// Takes in an announcement.
@@ -44,7 +46,8 @@
          Time Now);
 
 /// \returns a hash of which upstreams are known in which phase; equal books
-/// have equal digests.
+/// have equal digests. Kept up to date with each change: it is asked for with
+/// each beat of each VM.
 /// \ingroup Fleet
 std::uint64_t digestOf(const UpstreamBook &Book);
 
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -306,7 +306,8 @@
 /// Called with Lock_ held.
 void EntryVm::Parts::teachDispatcher() {
   auto C = current();
-  Dispatcher_.learn({Upstreams_, C->Drained_, Entries_, C->Items_.Services_});
+  Dispatcher_.learn(
+      {Upstreams_, C->Drained_, Entries_, C->Items_.Services_, Clock_.now()});
 }
 
 /// An upstream is silent if all core VMs that answer say so.
--- a/lagoonpoint/src/Gateway/SharedDispatcher.cpp
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.cpp
@@ -33,6 +33,27 @@
                  "no upstream of the service can be used", ComeBack);
 }
 
+/// Carries over what this VM saw of upstreams. Both lists are in order of ids.
+void keepSeen(const std::vector<SharedUpstream> &Before,
+              std::vector<SharedUpstream> &After) {
+  auto Old = Before.begin();
+  for (SharedUpstream &New : After) {
+    while (Old != Before.end() && Old->Id_ < New.Id_)
+      ++Old;
+    if (Old == Before.end() || Old->Id_ != New.Id_ ||
+        Old->BornAt_ != New.BornAt_)
+      continue;
+    New.RunSeconds_ = Old->RunSeconds_;
+    New.InFlight_ = Old->InFlight_;
+    New.Others_ = Old->Others_;
+    New.ToldAt_ = Old->ToldAt_;
+    New.UnansweredSince_ = Old->UnansweredSince_;
+    New.DownUntil_ = Old->DownUntil_;
+    New.Failures_ = Old->Failures_;
+    New.ColdSentAt_ = Old->ColdSentAt_;
+  }
+}
+
 SharedEnd endOf(const TryReport &Report) {
   SharedEnd End;
   End.Answered_ =
@@ -88,6 +109,7 @@
                                       const FleetPicture &Picture) const {
   SharedUpstream U;
   U.Id_ = Known.Said_.Id_;
+  U.Place_ = placeOf(U.Id_.str());
   U.BornAt_ = Known.Said_.BornAt_;
   if (auto At = addressOf(Known.Said_.Address_))
     U.Address_ = *At;
@@ -98,7 +120,7 @@
             !Picture.Drained_.count(U.Zone_);
   U.Silent_ = Known.Silent_;
   U.ColdUntil_ = Known.ColdUntil_;
-  U.Warmer_ = warms(U.Id_, Picture.Entries_);
+  U.Warmer_ = Picture.Now_ < U.ColdUntil_ && warms(U.Id_, Picture.Entries_);
   return U;
 }
 
@@ -115,18 +137,7 @@
   for (auto &[Service, Upstreams] : ByService) {
     Shard &S = shardOf(Service);
     std::lock_guard Guard(S.Lock_);
-    for (SharedUpstream &New : Upstreams)
-      for (const SharedUpstream &Old : S.Group_.Upstreams_)
-        if (Old.Id_ == New.Id_ && Old.BornAt_ == New.BornAt_) {
-          New.RunSeconds_ = Old.RunSeconds_;
-          New.InFlight_ = Old.InFlight_;
-          New.Others_ = Old.Others_;
-          New.ToldAt_ = Old.ToldAt_;
-          New.UnansweredSince_ = Old.UnansweredSince_;
-          New.DownUntil_ = Old.DownUntil_;
-          New.Failures_ = Old.Failures_;
-          New.ColdSentAt_ = Old.ColdSentAt_;
-        }
+    keepSeen(S.Group_.Upstreams_, Upstreams);
     S.Group_.Upstreams_ = std::move(Upstreams);
     const ServiceItem *Item = findItem(Picture.Services_, Service.str());
     S.Group_.ColdRate_ = Item ? Item->WarmupRate_ : 0;
--- a/lagoonpoint/src/Gateway/SharedDispatcher.h
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.h
@@ -30,12 +30,13 @@
   double Behind_ = 0; ///< load that was there before
 };
 
-/// What the dispatcher learns of the fleet.
+/// What the dispatcher learns of the fleet; refers to its caller's state.
 struct FleetPicture {
-  UpstreamBook Upstreams_;
-  std::set<ZoneId> Drained_;
-  std::vector<VmId> Entries_; ///< live entry VMs
-  ItemMap<ServiceItem> Services_;
+  const UpstreamBook &Upstreams_;
+  const std::set<ZoneId> &Drained_;
+  const std::vector<VmId> &Entries_; ///< live entry VMs
+  const ItemMap<ServiceItem> &Services_;
+  Time Now_;
 };
 
 /// \class SharedDispatcher
--- a/lagoonpoint/src/Steering/KeyedChoice.cpp
+++ b/lagoonpoint/src/Steering/KeyedChoice.cpp
@@ -17,8 +17,8 @@
 }
 
 /// Weight of an upstream for an object; the highest is its first choice.
-double rendezvous(const std::string &Object, const SharedUpstream &U) {
-  std::uint64_t H = mixed(internal::stableHash(Object + "@" + U.Id_.str()));
+double rendezvous(std::uint64_t Object, const SharedUpstream &U) {
+  std::uint64_t H = mixed(Object ^ mixed(U.Place_));
   double Unit = (static_cast<double>(H >> 11) + 0.5) / 9007199254740992.0;
   return -static_cast<double>(U.Slots_) / std::log(Unit);
 }
@@ -44,11 +44,12 @@
                                      const KeyedWish &Wish,
                                      const KeyedRules &Rules, Time Now) {
   std::vector<std::pair<double, SharedUpstream *>> Found;
+  std::uint64_t Object = placeOf(Wish.Object_);
   for (SharedUpstream &U : G.Upstreams_) {
     if (U.Region_ != Region || !usable(G, U, Wish, Now))
       continue;
     double Rank = Wish.Object_.empty() ? -expectedLoad(U, Rules, Now) / U.Slots_
-                                       : rendezvous(Wish.Object_, U);
+                                       : rendezvous(Object, U);
     Found.push_back({U.Silent_ ? Rank - 1e9 : Rank, &U});
   }
   std::sort(Found.begin(), Found.end(),
@@ -77,6 +78,10 @@
 
 } // namespace
 
+std::uint64_t placeOf(const std::string &Name) {
+  return internal::stableHash(Name);
+}
+
 double expectedLoad(const SharedUpstream &U, const KeyedRules &Rules,
                     Time Now) {
   double Age = (Now - U.ToldAt_).inSeconds();
--- a/lagoonpoint/src/Steering/KeyedChoice.h
+++ b/lagoonpoint/src/Steering/KeyedChoice.h
@@ -17,6 +17,7 @@
 /// \brief One upstream that many entry VMs send to, as this VM sees it.
 struct SharedUpstream {
   UpstreamId Id_;
+  std::uint64_t Place_ = 0;  ///< of Id_ among hashed objects: placeOf()
   std::uint64_t BornAt_ = 0; ///< Unix milliseconds; tells restarts apart
   Address Address_;
   ZoneId Zone_;
@@ -76,6 +77,10 @@
   Duration Left_ = Duration::seconds(60); ///< until the call's deadline
 };
 
+/// \returns where rendezvous hashing puts an object or an upstream's id.
+/// \ingroup Steering
+std::uint64_t placeOf(const std::string &Name);
+
 /// \returns requests that an upstream is thought to hold now.
 /// \ingroup Steering
 double expectedLoad(const SharedUpstream &U, const KeyedRules &Rules, Time Now);
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -137,6 +137,32 @@
   CHECK(digestOf(One) == digestOf(Two));
 }
 
+TEST_CASE("A digest follows whatever changes a book") {
+  UpstreamBook Book;
+  UpstreamBook Same;
+  learn(Book, notice("i1", 50, 3, "10.0.0.1:80"), Start);
+  learn(Book, notice("i2", 50, 3, "10.0.0.2:80"), Start);
+  SECTION("an address that another one takes") {
+    learn(Book, notice("i3", 60, 1, "10.0.0.1:80"), Start);
+    for (const UpstreamNotice &A : noticesOf(Book, Start))
+      learn(Same, A, Start);
+    CHECK(digestOf(Book) == digestOf(Same));
+  }
+  SECTION("an upstream that is forgotten") {
+    learn(Book, notice("i2", 50, 4, "10.0.0.2:80"),
+          Start + Duration::seconds(9));
+    age(Book, Duration::seconds(5), Duration::seconds(5),
+        Start + Duration::seconds(9));
+    learn(Same, notice("i2", 50, 4, "10.0.0.2:80"), Start);
+    CHECK(digestOf(Book) == digestOf(Same));
+  }
+  SECTION("an announcement that says no more than the last one") {
+    std::uint64_t Before = digestOf(Book);
+    learn(Book, notice("i1", 50, 4, "10.0.0.1:80"), Start);
+    CHECK(digestOf(Book) == Before);
+  }
+}
+
 TEST_CASE("A core VM hears of entry VMs") {
   Roster R;
   NodeRecord E1 = node("e1", false, "north");
--- a/test/KeyedChoice.cpp
+++ b/test/KeyedChoice.cpp
@@ -13,6 +13,7 @@
 SharedUpstream upstream(const std::string &Id, const RegionId &Region) {
   SharedUpstream U;
   U.Id_ = UpstreamId(Id);
+  U.Place_ = placeOf(Id);
   U.Region_ = Region;
   U.Slots_ = 3;
   return U;
