Grant teams' tokens by region, on demand, instead of dividing rates among entry VMs

Ruled out: the sums (they were whole) and the slack (it is divided just as finely). Change: regions divide a rate by demand (the same DemandShare, three parts instead of 78); in a region one core VM, chosen by rendezvous hashing of the team, grants tokens to entry VMs that ask when requests need them, some ahead. The next core VM stands in with an empty bucket. A part shrinks when less than half of the core VMs are heard. An entry VM that no core VM answers goes on at half of what it was granted for 2.5 s. Teams' demand goes to the core VMs of the own region only. Tests: TeamTokens, Fleet, DemandShare (its checks and bounds as they were, in the new signatures).

--- a/lagoonpoint/src/Core/util/StableHash.h
+++ b/lagoonpoint/src/Core/util/StableHash.h
@@ -13,4 +13,11 @@
   return Hash;
 }
 
+/// Spreads the bits of a hash: FNV alone leaves similar texts close.
+constexpr std::uint64_t mixBits(std::uint64_t H) {
+  H = (H ^ (H >> 33)) * 0xff51afd7ed558ccdULL;
+  H = (H ^ (H >> 33)) * 0xc4ceb9fe1a85ec53ULL;
+  return H ^ (H >> 33);
+}
+
 } // namespace lagoonpoint::internal
--- a/lagoonpoint/src/Fleet/FleetMessage.h
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -48,8 +48,9 @@
   std::vector<VmId> Cores_;     ///< that the sender knows; empty: as before
   bool WantsItems_ = false;     ///< and announcements, where they differ
   bool WantsRates_ = false;     ///< the answer should sum up the fleet's rates
-  RateMap TeamRates_;           ///< asked of the sender by callers
-  RateMap ServiceRates_;        ///< asked of the sender by callers
+  /// Asked of the sender by callers; of a core VM: of its region's entry VMs.
+  RateMap TeamRates_;
+  RateMap ServiceRates_;          ///< asked of the sender by callers
   std::vector<Sighting> Sighted_; ///< between core VMs
   MSGPACK_DEFINE(BornAt_, Self_, Ready_, Asked_, Holds_, ConfigAt_,
                  KnowsVoters_, Upstreams_, Cores_, WantsItems_, WantsRates_,
@@ -71,23 +72,23 @@
 /// What entry VMs are asked for together.
 struct FleetRates {
   std::vector<VmId> Entries_;                  ///< live entry VMs
-  RateMap TeamRates_;                          ///< summed over them
   std::map<std::string, RateMap> RegionRates_; ///< service rates by region
-  MSGPACK_DEFINE(Entries_, TeamRates_, RegionRates_)
+  MSGPACK_DEFINE(Entries_, RegionRates_)
 };
 
 /// Answer of a core VM to a Beat.
 struct BeatReply {
   std::int64_t Asked_ = 0;  ///< of the beat
   bool KnowsSender_ = true; ///< else the sender should describe itself
+  RegionId Region_;         ///< of the core VM
   Revision Holds_;
   std::uint64_t Upstreams_ = 0;    ///< digest of the announcements it holds
   std::vector<UpstreamId> Silent_; ///< announced nothing to any core VM lately
   LogProof Proof_;
   std::vector<VmId> Cores_;       ///< where the sender's list differs
   std::vector<FleetRates> Rates_; ///< one, if asked for
-  MSGPACK_DEFINE(Asked_, KnowsSender_, Holds_, Upstreams_, Silent_, Proof_,
-                 Cores_, Rates_)
+  MSGPACK_DEFINE(Asked_, KnowsSender_, Region_, Holds_, Upstreams_, Silent_,
+                 Proof_, Cores_, Rates_)
 };
 
 /// Items that an entry VM lacks.
@@ -113,9 +114,28 @@
   MSGPACK_DEFINE(Number_)
 };
 
+/// Asks a core VM for tokens of a team's rate.
+struct TokenAsk {
+  std::uint64_t Number_ = 0;
+  TeamId Team_;
+  unsigned Wanted_ = 0; ///< requests that wait for one
+  unsigned Ahead_ = 0;  ///< for requests that are likely to come soon
+  MSGPACK_DEFINE(Number_, Team_, Wanted_, Ahead_)
+};
+
+/// Answers TokenAsk.
+struct TokenGrant {
+  std::uint64_t Number_ = 0; ///< of the ask
+  TeamId Team_;
+  unsigned Count_ = 0;
+  Duration Wait_;        ///< until more can be had, if Count_ is too few
+  bool Entitled_ = true; ///< else another core VM should be asked
+  MSGPACK_DEFINE(Number_, Team_, Count_, Wait_, Entitled_)
+};
+
 /// Every message of Channel::Fleet.
-using FleetMessage =
-    std::variant<Beat, BeatReply, ItemNews, NoticeNews, NoticesSeen>;
+using FleetMessage = std::variant<Beat, BeatReply, ItemNews, NoticeNews,
+                                  NoticesSeen, TokenAsk, TokenGrant>;
 
 /// \ingroup Fleet
 std::string encodeMessage(const FleetMessage &M);
--- /dev/null
+++ b/lagoonpoint/src/Fleet/TeamDemand.cpp
@@ -0,0 +1,77 @@
+#include "lagoonpoint/src/Fleet/TeamDemand.h"
+
+#include "lagoonpoint/Limits"
+#include "lagoonpoint/src/Core/util/StableHash.h"
+
+#include <algorithm>
+
+namespace lagoonpoint {
+
+namespace {
+
+/// VMs beat once a second: two beats may be lost.
+constexpr Duration HeardWithin = Duration::millis(2700);
+
+void addTo(RateMap &Sum, const RateMap &Rates) {
+  for (const auto &[Team, Rate] : Rates)
+    Sum[Team] += Rate;
+}
+
+/// Core VMs of one region tell of the same entry VMs, if they hear them all.
+void raiseTo(RateMap &Most, const RateMap &Rates) {
+  for (const auto &[Team, Rate] : Rates)
+    Most[Team] = std::max(Most[Team], Rate);
+}
+
+} // namespace
+
+TeamDemand teamDemand(const Roster &R, const RegionId &Own, Time Now) {
+  std::vector<Duration> Ages{Duration()}; // its own
+  for (const auto &[Vm, Node] : R.Nodes_)
+    if (Node.Record_.Core_)
+      Ages.push_back(Now - Node.HeardAt_);
+  std::sort(Ages.begin(), Ages.end());
+  bool MostHeard = Ages[Ages.size() / 2] <= HeardWithin;
+  TeamDemand Out;
+  Out.ContactAge_ = Ages[(Ages.size() + 1) / 2 - 1];
+  Out.Regions_[Own];
+  for (const auto &[Vm, Node] : R.Nodes_) {
+    Duration Age = Now - Node.HeardAt_;
+    if (!Node.Record_.Core_ && Age <= HeardWithin)
+      addTo(Out.Regions_[Own], Node.TeamRates_);
+  }
+  for (const auto &[Vm, Node] : R.Nodes_) {
+    Duration Age = Now - Node.HeardAt_;
+    if (Node.Record_.Core_ && (!MostHeard || Age <= ShareEnds))
+      raiseTo(Out.Regions_[Node.Record_.Region_], Node.TeamRates_);
+  }
+  return Out;
+}
+
+std::vector<VmId> rankHolders(const TeamId &Team, std::vector<VmId> Cores) {
+  auto Weight = [&](const VmId &Vm) {
+    return internal::mixBits(internal::stableHash(Vm.str() + "~" + Team.str()));
+  };
+  std::sort(Cores.begin(), Cores.end(), [&](const VmId &A, const VmId &B) {
+    return std::pair(Weight(A), A) > std::pair(Weight(B), B);
+  });
+  return Cores;
+}
+
+HolderRank rankOf(const Roster &R, const NodeRecord &Self, const TeamId &Team,
+                  Time Now) {
+  std::vector<VmId> Cores{Self.Vm_};
+  for (const auto &[Vm, Node] : R.Nodes_)
+    if (Node.Record_.Core_ && Node.Record_.Region_ == Self.Region_)
+      Cores.push_back(Vm);
+  HolderRank Out;
+  for (const VmId &Vm : rankHolders(Team, Cores)) {
+    if (Vm == Self.Vm_)
+      break;
+    Out.First_ = false;
+    Out.FirstHeard_ |= Now - R.Nodes_.at(Vm).HeardAt_ <= HeardWithin;
+  }
+  return Out;
+}
+
+} // namespace lagoonpoint
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -3,6 +3,7 @@
 #include "lagoonpoint/Log"
 #include "lagoonpoint/Peer"
 #include "lagoonpoint/src/Gateway/PeerBook.h"
+#include "lagoonpoint/src/Gateway/QuotaHolder.h"
 #include "lagoonpoint/src/Node/ChangeRouter.h"
 #include "lagoonpoint/src/Node/ReplicaHost.h"
 #include "lagoonpoint/src/Node/Worker.h"
@@ -72,7 +73,8 @@
         Peers_(
             fleetPeerOptions(S), [this](Envelope E) { receive(std::move(E)); },
             Clock_, [](const Error &E) { logError(E, LogLevel::Debug); }),
-        Book_(S, Peers_), Pusher_("core.push", IdleTick, [] {}),
+        Book_(S, Peers_), Quotas_(S, Clock_),
+        Pusher_("core.push", IdleTick, [] {}),
         Host_(ReplicaSettings_, Clock_, Peers_,
               [this](const Catalog &C, const Change *) { observe(C); }),
         Router_(Self_, seedVms(S), &Host_, Clock_, Peers_),
@@ -86,6 +88,7 @@
   void onReply(const VmId &From, const BeatReply &R);
   void onNews(const VmId &From, const NoticeNews &N);
   void onSeen(const VmId &From, const NoticesSeen &S);
+  void onAsk(const VmId &From, const TokenAsk &A);
 
   NodeRecord self();
   Beat beat();
@@ -114,6 +117,7 @@
   MetricRegistry Metrics_;
   PeerTransport Peers_;
   PeerBook Book_;
+  QuotaHolder Quotas_;
 
   mutable std::mutex ItemsLock_;
   std::shared_ptr<const HeldItems> Items_ = std::make_shared<HeldItems>();
@@ -153,6 +157,8 @@
     onNews(Message.From_, *N);
   else if (const auto *S = std::get_if<NoticesSeen>(&M))
     onSeen(Message.From_, *S);
+  else if (const auto *A = std::get_if<TokenAsk>(&M))
+    onAsk(Message.From_, *A);
 }
 
 void CoreVm::Parts::observe(const Catalog &C) {
@@ -216,12 +222,17 @@
     sendItems(Vms, Holds);
 }
 
+/// What all other core VMs are told, and the quotas' parts with it: both
+/// follow from the same demand.
 Beat CoreVm::Parts::beat() {
   Beat Out;
   Out.BornAt_ = BornAt_;
   Out.Asked_ = Clock_.now().count();
   Out.Holds_ = items()->Revision_;
   std::lock_guard Guard(Lock_);
+  TeamDemand Demand = teamDemand(Roster_, Settings_.Region_, Clock_.now());
+  Quotas_.learn(Demand);
+  Out.TeamRates_ = Demand.Regions_[Settings_.Region_];
   Out.Upstreams_ = digestOf(Upstreams_);
   for (auto &[Id, S] : Sighted_)
     Out.Sighted_.push_back(S);
@@ -234,8 +245,6 @@
   FleetRates Out;
   for (const HeardNode *Node : liveEntries(Roster_, LiveFor, Now)) {
     Out.Entries_.push_back(Node->Record_.Vm_);
-    for (const auto &[Team, Rate] : Node->TeamRates_)
-      Out.TeamRates_[Team] += Rate;
     RateMap &Region = Out.RegionRates_[Node->Record_.Region_.str()];
     for (const auto &[Service, Rate] : Node->ServiceRates_)
       Region[Service] += Rate;
@@ -246,6 +255,7 @@
 BeatReply CoreVm::Parts::replyTo(const VmId &From, const Beat &B, Time Now) {
   BeatReply Out;
   Out.Asked_ = B.Asked_;
+  Out.Region_ = Settings_.Region_;
   LeaderView View = Host_.leaderView();
   Out.Holds_ = View.Revision_;
   Out.Proof_ = {View.Disk_,     View.Last_,     View.Applied_,
@@ -329,6 +339,20 @@
     Confirmed_.notify_all();
 }
 
+void CoreVm::Parts::onAsk(const VmId &From, const TokenAsk &A) {
+  auto Now = items();
+  HolderRank Rank;
+  NodeRecord Own;
+  Own.Vm_ = Self_;
+  Own.Region_ = Settings_.Region_;
+  {
+    std::lock_guard Guard(Lock_);
+    Rank = rankOf(Roster_, Own, A.Team_, Clock_.now());
+  }
+  const TeamItem *Team = findItem(Now->Items_.Teams_, A.Team_.str());
+  sendTo(From, Quotas_.answer(A, Team, Rank));
+}
+
 std::set<VmId> CoreVm::Parts::entriesInContact(Time Now) {
   std::set<VmId> Out;
   for (const HeardNode *Node : liveEntries(Roster_, LiveFor, Now))
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -4,7 +4,7 @@
 #include "lagoonpoint/Peer"
 #include "lagoonpoint/src/Gateway/KeyedCall.h"
 #include "lagoonpoint/src/Gateway/PeerBook.h"
-#include "lagoonpoint/src/Gateway/TeamShares.h"
+#include "lagoonpoint/src/Gateway/TeamTokens.h"
 #include "lagoonpoint/src/Node/Worker.h"
 #include "lagoonpoint/src/Node/util/Labels.h"
 
@@ -46,8 +46,9 @@
   Time At_;
   Duration RoundTrip_;
   std::set<UpstreamId> Silent_; ///< upstreams that announce no more
-  unsigned Differing_ = 0;      ///< answers in a row with another digest
-  bool InContact_ = false;      ///< as logged last
+  RegionId Region_;
+  unsigned Differing_ = 0; ///< answers in a row with another digest
+  bool InContact_ = false; ///< as logged last
 };
 
 /// What is in force at this VM.
@@ -131,14 +132,15 @@
             fleetPeerOptions(S), [this](Envelope E) { receive(std::move(E)); },
             Clock_, [](const Error &E) { logError(E, LogLevel::Debug); }),
         Book_(S, Peers_), Dispatcher_(S, Clock_),
-        Teams_(S, Clock_), Services_{
-                               Clock_,
-                               Dispatcher_,
-                               Retries_,
-                               Metrics_,
-                               [this](const TeamId &T) { checkKeys(T); },
-                               [this] { return retryLimits(); },
-                               [this](const TeamId &T) { Teams_.giveBack(T); }},
+        Teams_(Clock_, [this](const VmId &To,
+                              const TokenAsk &Ask) { sendTo(To, Ask); }),
+        Services_{Clock_,
+                  Dispatcher_,
+                  Retries_,
+                  Metrics_,
+                  [this](const TeamId &T) { checkKeys(T); },
+                  [this] { return retryLimits(); },
+                  [this](const TeamId &T) { Teams_.giveBack(T); }},
         Server_(*this, CallerSettings_, Clock_, &Metrics_, std::move(D)),
         Ticker_("entry.tick", TickEvery, [this] { tick(); }) {}
 
@@ -159,6 +161,7 @@
   NodeRecord self() const;
   void sendBeats(const std::vector<VmId> &Only = {});
   VmId nearestCore(Time Now) const;
+  std::vector<VmId> coresByDistance(Time Now, bool OwnRegion) const;
   void sendTo(const VmId &To, const FleetMessage &M);
   void teachDispatcher();
   void markSilent(Time Now);
@@ -184,7 +187,7 @@
   PeerBook Book_;
   SharedDispatcher Dispatcher_;
   RetryBudgets Retries_;
-  TeamShares Teams_;
+  TeamTokens Teams_;
   KeyedServices Services_;
   std::atomic<bool> Draining_{false};
 
@@ -227,6 +230,8 @@
     onItems(*News);
   else if (const auto *N = std::get_if<NoticeNews>(&M))
     onNews(Message.From_, *N);
+  else if (const auto *G = std::get_if<TokenGrant>(&M))
+    Teams_.onGrant(Message.From_, *G);
 }
 
 void EntryVm::Parts::onReply(const VmId &From, const BeatReply &R) {
@@ -249,6 +254,7 @@
     }
     CoreSaid &Said = Said_[From];
     Said.At_ = Now;
+    Said.Region_ = R.Region_;
     Said.RoundTrip_ = Now - Time(R.Asked_);
     Said.Silent_ = {R.Silent_.begin(), R.Silent_.end()};
     bool Differs = R.Upstreams_ != digestOf(Upstreams_);
@@ -261,9 +267,6 @@
   }
   if (AskItems)
     sendBeats({From});
-  if (!R.Rates_.empty())
-    Teams_.learn(R.Rates_.front().TeamRates_, R.Rates_.front().Entries_.size(),
-                 Time(R.Asked_));
   // A core VM that has just started knows no upstreams yet.
   if (!Lacking.empty())
     sendTo(From, NoticeNews{0, Lacking});
@@ -338,8 +341,9 @@
   return Out;
 }
 
-/// Only the nearest core VM sums up the rates. Items are asked of the VMs named
-/// in \p Only: the first that tells of newer ones.
+/// Only the nearest core VM sums up the services' rates, only those that grant
+/// tokens are told the teams'. Items are asked of the VMs named in \p Only: the
+/// first that tells of newer ones.
 void EntryVm::Parts::sendBeats(const std::vector<VmId> &Only) {
   Beat B;
   B.WantsItems_ = !Only.empty();
@@ -347,8 +351,9 @@
   B.Asked_ = Clock_.now().count();
   B.Holds_ = current()->Revision_;
   B.Ready_ = configured() && !Draining_;
+  RateMap TeamRates;
   if (Only.empty())
-    Teams_.rates(B.TeamRates_, B.ServiceRates_);
+    Teams_.rates(TeamRates, B.ServiceRates_);
   NodeRecord Own = self();
   std::lock_guard Guard(Lock_);
   B.ConfigAt_ = Currency_.ConfigAt_;
@@ -356,29 +361,42 @@
   B.Upstreams_ = digestOf(Upstreams_);
   Time Now = Clock_.now();
   VmId Nearest = nearestCore(Now);
+  std::vector<VmId> Near = coresByDistance(Now, true);
+  if (Near.empty())
+    Near.push_back(Nearest);
   for (const VmId &Core : Only.empty() ? Book_.cores() : Only) {
     Beat Each = B;
     Each.Cores_ = Book_.coresFor(Core);
     Each.WantsRates_ = Core == Nearest;
+    if (std::find(Near.begin(), Near.end(), Core) != Near.end())
+      Each.TeamRates_ = TeamRates;
     if (Introduced_.insert(Core).second)
       Each.Self_.push_back(Own);
     sendTo(Core, Each);
   }
 }
 
-/// \returns the core VM that answers soonest of those that answer.
+/// \returns the core VMs that answer, of this region or of others, the one
+/// that answers soonest first.
+std::vector<VmId> EntryVm::Parts::coresByDistance(Time Now,
+                                                  bool OwnRegion) const {
+  std::vector<std::pair<Duration, VmId>> Found;
+  for (const auto &[Core, Said] : Said_)
+    if (Now - Said.At_ <= HeardWithin &&
+        (Said.Region_ == Settings_.Region_) == OwnRegion)
+      Found.push_back({Said.RoundTrip_, Core});
+  std::sort(Found.begin(), Found.end());
+  std::vector<VmId> Out;
+  for (const auto &[RoundTrip, Core] : Found)
+    Out.push_back(Core);
+  return Out;
+}
+
 VmId EntryVm::Parts::nearestCore(Time Now) const {
-  VmId Nearest;
-  Duration Least;
-  for (const auto &[Core, Said] : Said_) {
-    if (Now - Said.At_ > HeardWithin)
-      continue;
-    if (!Nearest.empty() && Said.RoundTrip_ >= Least)
-      continue;
-    Nearest = Core;
-    Least = Said.RoundTrip_;
-  }
-  return Nearest;
+  for (bool OwnRegion : {true, false})
+    for (const VmId &Core : coresByDistance(Now, OwnRegion))
+      return Core;
+  return VmId();
 }
 
 /// Logs each core VM that is lost or regained.
@@ -427,6 +445,7 @@
   markSilent(Now);
   logContact(Now);
   logProof();
+  Teams_.setHolders(coresByDistance(Now, true), coresByDistance(Now, false));
   teachDispatcher();
   Dispatcher_.rebalance(
       RegionRates_, RebalancedAt_ == Time() ? TickEvery : Now - RebalancedAt_);
@@ -537,8 +556,8 @@
     Duration Allowed =
         std::min(C.Deadline_.value_or(Route.Timeout_), Route.Timeout_);
     A.Deadline_ = C.Arrived_ + Allowed - AnswerMargin;
-    if (Team)
-      Teams_.take(A.Team_, Team->Rate_, Team->Burst_);
+    if (Team && Team->Rate_ > 0)
+      Teams_.take(A.Team_);
   } catch (const Refusal &R) {
     countRefusal(Metrics_, A.Team_, R.reason(), R.ran());
     log({.Level_ = LogLevel::Warning,
--- a/lagoonpoint/src/Gateway/SharedDispatcher.cpp
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.cpp
@@ -97,7 +97,7 @@
 bool SharedDispatcher::warms(const UpstreamId &Id,
                              const std::vector<VmId> &Entries) const {
   auto Weight = [&](const VmId &Vm) {
-    return internal::stableHash(Vm.str() + "~" + Id.str());
+    return internal::mixBits(internal::stableHash(Vm.str() + "~" + Id.str()));
   };
   auto Best = std::max_element(
       Entries.begin(), Entries.end(),
--- a/lagoonpoint/src/Limits/DemandShare.cpp
+++ b/lagoonpoint/src/Limits/DemandShare.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Weight of the newest span in a smoothed rate halves what is older by this.
-constexpr Duration SmoothedOver = Duration::seconds(5);
+constexpr Duration SmoothedOver = Duration::seconds(2);
 constexpr double ShortestSpan = 0.05; ///< seconds
 
 } // namespace
@@ -25,19 +25,15 @@
   M.Since_ = Now;
 }
 
-double tellDemand(SharedBucket &B, Time Now) {
-  settle(B.Asked_, Now);
+void setShare(SharedBucket &B, double Own, double AllDemand,
+              std::size_t Holders) {
   B.ToldBefore_ = B.Told_;
-  B.Told_ = B.Asked_.Rate_;
-  return B.Told_;
-}
-
-void setShare(SharedBucket &B, double AllDemand, std::size_t Vms) {
-  double Even = 1.0 / static_cast<double>(std::max<std::size_t>(Vms, 1));
+  B.Told_ = Own;
+  double Even = 1.0 / static_cast<double>(std::max<std::size_t>(Holders, 1));
   double All = std::max({AllDemand, B.Sum_, B.Told_});
   B.Sum_ = AllDemand;
-  double Own = std::min(B.Told_, B.ToldBefore_);
-  double ByDemand = All > 0 ? Own / All : Even;
+  double Known = std::min(B.Told_, B.ToldBefore_);
+  double ByDemand = All > 0 ? Known / All : Even;
   double Sure = std::min(ByDemand, B.ByDemand_);
   B.ByDemand_ = ByDemand;
   B.Share_ = EvenPart * Even + (1 - EvenPart) * Sure;
@@ -49,27 +45,35 @@
   return std::clamp(Left, 0.0, 1.0);
 }
 
-Duration take(SharedBucket &B, const SharedRate &R, std::size_t Vms,
-              Duration Age, Time Now) {
+TakenTokens take(SharedBucket &B, const SharedRate &R, std::size_t Holders,
+                 double Part, unsigned Wanted, unsigned Ahead, Time Now) {
   if (R.Rate_ <= 0)
-    return Duration();
-  double Share = B.Share_ * shareLeft(Age);
+    return {Wanted + Ahead, {}};
+  double Share = B.Share_ * Part;
   double Own = R.Rate_ * Share;
   double Beyond = R.Overage_ * (R.Rate_ * R.Window_.inSeconds() + R.Burst_);
   double Most = (R.Burst_ + Beyond * OverageUsed) * Share +
-                R.Slack_ * SlackUsed / static_cast<double>(Vms);
+                R.Slack_ * SlackUsed * Part / static_cast<double>(Holders);
   Most = std::max(Most, 1.0);
   double Span = (Now - B.Filled_).inSeconds();
   B.Tokens_ = std::min(Most, B.Tokens_ + std::max(0.0, Span) * Own);
   B.Filled_ = Now;
-  if (B.Tokens_ >= 1) {
+  TakenTokens Out;
+  while (Out.Count_ < Wanted && B.Tokens_ >= 1) {
+    B.Tokens_ -= 1;
+    ++Out.Count_;
+  }
+  for (; Ahead > 0 && B.Tokens_ - 1 >= Most / 2; --Ahead) {
     B.Tokens_ -= 1;
-    return Duration();
+    ++Out.Count_;
   }
+  if (Out.Count_ >= Wanted)
+    return Out;
   constexpr double LongestWait = 5; // seconds
   double Wait = Own > 0 ? (1 - B.Tokens_) / Own : LongestWait;
-  return Duration::millis(
+  Out.Wait_ = Duration::millis(
       static_cast<std::int64_t>(std::min(Wait, LongestWait) * 1000) + 1);
+  return Out;
 }
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Limits/DemandShare.h
+++ b/lagoonpoint/src/Limits/DemandShare.h
@@ -23,13 +23,12 @@
 
 /// \class SharedBucket
 /// \ingroup Limits
-/// \brief This VM's part of a rate and burst that all entry VMs spend.
+/// \brief One holder's part of a rate and burst that several holders grant.
 ///
-/// VMs divide a rate by the demand that each of them sees, as the core VMs sum
-/// it up. No VM has to ask another before it spends.
+/// Holders divide a rate by the demand that comes to each of them. None has to
+/// ask another before it grants.
 struct SharedBucket {
-  DemandMeter Asked_;
-  double Told_ = 0;       ///< demand that the core VMs were told last
+  double Told_ = 0;       ///< own demand that the others were told last
   double ToldBefore_ = 0; ///< and the time before
   double ByDemand_ = 0;   ///< part of all demand, by the newest sum
   double Sum_ = 0;        ///< newest sum
@@ -38,18 +37,14 @@
   Time Filled_;
 };
 
-/// Part of a rate that is divided evenly, so that a VM whose first caller of a
-/// team has just come can serve it.
+/// Part of a rate that is divided evenly, so that a holder whose first request
+/// of a team has just come can grant it.
 inline constexpr double EvenPart = 0.4;
 
-/// Takes the demand to tell to the core VMs.
-/// \ingroup Limits
-double tellDemand(SharedBucket &B, Time Now);
-
 /// \class SharedRate
 /// \ingroup Limits
-/// \brief A rate and burst of all VMs together, and what may be spent beyond
-/// them in a window.
+/// \brief A rate and burst of all holders together, and what may be spent
+/// beyond them in a window.
 struct SharedRate {
   double Rate_ = 0;  ///< units a second
   double Burst_ = 0; ///< units
@@ -58,34 +53,42 @@
   double Slack_ = 0;   ///< units a window
 };
 
-/// Parts of the overage and the slack that VMs use: shares that are told at
-/// different times may sum up to more than one.
+/// Parts of the overage and the slack that holders use: shares that are told
+/// at different times may sum up to more than one.
 inline constexpr double OverageUsed = 0.3;
 inline constexpr double SlackUsed = 0.5;
 
-/// A VM that hears no sums for this long is counted by the others no more.
+/// A holder that hears no others for this long is counted by them no more.
 inline constexpr Duration ShareKept = Duration::millis(2200);
 /// It gives its share up until then.
 inline constexpr Duration ShareEnds = Duration::seconds(5);
 
-/// Sets the share from the demand that this VM told and the sum over all VMs
-/// that it was told in turn. A share shrinks at once and grows a sum later: at
-/// a surge the first VM to tell of it finds a sum that lacks the others' part.
-/// Of two sums the larger counts: a core VM that is cut off hears of less. Of
-/// two demands that were told the smaller counts: the other VMs' parts in a sum
-/// are older than this VM's newest.
-/// \ingroup Limits
-void setShare(SharedBucket &B, double AllDemand, std::size_t Vms);
+/// Sets the share from the demand that this holder tells and the sum over all
+/// of them. A share shrinks at once and grows a sum later: at a surge the first
+/// holder to tell of it finds a sum that lacks the others' part. Of two sums
+/// the larger counts: a holder that is cut off hears of less. Of two demands
+/// that were told the smaller counts: the others' parts in a sum are older than
+/// this holder's newest. \ingroup Limits \param Own demand that the others are
+/// told now \param AllDemand sum that is known now, \p Own included
+void setShare(SharedBucket &B, double Own, double AllDemand,
+              std::size_t Holders);
 
-/// \returns what is left of a share whose sum is of that age.
+/// \returns what is left of a share when the others were heard so long ago.
 /// \ingroup Limits
 double shareLeft(Duration Age);
 
-/// Takes one token of this VM's share.
+/// What a holder grants.
+struct TakenTokens {
+  unsigned Count_ = 0;
+  Duration Wait_; ///< until there is another one, if there were too few
+};
+
+/// Takes tokens of this holder's share.
 /// \ingroup Limits
-/// \param Age of the sum that the share follows from
-/// \returns how long to wait for one, zero if it was taken
-Duration take(SharedBucket &B, const SharedRate &R, std::size_t Vms,
-              Duration Age, Time Now);
+/// \param Part of the share that may be used
+/// \param Wanted tokens that are needed now
+/// \param Ahead tokens to take beyond that while the bucket is half full
+TakenTokens take(SharedBucket &B, const SharedRate &R, std::size_t Holders,
+                 double Part, unsigned Wanted, unsigned Ahead, Time Now);
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Steering/KeyedChoice.cpp
+++ b/lagoonpoint/src/Steering/KeyedChoice.cpp
@@ -9,16 +9,9 @@
 
 namespace {
 
-/// Spreads the bits of a hash: FNV alone leaves similar texts close.
-std::uint64_t mixed(std::uint64_t H) {
-  H = (H ^ (H >> 33)) * 0xff51afd7ed558ccdULL;
-  H = (H ^ (H >> 33)) * 0xc4ceb9fe1a85ec53ULL;
-  return H ^ (H >> 33);
-}
-
 /// Weight of an upstream for an object; the highest is its first choice.
 double rendezvous(std::uint64_t Object, const SharedUpstream &U) {
-  std::uint64_t H = mixed(Object ^ mixed(U.Place_));
+  std::uint64_t H = internal::mixBits(Object ^ internal::mixBits(U.Place_));
   double Unit = (static_cast<double>(H >> 11) + 0.5) / 9007199254740992.0;
   return -static_cast<double>(U.Slots_) / std::log(Unit);
 }
--- a/test/DemandShare.cpp
+++ b/test/DemandShare.cpp
@@ -9,18 +9,18 @@
 
 namespace {
 
-/// Entry VMs that share one rate, with a core that sums up what they tell.
+/// Holders that grant parts of one rate and tell each other their demand.
 struct Sharers {
   explicit Sharers(std::size_t Count) : Buckets_(Count), Asked_(Count, 0) {}
 
   /// One VM tells its demand and is told the sum at that moment.
   void tell(std::size_t Vm, Time Now) {
-    double Told = tellDemand(Buckets_[Vm], Now);
+    settle(Meters_[Vm], Now);
     if (Cut_[Vm])
       return;
-    Known_[Vm] = Told;
+    Known_[Vm] = Meters_[Vm].Rate_;
     SumAt_[Vm] = Now;
-    setShare(Buckets_[Vm], sum(), live());
+    setShare(Buckets_[Vm], Known_[Vm], sum(), live());
   }
   double sum() const {
     double Out = 0;
@@ -48,16 +48,17 @@
         if (Asked_[Vm] < 1)
           continue;
         Asked_[Vm] -= 1;
-        count(Buckets_[Vm].Asked_);
-        Duration Age = Now - SumAt_[Vm];
-        if (take(Buckets_[Vm], R, live(), Age, Now) == Duration())
-          ++PerSecond.back();
+        count(Meters_[Vm]);
+        double Part = shareLeft(Now - SumAt_[Vm]);
+        PerSecond.back() +=
+            take(Buckets_[Vm], R, live(), Part, 1, 0, Now).Count_;
       }
     }
     return PerSecond;
   }
 
   std::vector<SharedBucket> Buckets_;
+  std::vector<DemandMeter> Meters_ = std::vector<DemandMeter>(Buckets_.size());
   std::vector<double> Asked_;
   std::vector<double> Known_ = std::vector<double>(Buckets_.size(), 0.0);
   std::vector<Time> SumAt_ = std::vector<Time>(Buckets_.size());
@@ -80,7 +81,7 @@
 
 } // namespace
 
-TEST_CASE("VMs divide a team's rate by demand") {
+TEST_CASE("Holders divide a team's rate by demand") {
   Sharers S(9);
   std::vector<double> Rates(9, 2);
   Rates[0] = 20;
@@ -112,7 +113,7 @@
       CHECK(Sum <= 1.01);
     }
   }
-  SECTION("VMs that are cut off give their parts up") {
+  SECTION("holders that are cut off give their parts up") {
     for (double &Rate : Rates)
       Rate *= 8;
     std::vector<int> Passed = S.play(Start, 15'000, Rates, Quota);
@@ -136,13 +137,23 @@
   SharedBucket B;
   B.Share_ = 0.5;
   SharedRate R{4, 2, Duration::seconds(5), 0, 0};
-  REQUIRE(take(B, R, 2, Duration(), Start) == Duration());
-  Duration Wait = take(B, R, 2, Duration(), Start);
-  REQUIRE(Wait > Duration());
-  CHECK(take(B, R, 2, Duration(), Start + Wait) == Duration());
+  REQUIRE(take(B, R, 2, 1, 1, 0, Start).Count_ == 1);
+  TakenTokens None = take(B, R, 2, 1, 1, 0, Start);
+  REQUIRE(None.Count_ == 0);
+  REQUIRE(None.Wait_ > Duration());
+  CHECK(take(B, R, 2, 1, 1, 0, Start + None.Wait_).Count_ == 1);
   SECTION("and a team without a rate is never over it") {
     R.Rate_ = 0;
     for (int N = 0; N < 100; ++N)
-      CHECK(take(B, R, 2, Duration(), Start) == Duration());
+      CHECK(take(B, R, 2, 1, 1, 0, Start).Count_ == 1);
   }
 }
+
+TEST_CASE("Tokens are taken ahead only while there are many") {
+  SharedBucket B;
+  B.Share_ = 1;
+  SharedRate R{1, 10, Duration::seconds(5), 0, 0};
+  CHECK(take(B, R, 1, 1, 2, 4, Start).Count_ == 5); // down to a half
+  CHECK(take(B, R, 1, 1, 2, 4, Start).Count_ == 2);
+  CHECK(take(B, R, 1, 1, 9, 4, Start).Count_ == 3);
+}
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -302,3 +302,90 @@
   Cut.pop_back();
   CHECK_THROWS_AS(decodeFleetMessage(Cut, VmId("e1")), CodecError);
 }
+
+namespace {
+
+/// A roster of core VM c1 in the north, with one entry VM and other core VMs.
+struct Demands {
+  Demands() {
+    hear("e1", false, "north", 6, Start);
+    hear("c2", true, "north", 5, Start);
+    hear("c3", true, "south", 2, Start);
+    hear("c4", true, "south", 3, Start);
+    hear("c5", true, "east", 4, Start);
+    hear("c6", true, "east", 4, Start);
+  }
+  void hear(const std::string &Name, bool Core, const std::string &Region,
+            double Rate, Time At) {
+    Beat B = beatOf(node(Name.c_str(), Core, Region.c_str()));
+    B.TeamRates_ = {{"rangers", Rate}};
+    REQUIRE(note(Roster_, VmId(Name), B, At) == BeatNote::Taken);
+  }
+  double of(const std::string &Region, Time Now) const {
+    TeamDemand D = teamDemand(Roster_, RegionId("north"), Now);
+    auto Found = D.Regions_.find(RegionId(Region));
+    if (Found == D.Regions_.end() || !Found->second.count("rangers"))
+      return 0;
+    return Found->second.at("rangers");
+  }
+  Duration contactAge(Time Now) const {
+    return teamDemand(Roster_, RegionId("north"), Now).ContactAge_;
+  }
+
+  Roster Roster_;
+};
+
+} // namespace
+
+TEST_CASE("Core VMs sum up the teams' demand by region") {
+  Demands D;
+  Time Later = Start + Duration::seconds(8);
+  SECTION("each core VM of a region tells of all its entry VMs") {
+    CHECK(D.of("north", Start) == 6);
+    CHECK(D.of("south", Start) == 3);
+    CHECK(D.contactAge(Start) == Duration());
+  }
+  SECTION("a region that fell silent asks for nothing") {
+    for (const char *Name : {"c2", "c5", "c6"})
+      D.hear(Name, true, Name[1] == '2' ? "north" : "east", 4, Later);
+    CHECK(D.of("south", Later) == 0);
+    CHECK(D.of("east", Later) == 4);
+    CHECK(D.contactAge(Later) == Duration());
+  }
+  SECTION("but is counted on while only half of the core VMs are heard") {
+    D.hear("c2", true, "north", 4, Later);
+    D.hear("c5", true, "east", 4, Later);
+    CHECK(D.of("south", Later) == 3);
+    CHECK(D.contactAge(Later) == Duration());
+  }
+  SECTION("and contact is lost with less than half") {
+    D.hear("c2", true, "north", 4, Later);
+    CHECK(D.contactAge(Later) == Duration::seconds(8));
+  }
+}
+
+TEST_CASE("One core VM of a region grants a team's tokens") {
+  Demands D;
+  TeamId Team("rangers");
+  std::vector<VmId> Order = rankHolders(Team, {VmId("c1"), VmId("c2")});
+  CHECK(Order == rankHolders(Team, {VmId("c2"), VmId("c1")}));
+  std::map<std::string, int> Firsts;
+  for (int N = 0; N < 60; ++N)
+    ++Firsts[rankHolders(TeamId("t" + std::to_string(N)),
+                         {VmId("c1"), VmId("c2")})
+                 .front()
+                 .str()];
+  CHECK(Firsts["c1"] > 15);
+  CHECK(Firsts["c2"] > 15);
+  for (int N = 0; N < 60; ++N) {
+    TeamId Any("t" + std::to_string(N));
+    bool First =
+        rankHolders(Any, {VmId("c1"), VmId("c2")}).front() == VmId("c1");
+    HolderRank Rank = rankOf(D.Roster_, node("c1", true, "north"), Any, Start);
+    CHECK(Rank.First_ == First);
+    CHECK(Rank.FirstHeard_ == !First);
+    Time Later = Start + Duration::seconds(3);
+    CHECK_FALSE(
+        rankOf(D.Roster_, node("c1", true, "north"), Any, Later).FirstHeard_);
+  }
+}
--- /dev/null
+++ b/test/TeamTokens.cpp
@@ -0,0 +1,229 @@
+#include "lagoonpoint/src/Gateway/TeamTokens.h"
+#include "fakes/FakeClock.h"
+#include "lagoonpoint/src/Gateway/QuotaHolder.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+using namespace lagoonpoint;
+using fakes::FakeClock;
+
+namespace {
+
+const TeamId Team("rangers");
+
+FleetSettings settings(const std::string &Region) {
+  FleetSettings S;
+  S.Region_ = RegionId(Region);
+  S.Zones_ = {{ZoneId("n"), RegionId("north")},
+              {ZoneId("s"), RegionId("south")}};
+  return S;
+}
+
+TeamItem item(double Rate, double Burst) {
+  TeamItem T;
+  T.Rate_ = Rate;
+  T.Burst_ = Burst;
+  return T;
+}
+
+TeamDemand demand(double North, double South, Duration Age = Duration()) {
+  return {{{RegionId("north"), {{"rangers", North}}},
+           {RegionId("south"), {{"rangers", South}}}},
+          Age};
+}
+
+/// An entry VM whose asks the test answers.
+struct Entry {
+  Entry() { Tokens_.setHolders({VmId("c1"), VmId("c2")}, {VmId("c3")}); }
+
+  /// Waits for the next ask.
+  std::pair<VmId, TokenAsk> asked() {
+    std::unique_lock Guard(Lock_);
+    Sent_.wait(Guard, [&] { return !Asks_.empty(); });
+    auto Out = Asks_.front();
+    Asks_.erase(Asks_.begin());
+    return Out;
+  }
+  std::future<void> take() {
+    return std::async(std::launch::async, [this] { Tokens_.take(Team); });
+  }
+  void grant(const std::pair<VmId, TokenAsk> &Ask, unsigned Count,
+             Duration Wait = {}, bool Entitled = true) {
+    Tokens_.onGrant(Ask.first,
+                    {Ask.second.Number_, Team, Count, Wait, Entitled});
+  }
+
+  FakeClock Clock_;
+  std::mutex Lock_;
+  std::condition_variable Sent_;
+  std::vector<std::pair<VmId, TokenAsk>> Asks_;
+  TeamTokens Tokens_{Clock_, [this](const VmId &To, const TokenAsk &Ask) {
+                       std::lock_guard Guard(Lock_);
+                       Asks_.push_back({To, Ask});
+                       Sent_.notify_all();
+                     }};
+};
+
+const VmId First = rankHolders(Team, {VmId("c1"), VmId("c2")}).front();
+const VmId Second = rankHolders(Team, {VmId("c1"), VmId("c2")}).back();
+
+} // namespace
+
+TEST_CASE("An entry VM asks for tokens when requests need them") {
+  Entry E;
+  std::future<void> Call = E.take();
+  auto Ask = E.asked();
+  CHECK(Ask.first == First);
+  CHECK(Ask.second.Wanted_ == 1);
+
+  SECTION("what is granted is used, and more is kept for a second") {
+    E.grant(Ask, 2);
+    CHECK_NOTHROW(Call.get());
+    CHECK_NOTHROW(E.Tokens_.take(Team));
+    E.Tokens_.giveBack(Team);
+    CHECK_NOTHROW(E.Tokens_.take(Team));
+    E.Tokens_.giveBack(Team);
+    E.Clock_.advance(Duration::millis(1001));
+    Call = E.take();
+    E.grant(E.asked(), 1);
+    CHECK_NOTHROW(Call.get());
+  }
+  SECTION("over the rate, all are refused until there may be more") {
+    E.grant(Ask, 0, Duration::millis(80));
+    try {
+      Call.get();
+      FAIL("not refused");
+    } catch (const Refusal &R) {
+      CHECK(R.reason() == RefusalReason::OverRate);
+      CHECK(R.retryAfter() == Duration::millis(80));
+    }
+    CHECK_THROWS_AS(E.Tokens_.take(Team), Refusal); // without asking
+    E.Clock_.advance(Duration::millis(80));
+    Call = E.take();
+    E.grant(E.asked(), 1);
+    CHECK_NOTHROW(Call.get());
+  }
+  SECTION("a core VM that isn't entitled or doesn't answer is left out") {
+    bool Answers = GENERATE(true, false);
+    if (Answers)
+      E.grant(Ask, 0, {}, false);
+    else
+      E.Clock_.advance(Duration::millis(200));
+    auto Next = E.asked();
+    CHECK(Next.first == Second);
+    E.grant(Ask, 1); // too late, another one was asked
+    E.grant(Next, 1);
+    CHECK_NOTHROW(Call.get());
+    Call = E.take();
+    CHECK((Next = E.asked()).first == Second);
+    E.grant(Next, 1);
+    CHECK_NOTHROW(Call.get());
+  }
+  SECTION("with no answer at all, it says so and not that the rate is used") {
+    E.Clock_.advance(Duration::millis(450));
+    try {
+      Call.get();
+      FAIL("not refused");
+    } catch (const Refusal &R) {
+      CHECK(R.reason() == RefusalReason::NotReady);
+      CHECK(R.ran() == Ran::No);
+    }
+  }
+  SECTION("and goes on for a while at half of what it was granted") {
+    E.grant(Ask, 1);
+    CHECK_NOTHROW(Call.get());
+    for (int N = 0; N < 50; ++N) {
+      E.Clock_.advance(Duration::millis(100));
+      Call = E.take();
+      E.grant(E.asked(), 1);
+      CHECK_NOTHROW(Call.get());
+    }
+    E.Tokens_.setHolders({}, {});
+    int Served = 0;
+    for (int Ms = 0; Ms < 5000; Ms += 100) {
+      E.Clock_.advance(Duration::millis(100));
+      try {
+        E.Tokens_.take(Team);
+        ++Served;
+      } catch (const Refusal &) {
+      }
+    }
+    CHECK(Served >= 8);
+    CHECK(Served <= 13); // of ten a second, half, for 2.5 s
+  }
+}
+
+TEST_CASE("Requests that come together are asked for together") {
+  Entry E;
+  std::vector<std::future<void>> Calls;
+  Calls.push_back(E.take());
+  auto Ask = E.asked();
+  for (int N = 0; N < 4; ++N)
+    Calls.push_back(E.take());
+  E.grant(Ask, 1);
+  // The rest are asked for by whichever wakes first, and by those after it.
+  std::atomic<bool> Done{false};
+  std::thread Granting([&] {
+    for (unsigned Granted = 1; Granted < 5;) {
+      auto Next = E.asked();
+      Granted += Next.second.Wanted_;
+      E.grant(Next, Next.second.Wanted_);
+    }
+    Done = true;
+  });
+  for (auto &Call : Calls)
+    CHECK_NOTHROW(Call.get());
+  Granting.join();
+  CHECK(Done);
+}
+
+TEST_CASE("A core VM grants its region's part of a rate") {
+  FakeClock Clock;
+  FleetSettings S = settings("north");
+  QuotaHolder H(S, Clock);
+  TeamItem Item = item(20, 20);
+  HolderRank FirstOne{true, false};
+  Clock.advance(Duration::seconds(10));
+  auto Granted = [&](HolderRank Rank, unsigned Wanted = 100) {
+    return H.answer({1, Team, Wanted, 0}, &Item, Rank);
+  };
+  for (int N = 0; N < 3; ++N)
+    H.learn(demand(15, 5));
+  const double Share = EvenPart / 2 + (1 - EvenPart) * 0.75;
+
+  SECTION("by the demand that comes to it") {
+    CHECK(Granted(FirstOne).Count_ == Approx(20 * Share).margin(1));
+    Clock.advance(Duration::seconds(1));
+    TokenGrant More = Granted(FirstOne);
+    CHECK(More.Count_ == Approx(20 * Share).margin(1));
+    CHECK(More.Entitled_);
+    CHECK(More.Wait_ > Duration());
+  }
+  SECTION("a stand-in begins with nothing, at half while the first is heard") {
+    HolderRank StandIn{false, true};
+    CHECK(Granted(StandIn).Count_ == 0);
+    Clock.advance(Duration::seconds(1));
+    CHECK(Granted(StandIn).Count_ == Approx(10 * Share).margin(1));
+    StandIn.FirstHeard_ = false;
+    Clock.advance(Duration::seconds(1));
+    CHECK(Granted(StandIn).Count_ == Approx(20 * Share).margin(1));
+  }
+  SECTION("a VM that was just started grants no burst") {
+    QuotaHolder Restarted(S, Clock);
+    Restarted.learn(demand(15, 5));
+    CHECK(Restarted.answer({1, Team, 100, 0}, &Item, FirstOne).Count_ == 0);
+  }
+  SECTION("out of contact with the others it grants less, then nothing") {
+    H.learn(demand(15, 5, Duration::millis(3600)));
+    CHECK(Granted(FirstOne).Count_ == Approx(10 * Share).margin(1));
+    H.learn(demand(15, 5, Duration::seconds(5)));
+    CHECK_FALSE(Granted(FirstOne).Entitled_);
+  }
+  SECTION("a team it doesn't know may be known to another") {
+    CHECK_FALSE(H.answer({1, Team, 1, 0}, nullptr, FirstOne).Entitled_);
+  }
+}
