Start a listener's threads as requests need them

Change: a listener starts one thread and adds others, up to the same limit, when a request finds none idle; a thread that can't be started is logged and the request waits for the others. Test: Listener.

--- a/lagoonpoint/src/Http/util/Listener.cpp
+++ b/lagoonpoint/src/Http/util/Listener.cpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <poll.h>
+#include <system_error>
 #include <utility>
 
 namespace lagoonpoint::internal {
@@ -68,8 +69,24 @@
   }
   Polled_.add(Server_, Poco::Net::PollSet::POLL_READ);
   Poller_ = std::thread([this] { pollLoop(); });
-  for (unsigned Count = 0; Count < Options_.Threads_; ++Count)
+  std::lock_guard Lock(QueueLock_);
+  addWorker();
+}
+
+std::size_t Listener::threads() {
+  std::lock_guard Lock(QueueLock_);
+  return Workers_.size();
+}
+
+/// Called with QueueLock_ held.
+void Listener::addWorker() {
+  try {
     Workers_.emplace_back([this] { workLoop(); });
+  } catch (const std::system_error &E) {
+    if (Workers_.empty())
+      throw Error("http.listen", Options_.Name_, E.what());
+    logError(Error("http.listen", Options_.Name_, E.what()), LogLevel::Warning);
+  }
 }
 
 void Listener::stop() {
@@ -83,7 +100,7 @@
   }
   QueueFilled_.notify_all();
   Poller_.join();
-  for (std::thread &Worker : Workers_)
+  for (std::thread &Worker : Workers_) // no more are added
     Worker.join();
   closeParked();
 }
@@ -222,6 +239,9 @@
     std::lock_guard Lock(QueueLock_);
     Queue_.push_back(std::move(C));
     ++Queued_;
+    bool Spare = Idle_ >= Queue_.size();
+    if (!Spare && !Ended_ && Workers_.size() < Options_.Threads_)
+      addWorker();
   }
   QueueFilled_.notify_one();
 }
@@ -231,7 +251,9 @@
     Owned C;
     {
       std::unique_lock Lock(QueueLock_);
+      ++Idle_;
       QueueFilled_.wait(Lock, [this] { return Ended_ || !Queue_.empty(); });
+      --Idle_;
       if (Queue_.empty())
         return;
       C = std::move(Queue_.front());
--- a/lagoonpoint/src/Http/util/Listener.h
+++ b/lagoonpoint/src/Http/util/Listener.h
@@ -52,7 +52,8 @@
 /// \class Listener
 /// \ingroup Http
 /// \brief Accepts connections, reads and checks heads, and has each request
-/// served by one of a fixed number of threads.
+/// served by one of a bounded number of threads, which are started as requests
+/// need them.
 ///
 /// A connection holds a thread only from a complete head to its answer: idle
 /// connections and slow senders of a head wait in one poll set.
@@ -75,6 +76,8 @@
   /// \returns the port in use, also if port 0 was asked for.
   unsigned short port() const { return Port_; }
   bool stopping() const { return Stopping_.load(); }
+  /// \returns threads started to serve requests.
+  std::size_t threads();
 
 private:
   using Owned = std::unique_ptr<Connection>;
@@ -90,6 +93,7 @@
   std::vector<Owned> pollOnce(Duration Longest);
   Owned unpark(const Poco::Net::Socket &Socket);
   void enqueue(Owned C);
+  void addWorker();
   void park(Owned C);
   void handle(Owned C);
   Next serveArrived(Connection &C);
@@ -113,13 +117,14 @@
   std::atomic<bool> Stopping_{false};
   std::atomic<bool> Ended_{false};
   std::thread Poller_;
-  std::vector<std::thread> Workers_;
   Poco::Net::PollSet Polled_;
 
   std::mutex ParkedLock_; ///< guards Parked_
   std::map<Poco::Net::Socket, Owned> Parked_;
 
-  std::mutex QueueLock_; ///< guards Queue_, Serving_
+  std::mutex QueueLock_; ///< guards Workers_, Idle_, Queue_, Serving_
+  std::vector<std::thread> Workers_;
+  std::size_t Idle_ = 0; ///< workers that wait for a request
   std::condition_variable QueueFilled_;
   std::deque<Owned> Queue_;
   std::set<Connection *> Serving_;
