Compare the books of announcements by parts, and pass news on by region

Whenever a digest differed twice, and with 105 upstreams replaced it always did, each of 6 core VMs sent its whole book of 50 KB to each of 78 entry VMs and each of them sent its own back. An announcement went to every entry VM from one core VM, again and again to all of them while one did not confirm; upstreams that are gone were listed as silent for a minute; each upstream that ended its warm-up on time was news. Change: two VMs exchange sums of 64 parts, then only the parts that differ, an entry VM with its nearest core VM only. News that ends nothing goes to the core VMs once a tick and by each of them to its own entry VMs; an upstream that turns cold is still told to all at once. Endings are sent again only where they weren't confirmed.

--- a/lagoonpoint/src/Fleet/FleetMessage.h
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -2,7 +2,7 @@
 
 #include "lagoonpoint/Catalog"
 #include "lagoonpoint/Replication"
-#include "lagoonpoint/src/Fleet/UpstreamNotice.h"
+#include "lagoonpoint/src/Fleet/UpstreamBook.h"
 
 #include <map>
 #include <set>
@@ -46,8 +46,8 @@
   bool KnowsVoters_ = false;    ///< else ConfigAt_ says nothing
   std::uint64_t Upstreams_ = 0; ///< digest of the sender's announcements
   std::vector<VmId> Cores_;     ///< that the sender knows; empty: as before
-  bool WantsItems_ = false;     ///< and announcements, where they differ
-  bool WantsRates_ = false;     ///< the answer should sum up the fleet's rates
+  bool WantsItems_ = false;
+  bool WantsRates_ = false; ///< the answer should sum up the fleet's rates
   /// Asked of the sender by callers; of a core VM: of its region's entry VMs.
   RateMap TeamRates_;
   RateMap ServiceRates_;          ///< asked of the sender by callers
@@ -114,6 +114,19 @@
   MSGPACK_DEFINE(Number_)
 };
 
+/// Asks what the receiver holds of the announcements otherwise.
+struct BookAsk {
+  BookSums Sums_; ///< of what the sender holds
+  MSGPACK_DEFINE(Sums_)
+};
+
+/// Answers BookAsk. What the answerer lacks comes back as NoticeNews.
+struct BookAnswer {
+  BookSums Sums_;                    ///< of what the answerer holds
+  std::vector<UpstreamNotice> Said_; ///< its part where the sums differ
+  MSGPACK_DEFINE(Sums_, Said_)
+};
+
 /// Asks a core VM for tokens of a team's rate.
 struct TokenAsk {
   std::uint64_t Number_ = 0;
@@ -134,8 +147,9 @@
 };
 
 /// Every message of Channel::Fleet.
-using FleetMessage = std::variant<Beat, BeatReply, ItemNews, NoticeNews,
-                                  NoticesSeen, TokenAsk, TokenGrant>;
+using FleetMessage =
+    std::variant<Beat, BeatReply, ItemNews, NoticeNews, NoticesSeen, BookAsk,
+                 BookAnswer, TokenAsk, TokenGrant>;
 
 /// \ingroup Fleet
 std::string encodeMessage(const FleetMessage &M);
--- a/lagoonpoint/src/Fleet/UpstreamBook.cpp
+++ b/lagoonpoint/src/Fleet/UpstreamBook.cpp
@@ -8,6 +8,23 @@
 
 namespace {
 
+/// About ten upstreams a part at today's largest services.
+constexpr std::size_t BookParts = 64;
+
+/// Announcements take different times on their way.
+constexpr Duration ColdSlack = Duration::millis(500);
+
+std::size_t placeIn(const UpstreamId &Id) {
+  return internal::mixBits(internal::stableHash(Id.str())) % BookParts;
+}
+
+UpstreamNotice passedOn(const KnownUpstream &Held, Time Now) {
+  UpstreamNotice Out = Held.Said_;
+  Out.ColdFor_ = std::max(Held.ColdUntil_ - Now, Duration());
+  Out.Age_ = Now - Held.HeardAt_;
+  return Out;
+}
+
 bool isNewer(const UpstreamNotice &A, const UpstreamNotice &Held) {
   if (A.BornAt_ != Held.BornAt_)
     return A.BornAt_ > Held.BornAt_;
@@ -18,11 +35,12 @@
 
 bool saysMore(const UpstreamNotice &A, const KnownUpstream &Held, Time Now) {
   const UpstreamNotice &Old = Held.Said_;
-  bool WasCold = Held.ColdUntil_ > Now;
-  bool IsCold = A.ColdFor_ > Duration();
+  // That a warm-up ends on time is known from its beginning.
+  Duration Moved = Now + A.ColdFor_ - std::max(Held.ColdUntil_, Now);
+  bool OtherCold = Moved > ColdSlack || Moved < Duration() - ColdSlack;
   return A.BornAt_ != Old.BornAt_ || A.Phase_ != Old.Phase_ ||
          A.Service_ != Old.Service_ || A.Address_ != Old.Address_ ||
-         A.Slots_ != Old.Slots_ || WasCold != IsCold || Held.Silent_;
+         A.Slots_ != Old.Slots_ || OtherCold || Held.Silent_;
 }
 
 std::uint64_t partOf(const UpstreamNotice &A) {
@@ -108,11 +126,41 @@
 
 std::vector<UpstreamNotice> noticesOf(const UpstreamBook &Book, Time Now) {
   std::vector<UpstreamNotice> Out;
-  for (const auto &[Id, Held] : Book.Upstreams_) {
-    Out.push_back(Held.Said_);
-    Out.back().ColdFor_ = std::max(Held.ColdUntil_ - Now, Duration());
-    Out.back().Age_ = Now - Held.HeardAt_;
-  }
+  for (const auto &[Id, Held] : Book.Upstreams_)
+    Out.push_back(passedOn(Held, Now));
+  return Out;
+}
+
+BookSums sumsOf(const UpstreamBook &Book) {
+  BookSums Out(BookParts);
+  for (const auto &[Id, Held] : Book.Upstreams_)
+    Out[placeIn(Id)] += Held.Part_;
+  return Out;
+}
+
+std::vector<UpstreamNotice> noticesBeside(const UpstreamBook &Book,
+                                          const BookSums &Theirs, Time Now) {
+  if (Theirs.size() != BookParts) // of a version that divides it otherwise
+    return noticesOf(Book, Now);
+  BookSums Own = sumsOf(Book);
+  std::vector<UpstreamNotice> Out;
+  for (const auto &[Id, Held] : Book.Upstreams_)
+    if (Own[placeIn(Id)] != Theirs[placeIn(Id)])
+      Out.push_back(passedOn(Held, Now));
+  return Out;
+}
+
+std::vector<UpstreamNotice>
+noticesLacked(const UpstreamBook &Book, const BookSums &Theirs,
+              const std::vector<UpstreamNotice> &Said, Time Now) {
+  std::map<UpstreamId, const UpstreamNotice *> Held;
+  for (const UpstreamNotice &A : Said)
+    Held[A.Id_] = &A;
+  std::vector<UpstreamNotice> Out = noticesBeside(Book, Theirs, Now);
+  std::erase_if(Out, [&](const UpstreamNotice &Own) {
+    auto Found = Held.find(Own.Id_);
+    return Found != Held.end() && !isNewer(Own, *Found->second);
+  });
   return Out;
 }
 
--- a/lagoonpoint/src/Fleet/UpstreamBook.h
+++ b/lagoonpoint/src/Fleet/UpstreamBook.h
@@ -55,4 +55,23 @@
 /// \ingroup Fleet
 std::vector<UpstreamNotice> noticesOf(const UpstreamBook &Book, Time Now);
 
+/// Digests of the parts that a book is divided into by the upstreams' ids: what
+/// two VMs hold differently is found without exchanging the rest.
+using BookSums = std::vector<std::uint64_t>;
+
+/// \ingroup Fleet
+BookSums sumsOf(const UpstreamBook &Book);
+
+/// \returns the announcements in the parts whose sums differ from \p Theirs.
+/// \ingroup Fleet
+std::vector<UpstreamNotice> noticesBeside(const UpstreamBook &Book,
+                                          const BookSums &Theirs, Time Now);
+
+/// \returns of noticesBeside() those that are newer than \p Said, what the
+/// other VM holds in these parts.
+/// \ingroup Fleet
+std::vector<UpstreamNotice>
+noticesLacked(const UpstreamBook &Book, const BookSums &Theirs,
+              const std::vector<UpstreamNotice> &Said, Time Now);
+
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -35,6 +35,8 @@
 constexpr std::size_t FewestVoters = 3;
 constexpr Duration SilentVoter = Duration::seconds(12);
 constexpr Duration ReadPause = Duration::millis(10);
+/// Answers in a row with another digest.
+constexpr unsigned AskBookAfter = 2;
 
 /// Configuration as the replica has it, for readers on other threads.
 struct HeldItems {
@@ -93,13 +95,18 @@
   NodeRecord self();
   Beat beat();
   BeatReply replyTo(const VmId &From, const Beat &B, Time Now);
-  bool differsForLong(const VmId &From, const Beat &B);
+  void onBookAsk(const VmId &From, const BookAsk &A);
+  void onBookAnswer(const VmId &From, const BookAnswer &A);
   FleetRates rates(Time Now);
   void sendBeats();
   void sendTo(const VmId &To, const FleetMessage &M);
   void sendItems(const std::vector<VmId> &To, Revision Since);
   void pushItems();
-  void spread(std::uint64_t Number, const std::vector<UpstreamNotice> &Said);
+  void tell(const UpstreamNotice &A, bool AtOnce);
+  void passOn();
+  std::vector<VmId> entriesToTell(Time Now);
+  void spread(std::uint64_t Number, const UpstreamNotice &Said,
+              const std::set<VmId> &To);
   std::set<VmId> entriesInContact(Time Now);
   bool coreInContact(Time Now);
   bool confirm(const UpstreamNotice &A);
@@ -127,8 +134,10 @@
   Roster Roster_;
   UpstreamBook Upstreams_;
   std::map<UpstreamId, Sighting> Sighted_; ///< here, since the last beat
-  std::map<VmId, unsigned> Differing_; ///< beats in a row with other digests
-  std::set<VmId> Introduced_;          ///< core VMs that hold this VM's record
+  std::vector<UpstreamNotice> News_;       ///< told here since the last tick
+  std::vector<UpstreamNotice> Relayed_; ///< told by other core VMs since then
+  std::map<VmId, unsigned> Differing_;  ///< answers in a row, other digests
+  std::set<VmId> Introduced_;           ///< core VMs that hold this VM's record
   Time NextBeat_;
   VmId Leader_; ///< as logged last; used by the ticker only
   std::map<std::uint64_t, std::set<VmId>> Unconfirmed_;
@@ -157,6 +166,10 @@
     onNews(Message.From_, *N);
   else if (const auto *S = std::get_if<NoticesSeen>(&M))
     onSeen(Message.From_, *S);
+  else if (const auto *Ask = std::get_if<BookAsk>(&M))
+    onBookAsk(Message.From_, *Ask);
+  else if (const auto *Answer = std::get_if<BookAnswer>(&M))
+    onBookAnswer(Message.From_, *Answer);
   else if (const auto *A = std::get_if<TokenAsk>(&M))
     onAsk(Message.From_, *A);
 }
@@ -266,7 +279,7 @@
   std::lock_guard Guard(Lock_);
   Out.Upstreams_ = digestOf(Upstreams_);
   for (const auto &[Id, Known] : Upstreams_.Upstreams_)
-    if (Known.Silent_)
+    if (Known.Silent_ && Known.Said_.Phase_ != NoticePhase::Gone)
       Out.Silent_.push_back(Id);
   if (B.WantsRates_)
     Out.Rates_.push_back(rates(Now));
@@ -275,7 +288,6 @@
 
 void CoreVm::Parts::onBeat(const VmId &From, const Beat &B) {
   Time Now = Clock_.now();
-  std::vector<UpstreamNotice> Missing;
   BeatNote Taken = BeatNote::Taken;
   bool FromCore = false;
   {
@@ -287,8 +299,6 @@
       FromCore = Roster_.Nodes_[From].Record_.Core_;
     for (const Sighting &S : B.Sighted_)
       heard(Upstreams_, S.Id_, S.Sequence_, S.Age_, Now);
-    if (differsForLong(From, B))
-      Missing = noticesOf(Upstreams_, Now);
   }
   if (FromCore)
     Book_.addCores({From});
@@ -297,33 +307,58 @@
   BeatReply Reply = replyTo(From, B, Now);
   Reply.KnowsSender_ = Taken == BeatNote::Taken;
   sendTo(From, Reply);
-  if (!Missing.empty())
-    sendTo(From, NoticeNews{0, Missing});
   if (B.WantsItems_ && B.Holds_ < items()->Revision_)
     sendItems({From}, B.Holds_);
 }
 
-/// News are on their way when digests differ once. Called with Lock_ held.
-bool CoreVm::Parts::differsForLong(const VmId &From, const Beat &B) {
-  bool Differs = B.Upstreams_ != digestOf(Upstreams_);
-  unsigned &Count = Differing_[From];
-  Count = Differs ? Count + 1 : 0;
-  return Differs && (B.WantsItems_ || Count % 2 == 0);
-}
-
 void CoreVm::Parts::onReply(const VmId &From, const BeatReply &R) {
   Book_.addCores(R.Cores_);
-  if (R.KnowsSender_)
-    return;
-  std::lock_guard Guard(Lock_);
-  Introduced_.erase(From);
+  BookAsk Ask;
+  {
+    std::lock_guard Guard(Lock_);
+    if (!R.KnowsSender_)
+      Introduced_.erase(From);
+    // News are on their way when digests differ once.
+    bool Differs = R.Upstreams_ != digestOf(Upstreams_);
+    unsigned &Count = Differing_[From];
+    Count = Differs ? Count + 1 : 0;
+    if (Count < AskBookAfter)
+      return;
+    Count = 0;
+    Ask.Sums_ = sumsOf(Upstreams_);
+  }
+  sendTo(From, Ask);
+}
+
+void CoreVm::Parts::onBookAsk(const VmId &From, const BookAsk &A) {
+  BookAnswer Out;
+  {
+    std::lock_guard Guard(Lock_);
+    Out.Sums_ = sumsOf(Upstreams_);
+    Out.Said_ = noticesBeside(Upstreams_, A.Sums_, Clock_.now());
+  }
+  sendTo(From, Out);
+}
+
+void CoreVm::Parts::onBookAnswer(const VmId &From, const BookAnswer &A) {
+  NoticeNews Lacked;
+  {
+    std::lock_guard Guard(Lock_);
+    Time Now = Clock_.now();
+    Lacked.Said_ = noticesLacked(Upstreams_, A.Sums_, A.Said_, Now);
+    for (const UpstreamNotice &N : A.Said_)
+      learn(Upstreams_, N, Now);
+  }
+  if (!Lacked.Said_.empty())
+    sendTo(From, Lacked);
 }
 
 void CoreVm::Parts::onNews(const VmId &From, const NoticeNews &N) {
   {
     std::lock_guard Guard(Lock_);
     for (const UpstreamNotice &A : N.Said_)
-      learn(Upstreams_, A, Clock_.now());
+      if (learn(Upstreams_, A, Clock_.now()) && N.Number_ == 0)
+        Relayed_.push_back(A);
   }
   if (N.Number_ != 0)
     sendTo(From, NoticesSeen{N.Number_});
@@ -369,37 +404,87 @@
   return !Config.Voters_.empty() && Heard >= Config.quorum();
 }
 
-void CoreVm::Parts::spread(std::uint64_t Number,
-                           const std::vector<UpstreamNotice> &Said) {
-  std::vector<VmId> To = Book_.cores();
+/// \param AtOnce entry VMs send to the upstream and have to stop
+void CoreVm::Parts::tell(const UpstreamNotice &A, bool AtOnce) {
+  std::set<VmId> To;
   {
     std::lock_guard Guard(Lock_);
-    for (const VmId &Vm : entriesInContact(Clock_.now()))
-      To.push_back(Vm);
+    if (AtOnce)
+      To = entriesInContact(Clock_.now());
+    News_.push_back(A);
   }
+  spread(0, A, To);
+}
+
+/// Passes announcements that end nothing on: to the core VMs, and by each of
+/// them to the entry VMs of its region that are its to tell.
+void CoreVm::Parts::passOn() {
+  NoticeNews News;
+  std::vector<VmId> To;
+  {
+    std::lock_guard Guard(Lock_);
+    if (News_.empty() && Relayed_.empty())
+      return;
+    News.Said_ = News_;
+    for (const VmId &Vm : Book_.cores())
+      if (!News_.empty())
+        sendTo(Vm, News);
+    News.Said_.insert(News.Said_.end(), Relayed_.begin(), Relayed_.end());
+    News_.clear();
+    Relayed_.clear();
+    To = entriesToTell(Clock_.now());
+  }
+  std::string Body = encodeMessage(News);
+  for (const VmId &Vm : To)
+    Peers_.send({Self_, Vm, Channel::Fleet, Body});
+}
+
+/// \returns the entry VMs of this region that no other core VM tells, and those
+/// of regions without a live core VM. Called with Lock_ held.
+std::vector<VmId> CoreVm::Parts::entriesToTell(Time Now) {
+  std::map<RegionId, std::vector<VmId>> Cores;
+  Cores[Settings_.Region_].push_back(Self_);
+  for (const HeardNode *Node : liveCores(Roster_, LiveFor, Now))
+    Cores[Node->Record_.Region_].push_back(Node->Record_.Vm_);
+  std::vector<VmId> Out;
+  for (const HeardNode *Node : liveEntries(Roster_, LiveFor, Now)) {
+    auto Near = Cores.find(Node->Record_.Region_);
+    const std::vector<VmId> &By =
+        Near == Cores.end() ? Cores[Settings_.Region_] : Near->second;
+    if (Near == Cores.end() ||
+        rankHolders(TeamId(Node->Record_.Vm_.str()), By).front() == Self_)
+      Out.push_back(Node->Record_.Vm_);
+  }
+  return Out;
+}
+
+void CoreVm::Parts::spread(std::uint64_t Number, const UpstreamNotice &Said,
+                           const std::set<VmId> &To) {
+  std::string Body = encodeMessage(NoticeNews{Number, {Said}});
   for (const VmId &Vm : To)
-    sendTo(Vm, NoticeNews{Number, Said});
+    Peers_.send({Self_, Vm, Channel::Fleet, Body});
 }
 
 bool CoreVm::Parts::confirm(const UpstreamNotice &A) {
   Time Deadline = Clock_.now() + ConfirmWithin;
   std::uint64_t Number = 0;
-  {
-    std::lock_guard Guard(Lock_);
-    Number = NextNumber_++;
-    Unconfirmed_[Number] = entriesInContact(Clock_.now());
-  }
+  std::vector<VmId> Cores = Book_.cores();
+  std::set<VmId> To(Cores.begin(), Cores.end());
+  std::unique_lock Guard(Lock_);
+  Number = NextNumber_++;
+  Unconfirmed_[Number] = entriesInContact(Clock_.now());
+  To.insert(Unconfirmed_[Number].begin(), Unconfirmed_[Number].end());
   bool Whole = false;
-  bool Enough = false;
   while (!Whole && Clock_.now() < Deadline) {
-    spread(Number, {A});
-    std::unique_lock Guard(Lock_);
+    Guard.unlock();
+    spread(Number, A, To);
+    Guard.lock();
     Whole = Confirmed_.wait_for(Guard,
                                 std::chrono::milliseconds(ConfirmAgain.count()),
                                 [&] { return Unconfirmed_[Number].empty(); });
+    To = Unconfirmed_[Number];
   }
-  std::lock_guard Guard(Lock_);
-  Enough = coreInContact(Clock_.now());
+  bool Enough = coreInContact(Clock_.now());
   Unconfirmed_.erase(Number);
   // An entry VM that is lost right now can't confirm. It learns of the change
   // from any core VM's answer to its next beat.
@@ -445,6 +530,7 @@
     Voters.push_back(V.Vm_);
   Router_.setVoters(Voters);
   noteLeader();
+  passOn();
   if (Now >= NextBeat_) {
     NextBeat_ = Now + BeatEvery;
     sendBeats();
@@ -524,9 +610,14 @@
 
 AnnounceResult CoreVm::announce(const UpstreamNotice &A) {
   bool News = false;
+  bool TurnsCold = false;
   {
     std::lock_guard Guard(Parts_->Lock_);
     Time Now = Parts_->Clock_.now();
+    auto Known = Parts_->Upstreams_.Upstreams_.find(A.Id_);
+    TurnsCold = Known != Parts_->Upstreams_.Upstreams_.end() &&
+                Known->second.Said_.BornAt_ == A.BornAt_ &&
+                A.ColdFor_ > Duration();
     News = learn(Parts_->Upstreams_, A, Now);
     Parts_->Sighted_[A.Id_] = {A.Id_, A.Sequence_, Duration()};
   }
@@ -537,7 +628,7 @@
                      std::to_string(static_cast<int>(A.Phase_)),
          .Peer_ = A.Id_.str()});
   if (News && !Ends)
-    Parts_->spread(0, {A});
+    Parts_->tell(A, TurnsCold);
   if (!Ends)
     return AnnounceResult::Taken;
   return Parts_->confirm(A) ? AnnounceResult::Taken
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -24,6 +24,8 @@
 /// What core VMs said longer ago doesn't tell which upstreams are silent.
 constexpr Duration AskItemsEvery = Duration::millis(400);
 constexpr Duration HeardWithin = Duration::seconds(3);
+/// Answers in a row with another digest of the announcements.
+constexpr unsigned AskBookAfter = 2;
 /// Between a check of the keys and the arrival of the request upstream.
 constexpr Duration RevokeMargin = Duration::millis(400);
 constexpr Duration ComeBackSoon = Duration::millis(500);
@@ -156,6 +158,7 @@
   void receive(Envelope Message);
   void tick();
   void onReply(const VmId &From, const BeatReply &R);
+  void onBookAnswer(const VmId &From, const BookAnswer &A);
   void onItems(const ItemNews &News);
   void onNews(const VmId &From, const NoticeNews &N);
   NodeRecord self() const;
@@ -230,6 +233,8 @@
     onItems(*News);
   else if (const auto *N = std::get_if<NoticeNews>(&M))
     onNews(Message.From_, *N);
+  else if (const auto *A = std::get_if<BookAnswer>(&M))
+    onBookAnswer(Message.From_, *A);
   else if (const auto *G = std::get_if<TokenGrant>(&M))
     Teams_.onGrant(Message.From_, *G);
 }
@@ -239,7 +244,7 @@
   Book_.addCores(R.Cores_);
   Revision Held = current()->Revision_;
   Time Now = Clock_.now();
-  std::vector<UpstreamNotice> Lacking;
+  BookAsk Ask;
   bool AskItems = false;
   {
     std::lock_guard Guard(Lock_);
@@ -259,17 +264,33 @@
     Said.Silent_ = {R.Silent_.begin(), R.Silent_.end()};
     bool Differs = R.Upstreams_ != digestOf(Upstreams_);
     Said.Differing_ = Differs ? Said.Differing_ + 1 : 0;
-    if (Differs && Said.Differing_ % 2 == 0)
-      Lacking = noticesOf(Upstreams_, Now);
+    // News are on their way when digests differ once.
+    bool Lacks =
+        Said.Differing_ >= AskBookAfter || Upstreams_.Upstreams_.empty();
+    if (Lacks && Differs && From == nearestCore(Now)) {
+      Said.Differing_ = 0;
+      Ask.Sums_ = sumsOf(Upstreams_);
+    }
     AskItems = Held < R.Holds_ && Now >= NextAsk_;
     if (AskItems)
       NextAsk_ = Now + AskItemsEvery;
   }
   if (AskItems)
     sendBeats({From});
+  if (!Ask.Sums_.empty())
+    sendTo(From, Ask);
+}
+
+void EntryVm::Parts::onBookAnswer(const VmId &From, const BookAnswer &A) {
+  NoticeNews Lacked;
+  {
+    std::lock_guard Guard(Lock_);
+    Lacked.Said_ = noticesLacked(Upstreams_, A.Sums_, A.Said_, Clock_.now());
+  }
   // A core VM that has just started knows no upstreams yet.
-  if (!Lacking.empty())
-    sendTo(From, NoticeNews{0, Lacking});
+  if (!Lacked.Said_.empty())
+    sendTo(From, Lacked);
+  onNews(From, {0, A.Said_});
 }
 
 void EntryVm::Parts::onItems(const ItemNews &News) {
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -137,6 +137,53 @@
   CHECK(digestOf(One) == digestOf(Two));
 }
 
+TEST_CASE("Two VMs find what they hold differently") {
+  UpstreamBook One;
+  UpstreamBook Two;
+  for (int N = 0; N < 300; ++N) {
+    std::string Id = "i" + std::to_string(N);
+    std::string Place = "10.0.0." + Id;
+    UpstreamNotice A = notice(Id.c_str(), 50, 3, Place.c_str());
+    learn(One, A, Start);
+    learn(Two, A, Start);
+  }
+  CHECK(noticesBeside(One, sumsOf(Two), Start).empty());
+  learn(One, ending(notice("i7", 50, 4, "10.0.0.i7"), NoticePhase::Gone),
+        Start);
+  learn(Two, notice("new", 50, 1, "10.0.1.1"), Start);
+  auto Said = noticesBeside(Two, sumsOf(One), Start);
+  CHECK(Said.size() < 40);
+  auto Lacked = noticesLacked(One, sumsOf(Two), Said, Start);
+  REQUIRE(Lacked.size() == 1);
+  CHECK(Lacked.front().Id_ == UpstreamId("i7"));
+  for (const UpstreamNotice &A : Said)
+    learn(One, A, Start);
+  for (const UpstreamNotice &A : Lacked)
+    learn(Two, A, Start);
+  CHECK(digestOf(One) == digestOf(Two));
+  // A VM that knows nothing is told all.
+  CHECK(noticesBeside(One, sumsOf(UpstreamBook()), Start).size() == 301);
+}
+
+TEST_CASE("The end of a warm-up that was told is no news") {
+  UpstreamBook Book;
+  UpstreamNotice A = notice("i1", 50, 3);
+  A.ColdFor_ = Duration::seconds(3);
+  CHECK(learn(Book, A, Start));
+  ++A.Sequence_;
+  A.ColdFor_ = Duration::millis(1400);
+  CHECK_FALSE(learn(Book, A, Start + Duration::millis(1500)));
+  ++A.Sequence_;
+  A.ColdFor_ = Duration();
+  CHECK_FALSE(learn(Book, A, Start + Duration::millis(3000)));
+  ++A.Sequence_;
+  A.ColdFor_ = Duration::seconds(3);
+  CHECK(learn(Book, A, Start + Duration::millis(4500)));
+  ++A.Sequence_;
+  A.ColdFor_ = Duration();
+  CHECK(learn(Book, A, Start + Duration::millis(5000)));
+}
+
 TEST_CASE("A digest follows whatever changes a book") {
   UpstreamBook Book;
   UpstreamBook Same;
