Let orders and departures that wait hold up no other calls

A control service had four threads, and a departure holds its thread until the entry VMs confirm it, up to 0.75 s while one of them is dead: four of 105 upstreams that were replaced took them all. The core's own log had nothing between the change's arrival and its submission. Change: 64 threads at most, started as they are needed. Test: Listener, 40 departures that wait and a beat beside them; it fails with four threads.

--- a/lagoonpoint/src/Http/util/JsonService.cpp
+++ b/lagoonpoint/src/Http/util/JsonService.cpp
@@ -13,7 +13,9 @@
 
 namespace {
 
-constexpr unsigned Threads = 4;
+/// An order or a departure holds its thread until it is confirmed, up to a
+/// second; threads are started as they are needed.
+constexpr unsigned Threads = 64;
 constexpr unsigned MaxConnections = 1000;
 constexpr int MaxJsonDepth = 16;
 constexpr Duration AnswerLimit = Duration::seconds(10);
--- a/test/Listener.cpp
+++ b/test/Listener.cpp
@@ -1,3 +1,4 @@
+#include "lagoonpoint/src/Http/util/JsonService.h"
 #include "lagoonpoint/src/Http/util/Listener.h"
 #include "fakes/RawSocket.h"
 
@@ -60,3 +61,47 @@
   CHECK(L.threads() == Most);
   L.stop();
 }
+
+TEST_CASE("Calls of a service that wait hold up no others") {
+  constexpr unsigned Departures = 40; // a release of that many upstreams
+  SystemClock Clock;
+  Settings S;
+  S.DrainLimit_ = Duration::seconds(10);
+  std::mutex Lock;
+  std::condition_variable Changed;
+  unsigned Waiting = 0;
+  bool Confirmed = false;
+  internal::JsonService Service(
+      {"127.0.0.1", 0}, S, Clock, "test", nullptr,
+      [&](const internal::BufferedRequest &Request) {
+        std::unique_lock Guard(Lock);
+        if (Request.Path_ == "/depart") {
+          ++Waiting;
+          Changed.notify_all();
+          Changed.wait(Guard, [&] { return Confirmed; });
+        }
+        return internal::jsonAnswer(200, "{}");
+      });
+  Service.start();
+  std::vector<std::unique_ptr<RawSocket>> Callers;
+  for (unsigned Count = 0; Count < Departures; ++Count) {
+    Callers.push_back(std::make_unique<RawSocket>("127.0.0.1", Service.port()));
+    Callers.back()->send("GET /depart HTTP/1.1\r\nHost: vm\r\n\r\n");
+  }
+  {
+    std::unique_lock Guard(Lock);
+    CHECK(Changed.wait_for(Guard, std::chrono::seconds(20),
+                           [&] { return Waiting == Departures; }));
+  }
+  RawSocket Other("127.0.0.1", Service.port());
+  Other.send("GET /beat HTTP/1.1\r\nHost: vm\r\n\r\n");
+  CHECK(Other.readMessage().find("HTTP/1.1 200 ") == 0);
+  {
+    std::lock_guard Guard(Lock);
+    Confirmed = true;
+    Changed.notify_all();
+  }
+  for (auto &Caller : Callers)
+    CHECK(Caller->readMessage().find("HTTP/1.1 200 ") == 0);
+  Service.stop();
+}
