Believe core VMs that an upstream is silent

Cause: found by reading on the way: an entry VM marked the upstreams that all core VMs call silent, and the ageing right after it set each mark anew by its own limit of two minutes, so that upstreams that died without a word stayed first choice until each entry VM had failed there by itself. Change: marking and forgetting are one pure function, Fleet's markSilent(). Test: Fleet, which fails with the old order of the two.

--- a/lagoonpoint/src/Fleet/UpstreamBook.cpp
+++ b/lagoonpoint/src/Fleet/UpstreamBook.cpp
@@ -76,6 +76,17 @@
       });
 }
 
+void forget(UpstreamBook &Book, Duration After, Time Now) {
+  for (auto It = Book.Upstreams_.begin(); It != Book.Upstreams_.end();) {
+    if (Now - It->second.HeardAt_ <= After) {
+      ++It;
+      continue;
+    }
+    Book.Digest_ -= It->second.Part_;
+    It = Book.Upstreams_.erase(It);
+  }
+}
+
 } // namespace
 
 bool learn(UpstreamBook &Book, const UpstreamNotice &A, Time Now) {
@@ -110,16 +121,23 @@
 
 void age(UpstreamBook &Book, Duration SilentAfter, Duration ForgetAfter,
          Time Now) {
-  for (auto It = Book.Upstreams_.begin(); It != Book.Upstreams_.end();) {
-    Duration Quiet = Now - It->second.HeardAt_;
-    It->second.Silent_ = Quiet > SilentAfter;
-    if (Quiet <= ForgetAfter) {
-      ++It;
-      continue;
-    }
-    Book.Digest_ -= It->second.Part_;
-    It = Book.Upstreams_.erase(It);
+  forget(Book, ForgetAfter, Now);
+  for (auto &[Id, Held] : Book.Upstreams_)
+    Held.Silent_ = Now - Held.HeardAt_ > SilentAfter;
+}
+
+void markSilent(UpstreamBook &Book,
+                const std::vector<const std::set<UpstreamId> *> &Told,
+                Duration ForgetAfter, Time Now) {
+  for (auto &[Id, Held] : Book.Upstreams_) {
+    Held.Silent_ = !Told.empty() && std::all_of(Told.begin(), Told.end(),
+                                                [&](const auto *Names) {
+                                                  return Names->count(Id) != 0;
+                                                });
+    if (!Told.empty() && !Held.Silent_)
+      Held.HeardAt_ = Now;
   }
+  forget(Book, ForgetAfter, Now);
 }
 
 std::uint64_t digestOf(const UpstreamBook &Book) { return Book.Digest_; }
--- a/lagoonpoint/src/Fleet/UpstreamBook.h
+++ b/lagoonpoint/src/Fleet/UpstreamBook.h
@@ -3,6 +3,7 @@
 #include "lagoonpoint/src/Fleet/UpstreamNotice.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace lagoonpoint {
@@ -45,6 +46,14 @@
 void age(UpstreamBook &Book, Duration SilentAfter, Duration ForgetAfter,
          Time Now);
 
+/// Marks the upstreams that all of \p Told name as silent, and drops those that
+/// were not heard of for \p ForgetAfter.
+/// \ingroup Fleet
+/// \param Told silent upstreams by each core VM that answers
+void markSilent(UpstreamBook &Book,
+                const std::vector<const std::set<UpstreamId> *> &Told,
+                Duration ForgetAfter, Time Now);
+
 /// \returns a hash of which upstreams are known in which phase; equal books
 /// have equal digests. Kept up to date with each change: it is asked for with
 /// each beat of each VM.
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -336,20 +336,11 @@
 
 /// An upstream is silent if all core VMs that answer say so.
 void EntryVm::Parts::markSilent(Time Now) {
-  for (auto &[Id, Known] : Upstreams_.Upstreams_) {
-    std::size_t Heard = 0;
-    std::size_t Silent = 0;
-    for (const auto &[Core, Said] : Said_) {
-      if (Now - Said.At_ > HeardWithin)
-        continue;
-      ++Heard;
-      Silent += Said.Silent_.count(Id);
-    }
-    Known.Silent_ = Heard > 0 && Silent == Heard;
-    if (Heard > 0 && !Known.Silent_)
-      Known.HeardAt_ = Now;
-  }
-  age(Upstreams_, ForgetUpstreams, ForgetUpstreams, Now);
+  std::vector<const std::set<UpstreamId> *> Told;
+  for (const auto &[Core, Said] : Said_)
+    if (Now - Said.At_ <= HeardWithin)
+      Told.push_back(&Said.Silent_);
+  lagoonpoint::markSilent(Upstreams_, Told, ForgetUpstreams, Now);
 }
 
 NodeRecord EntryVm::Parts::self() const {
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -137,6 +137,28 @@
   CHECK(digestOf(One) == digestOf(Two));
 }
 
+TEST_CASE("An entry VM takes an upstream for silent if all core VMs say so") {
+  UpstreamBook Book;
+  learn(Book, notice("i1", 50, 3, "10.0.0.1:80"), Start);
+  learn(Book, notice("i2", 50, 3, "10.0.0.2:80"), Start);
+  std::set<UpstreamId> One{UpstreamId("i1")};
+  std::set<UpstreamId> Both{UpstreamId("i1"), UpstreamId("i2")};
+  Duration Forget = Duration::seconds(120);
+  Time Now = Start + Duration::seconds(100);
+  auto Silent = [&](const char *Id) {
+    return Book.Upstreams_.at(UpstreamId(Id)).Silent_;
+  };
+  markSilent(Book, {&One, &Both}, Forget, Now);
+  CHECK(Silent("i1"));
+  CHECK_FALSE(Silent("i2"));
+  // Without an answer nothing is known, and nothing is forgotten early.
+  markSilent(Book, {}, Forget, Now);
+  CHECK_FALSE(Silent("i1"));
+  markSilent(Book, {&Both}, Forget, Now + Duration::seconds(30));
+  CHECK(Silent("i2"));
+  CHECK(Book.Upstreams_.size() == 1); // i1 was heard of too long ago
+}
+
 TEST_CASE("Two VMs find what they hold differently") {
   UpstreamBook One;
   UpstreamBook Two;
--- a/test/Listener.cpp
+++ b/test/Listener.cpp
@@ -1,6 +1,6 @@
-#include "lagoonpoint/src/Http/util/JsonService.h"
 #include "lagoonpoint/src/Http/util/Listener.h"
 #include "fakes/RawSocket.h"
+#include "lagoonpoint/src/Http/util/JsonService.h"
 
 #include <catch2/catch.hpp>
 
@@ -71,17 +71,17 @@
   std::condition_variable Changed;
   unsigned Waiting = 0;
   bool Confirmed = false;
-  internal::JsonService Service(
-      {"127.0.0.1", 0}, S, Clock, "test", nullptr,
-      [&](const internal::BufferedRequest &Request) {
-        std::unique_lock Guard(Lock);
-        if (Request.Path_ == "/depart") {
-          ++Waiting;
-          Changed.notify_all();
-          Changed.wait(Guard, [&] { return Confirmed; });
-        }
-        return internal::jsonAnswer(200, "{}");
-      });
+  internal::JsonService Service({"127.0.0.1", 0}, S, Clock, "test", nullptr,
+                                [&](const internal::BufferedRequest &Request) {
+                                  std::unique_lock Guard(Lock);
+                                  if (Request.Path_ == "/depart") {
+                                    ++Waiting;
+                                    Changed.notify_all();
+                                    Changed.wait(Guard,
+                                                 [&] { return Confirmed; });
+                                  }
+                                  return internal::jsonAnswer(200, "{}");
+                                });
   Service.start();
   std::vector<std::unique_ptr<RawSocket>> Callers;
   for (unsigned Count = 0; Count < Departures; ++Count) {
