Charge no budget for tries that reach no upstream, and keep a route's most tries

Change: the route's most counts tries that reached an upstream; those that reached none have a limit of their own and cost nothing; connecting may take 300 ms. Tests: Retry.

--- a/lagoonpoint/src/Gateway/KeyedCall.cpp
+++ b/lagoonpoint/src/Gateway/KeyedCall.cpp
@@ -29,7 +29,7 @@
 KeyedCall::~KeyedCall() {
   if (Holding_)
     releaseTry({.End_ = TryEnd::CallerLeft});
-  if (Retry_.Tries_ == 0)
+  if (Retry_.Tries_ == Retry_.Unreached_)
     Services_.GiveBack_(Admission_.Team_);
   double Spent = (Services_.Clock_.now() - Admission_.Arrived_).inSeconds();
   Services_.Metrics_.observe(
--- a/lagoonpoint/src/Http/util/ProxyCall.cpp
+++ b/lagoonpoint/src/Http/util/ProxyCall.cpp
@@ -9,7 +9,9 @@
 namespace {
 
 constexpr std::size_t HeldRequestBytes = 64 * 1024;
-constexpr Duration ConnectTimeout = Duration::seconds(1);
+/// Several round trips between regions; a lost first packet isn't waited for,
+/// as another upstream can be tried.
+constexpr Duration ConnectTimeout = Duration::millis(300);
 constexpr const char *Step = "http.proxy";
 
 Refusal badBody(Ran R) {
--- a/lagoonpoint/src/Retry/Retry.cpp
+++ b/lagoonpoint/src/Retry/Retry.cpp
@@ -4,6 +4,12 @@
 
 namespace {
 
+bool reachedNone(const TryOutcome &Outcome) {
+  bool None = Outcome.End_ == TryEnd::NotConnected ||
+              Outcome.End_ == TryEnd::NothingSent;
+  return None && Outcome.BytesSent_ == 0;
+}
+
 RetryVerdict verdictOf(const RetryState &State, const TryOutcome &Outcome,
                        Duration Left) {
   if (Outcome.End_ == TryEnd::Answered)
@@ -16,7 +22,8 @@
     return RetryVerdict::MayHaveRun;
   if (Outcome.End_ == TryEnd::TimedOut || Left < MinTimeForRetry)
     return RetryVerdict::NoTime;
-  if (State.Tries_ >= MaxTries)
+  if (State.Tries_ - State.Unreached_ >= State.MaxTries_ ||
+      State.Unreached_ >= MaxUnreached)
     return RetryVerdict::TooMany;
   return RetryVerdict::Again;
 }
@@ -45,9 +52,12 @@
                       const RetryBudgetLimits &Limits, Time Now) {
   LAGOONPOINT_ASSERT(!State.Over_, "retry.ended");
   ++State.Tries_;
+  bool Unreached = reachedNone(Outcome);
+  State.Unreached_ += Unreached ? 1 : 0;
   State.MayHaveRun_ = State.MayHaveRun_ || mayHaveRun(Outcome);
   RetryVerdict Verdict = verdictOf(State, Outcome, Left);
-  if (Verdict == RetryVerdict::Again && !takeRetry(Budget, Limits, Now))
+  bool Spends = Verdict == RetryVerdict::Again && !Unreached;
+  if (Spends && !takeRetry(Budget, Limits, Now))
     Verdict = RetryVerdict::NoBudget;
   State.Over_ = Verdict != RetryVerdict::Again;
   LAGOONPOINT_ASSERT(State.Over_ || !State.MayHaveRun_ ||
--- a/lagoonpoint/src/Retry/Retry.h
+++ b/lagoonpoint/src/Retry/Retry.h
@@ -21,15 +21,21 @@
 /// \ingroup Retry
 constexpr unsigned MaxTries = 3;
 
+/// Most tries of one call that reach no upstream: each may take as long as
+/// connecting may.
+/// \ingroup Retry
+constexpr unsigned MaxUnreached = 3;
+
 /// \class RetryState
 /// \ingroup Retry
 /// \brief One call's tries so far.
 struct RetryState {
   RouteKind Kind_ = RouteKind::Plain;
-  unsigned Tries_ = 0; ///< ended
-  unsigned MaxTries_ = MaxTries;
-  bool MayHaveRun_ = false; ///< at some upstream, in any of the tries
-  bool Over_ = false;       ///< no more tries
+  unsigned Tries_ = 0;           ///< ended
+  unsigned Unreached_ = 0;       ///< of these: no byte reached an upstream
+  unsigned MaxTries_ = MaxTries; ///< that reach an upstream
+  bool MayHaveRun_ = false;      ///< at some upstream, in any of the tries
+  bool Over_ = false;            ///< no more tries
 };
 
 /// What follows a try.
@@ -54,7 +60,8 @@
 /// \ingroup Retry
 bool mayHaveRun(const TryOutcome &Outcome);
 
-/// Records the end of a try and decides whether another may follow.
+/// Records the end of a try and decides whether another may follow. One that
+/// reached no upstream costs nothing of the budget.
 /// \ingroup Retry
 /// \param Left time until the call's deadline
 RetryVerdict tryEnded(RetryState &State, const TryOutcome &Outcome,
--- a/test/Retry.cpp
+++ b/test/Retry.cpp
@@ -81,6 +81,30 @@
   }
 }
 
+TEST_CASE("A route may allow fewer tries") {
+  RetryState State{.MaxTries_ = 2};
+  CHECK(endTry(State, {TryEnd::Shed, 1}) == RetryVerdict::Again);
+  SECTION("which count where they reached an upstream") {
+    CHECK(endTry(State, {TryEnd::Shed, 1}) == RetryVerdict::TooMany);
+  }
+  SECTION("and not where none could be reached") {
+    CHECK(endTry(State, {TryEnd::NotConnected}) == RetryVerdict::Again);
+    CHECK(endTry(State, {TryEnd::NothingSent}) == RetryVerdict::Again);
+    CHECK(endTry(State, {TryEnd::NotConnected}) == RetryVerdict::TooMany);
+  }
+}
+
+TEST_CASE("A try that reached no upstream costs nothing of the budget") {
+  RetryState State;
+  RetryBudget Budget{0, Start};
+  auto End = [&](TryEnd How, std::int64_t Sent) {
+    return tryEnded(State, {How, Sent}, Duration::seconds(1), Budget, {},
+                    Start);
+  };
+  CHECK(End(TryEnd::NotConnected, 0) == RetryVerdict::Again);
+  CHECK(End(TryEnd::Shed, 300) == RetryVerdict::NoBudget);
+}
+
 TEST_CASE("Retries stay within a share of the requests") {
   RetryBudget Budget{1, Start};
 
