--- a/lagoonpoint/src/Fleet/TeamDemand.cpp
+++ b/lagoonpoint/src/Fleet/TeamDemand.cpp
@@ -48,9 +48,10 @@
   return Out;
 }
 
-std::vector<VmId> rankHolders(const TeamId &Team, std::vector<VmId> Cores) {
+std::vector<VmId> rankHolders(const std::string &Name,
+                              std::vector<VmId> Cores) {
   auto Weight = [&](const VmId &Vm) {
-    return internal::mixBits(internal::stableHash(Vm.str() + "~" + Team.str()));
+    return internal::mixBits(internal::stableHash(Vm.str() + "~" + Name));
   };
   std::sort(Cores.begin(), Cores.end(), [&](const VmId &A, const VmId &B) {
     return std::pair(Weight(A), A) > std::pair(Weight(B), B);
@@ -65,7 +66,7 @@
     if (Node.Record_.Core_ && Node.Record_.Region_ == Self.Region_)
       Cores.push_back(Vm);
   HolderRank Out;
-  for (const VmId &Vm : rankHolders(Team, Cores)) {
+  for (const VmId &Vm : rankHolders(Team.str(), Cores)) {
     if (Vm == Self.Vm_)
       break;
     Out.First_ = false;
--- a/lagoonpoint/src/Fleet/TeamDemand.h
+++ b/lagoonpoint/src/Fleet/TeamDemand.h
@@ -20,10 +20,10 @@
 /// \ingroup Fleet
 TeamDemand teamDemand(const Roster &R, const RegionId &Own, Time Now);
 
-/// Orders core VMs of a region by who grants a team's tokens. The same on all
-/// VMs that know the same core VMs.
-/// \ingroup Fleet
-std::vector<VmId> rankHolders(const TeamId &Team, std::vector<VmId> Cores);
+/// Orders core VMs of a region by who takes care of what bears a name: grants a
+/// team's tokens, tells an entry VM. The same on all VMs that know the same
+/// core VMs. \ingroup Fleet
+std::vector<VmId> rankHolders(const std::string &Name, std::vector<VmId> Cores);
 
 /// A holder's place among those of its region.
 struct HolderRank {
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -452,7 +452,7 @@
     const std::vector<VmId> &By =
         Near == Cores.end() ? Cores[Settings_.Region_] : Near->second;
     if (Near == Cores.end() ||
-        rankHolders(TeamId(Node->Record_.Vm_.str()), By).front() == Self_)
+        rankHolders(Node->Record_.Vm_.str(), By).front() == Self_)
       Out.push_back(Node->Record_.Vm_);
   }
   return Out;
--- a/lagoonpoint/src/Gateway/TeamTokens.cpp
+++ b/lagoonpoint/src/Gateway/TeamTokens.cpp
@@ -63,7 +63,7 @@
 }
 
 VmId TeamTokens::holderOf(const TeamId &Team, Time Now) const {
-  std::vector<VmId> Order = rankHolders(Team, Near_);
+  std::vector<VmId> Order = rankHolders(Team.str(), Near_);
   Order.insert(Order.end(), Far_.begin(), Far_.end());
   for (const VmId &Vm : Order) {
     auto Found = Suspected_.find(Vm);
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -436,12 +436,11 @@
 TEST_CASE("One core VM of a region grants a team's tokens") {
   Demands D;
   TeamId Team("rangers");
-  std::vector<VmId> Order = rankHolders(Team, {VmId("c1"), VmId("c2")});
-  CHECK(Order == rankHolders(Team, {VmId("c2"), VmId("c1")}));
+  std::vector<VmId> Order = rankHolders(Team.str(), {VmId("c1"), VmId("c2")});
+  CHECK(Order == rankHolders(Team.str(), {VmId("c2"), VmId("c1")}));
   std::map<std::string, int> Firsts;
   for (int N = 0; N < 60; ++N)
-    ++Firsts[rankHolders(TeamId("t" + std::to_string(N)),
-                         {VmId("c1"), VmId("c2")})
+    ++Firsts[rankHolders("t" + std::to_string(N), {VmId("c1"), VmId("c2")})
                  .front()
                  .str()];
   CHECK(Firsts["c1"] > 15);
@@ -449,7 +448,7 @@
   for (int N = 0; N < 60; ++N) {
     TeamId Any("t" + std::to_string(N));
     bool First =
-        rankHolders(Any, {VmId("c1"), VmId("c2")}).front() == VmId("c1");
+        rankHolders(Any.str(), {VmId("c1"), VmId("c2")}).front() == VmId("c1");
     HolderRank Rank = rankOf(D.Roster_, node("c1", true, "north"), Any, Start);
     CHECK(Rank.First_ == First);
     CHECK(Rank.FirstHeard_ == !First);
--- a/test/TeamTokens.cpp
+++ b/test/TeamTokens.cpp
@@ -68,8 +68,8 @@
                      }};
 };
 
-const VmId First = rankHolders(Team, {VmId("c1"), VmId("c2")}).front();
-const VmId Second = rankHolders(Team, {VmId("c1"), VmId("c2")}).back();
+const VmId First = rankHolders(Team.str(), {VmId("c1"), VmId("c2")}).front();
+const VmId Second = rankHolders(Team.str(), {VmId("c1"), VmId("c2")}).back();
 
 } // namespace
 
