--- a/lagoonpoint/src/Http/util/Listener.cpp
+++ b/lagoonpoint/src/Http/util/Listener.cpp
@@ -82,6 +82,7 @@
 void Listener::addWorker() {
   try {
     Workers_.emplace_back([this] { workLoop(); });
+    ++Idle_;
   } catch (const std::system_error &E) {
     if (Workers_.empty())
       throw Error("http.listen", Options_.Name_, E.what());
@@ -251,17 +252,18 @@
     Owned C;
     {
       std::unique_lock Lock(QueueLock_);
-      ++Idle_;
       QueueFilled_.wait(Lock, [this] { return Ended_ || !Queue_.empty(); });
-      --Idle_;
       if (Queue_.empty())
         return;
       C = std::move(Queue_.front());
       Queue_.pop_front();
       --Queued_;
+      --Idle_;
       Serving_.insert(C.get());
     }
     handle(std::move(C));
+    std::lock_guard Lock(QueueLock_);
+    ++Idle_;
   }
 }
 
--- a/lagoonpoint/src/Http/util/Listener.h
+++ b/lagoonpoint/src/Http/util/Listener.h
@@ -124,7 +124,7 @@
 
   std::mutex QueueLock_; ///< guards Workers_, Idle_, Queue_, Serving_
   std::vector<std::thread> Workers_;
-  std::size_t Idle_ = 0; ///< workers that wait for a request
+  std::size_t Idle_ = 0; ///< workers that serve nothing, or are starting
   std::condition_variable QueueFilled_;
   std::deque<Owned> Queue_;
   std::set<Connection *> Serving_;
