Stop under load only once all callers have connected

Ruled out: the listener, which refuses no connection while it runs; the exception came from the test's own connect. Change: the test stops the server when all six are connected; every check as it was.

--- a/test/ProxyFaults.cpp
+++ b/test/ProxyFaults.cpp
@@ -471,10 +471,12 @@
   unsigned short Port = Rig.start(Upstream.address());
   std::atomic<int> Whole{0};
   std::atomic<int> Other{0};
+  std::atomic<int> Connected{0};
   std::vector<std::thread> Callers;
   for (int Number = 0; Number < 6; ++Number)
     Callers.emplace_back([&] {
       RawSocket Caller(Port);
+      ++Connected;
       while (Caller.send(Get)) {
         std::string Answer = Caller.readMessage();
         if (Answer.empty())
@@ -486,7 +488,7 @@
           break;
       }
     });
-  CHECK(eventually([&] { return Whole > 50; }));
+  CHECK(eventually([&] { return Connected == 6 && Whole > 50; }));
   Rig.Port_.Draining_ = true;
   Rig.Server_->stop();
   for (std::thread &T : Callers)
