--- a/lagoonpoint/src/Fleet/UpstreamBook.cpp
+++ b/lagoonpoint/src/Fleet/UpstreamBook.cpp
@@ -130,10 +130,12 @@
                 const std::vector<const std::set<UpstreamId> *> &Told,
                 Duration ForgetAfter, Time Now) {
   for (auto &[Id, Held] : Book.Upstreams_) {
-    Held.Silent_ = !Told.empty() && std::all_of(Told.begin(), Told.end(),
-                                                [&](const auto *Names) {
-                                                  return Names->count(Id) != 0;
-                                                });
+    const UpstreamId &Name = Id;
+    Held.Silent_ =
+        !Told.empty() &&
+        std::all_of(Told.begin(), Told.end(), [&Name](const auto *Names) {
+          return Names->count(Name) != 0;
+        });
     if (!Told.empty() && !Held.Silent_)
       Held.HeardAt_ = Now;
   }
