Accept download routes, and name route, field and value of an unknown type

Cause: the adapter knew the route types safe and unsafe only, so that a configuration with a download route was refused whole and nothing was served. Change: download is idempotent like safe. An unknown type still refuses the patch, as no part of one that can't be read in full may come into force; the error now names the route and the value.

--- a/test/Platform.cpp
+++ b/test/Platform.cpp
@@ -98,6 +98,25 @@
              Contains("apiKeys"));
 }
 
+TEST_CASE("decodePatch treats downloads as requests that may run again") {
+  ItemSet Items =
+      decodePatch(replaced(PatchBody, "\"unsafe\"", "\"download\""));
+  CHECK(Items.Routes_.at("r2").Value_.Idempotent_);
+  CHECK(Items.Routes_.at("r1").Value_.Idempotent_);
+
+  SECTION("and rejects a patch with an unknown type, naming route, field and "
+          "value") {
+    try {
+      decodePatch(replaced(PatchBody, "\"unsafe\"", "\"upload\""));
+      FAIL("the patch was accepted");
+    } catch (const WireError &E) {
+      CHECK_THAT(E.what(), Contains("r2"));
+      CHECK_THAT(E.what(), Contains("routeType"));
+      CHECK_THAT(E.what(), Contains("\"upload\""));
+    }
+  }
+}
+
 TEST_CASE("decodeHeartbeat decodes an instance's heartbeat") {
   UpstreamNotice N = decodeHeartbeat("i1", HeartbeatBody);
   CHECK(N.Id_ == UpstreamId("i1"));
