Give a planned stop of an entry VM one deadline, counted from the signal

Cause: drain() waited up to half of the grace time for look-ups to expire and the listener up to another part of it for calls in flight, whatever had passed. Change: StopPlan holds the times of all stages. Calls end within five sixths of the grace time; after look-ups have expired, a call whose deadline is later than that is refused as not run when it comes.

--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -4,6 +4,7 @@
 #include "lagoonpoint/Peer"
 #include "lagoonpoint/src/Gateway/FleetCall.h"
 #include "lagoonpoint/src/Gateway/PeerRegistry.h"
+#include "lagoonpoint/src/Gateway/StopPlan.h"
 #include "lagoonpoint/src/Gateway/TeamTokens.h"
 #include "lagoonpoint/src/Node/Worker.h"
 #include "lagoonpoint/src/Node/util/Labels.h"
@@ -35,9 +36,8 @@
 /// A call's deadline is this much earlier than the caller's, so that the
 /// response still reaches the caller.
 constexpr Duration ResponseMargin = Duration::millis(30);
-/// Margin added to the TTL of look-ups: callers use a VM until their look-up
-/// has expired.
-constexpr Duration DrainMargin = Duration::millis(500);
+/// Time for calls in flight at a stop without a drain.
+constexpr Duration UndrainedStop = Duration::seconds(1);
 constexpr unsigned CallerThreads = 160;
 constexpr unsigned MaxCallerConnections = 2000;
 constexpr std::size_t MaxHeaderBytes = 64 << 10;
@@ -82,7 +82,6 @@
   Out.MaxBodyBytes_ = MaxBodyBytes;
   Out.IdleTimeout_ = CallerIdleTimeout;
   Out.ResponseBufferTime_ = ResponseBufferTime;
-  Out.DrainLimit_ = S.Grace_ / 2 - DrainMargin;
   return Out;
 }
 
@@ -189,6 +188,8 @@
   std::optional<Time> keysProvenAt(const TeamId &Team) const;
   void checkKeys(const TeamId &Team) const;
   RetryBudgetLimits retryLimits() const;
+  void checkStopping(Time CallDeadline) const;
+  void startDraining();
   bool configured() const { return current()->Revision_ != Revision(); }
 
   const FleetSettings &Settings_;
@@ -204,6 +205,7 @@
   TeamTokens TeamTokens_;
   FleetCallServices Services_;
   std::atomic<bool> Draining_{false};
+  std::optional<StopPlan> StopPlan_; ///< set before Draining_
 
   mutable std::mutex ConfigLock_;
   std::shared_ptr<const Configuration> Config_ =
@@ -592,6 +594,7 @@
     Duration Allowed =
         std::min(C.Deadline_.value_or(Route.Timeout_), Route.Timeout_);
     A.Deadline_ = C.ArrivedAt_ + Allowed - ResponseMargin;
+    checkStopping(A.Deadline_);
     if (Team && Team->Rate_ > 0)
       TeamTokens_.take(A.Team_);
   } catch (const Refusal &R) {
@@ -607,6 +610,21 @@
   return std::make_unique<FleetCall>(Services_, std::move(A));
 }
 
+/// \throws Refusal if this VM is stopping and the call may not end in time
+void EntryVm::Impl::checkStopping(Time CallDeadline) const {
+  if (!Draining_ || acceptsCall(*StopPlan_, Clock_.now(), CallDeadline))
+    return;
+  throw Refusal(RefusalReason::Draining, Ran::No, Step,
+                "this VM is stopping and the call might not end in time");
+}
+
+void EntryVm::Impl::startDraining() {
+  StopPlan_ =
+      makeStopPlan(Clock_.now(), Settings_.Grace_, Settings_.LookupTtl_);
+  Draining_ = true;
+  sendHeartbeats();
+}
+
 EntryVm::EntryVm(const FleetSettings &S, Dialect D)
     : Impl_(std::make_unique<Impl>(S, std::move(D))) {}
 
@@ -621,15 +639,16 @@
 
 void EntryVm::drain() {
   log({.Step_ = "entry.drain", .Message_ = "draining"});
-  Impl_->Draining_ = true;
-  Impl_->sendHeartbeats();
-  Duration Wait = std::min(Impl_->Settings_.LookupTtl_ + DrainMargin,
-                           Impl_->Settings_.Grace_ / 2);
+  Impl_->startDraining();
+  Duration Wait = Impl_->StopPlan_->LookupsExpireAt_ - Impl_->Clock_.now();
   std::this_thread::sleep_for(std::chrono::milliseconds(Wait.count()));
 }
 
 void EntryVm::stop() {
-  Impl_->Server_.stop();
+  Time Now = Impl_->Clock_.now();
+  Time CallsEndBy =
+      Impl_->Draining_ ? Impl_->StopPlan_->CallsEndBy_ : Now + UndrainedStop;
+  Impl_->Server_.stop(std::max(CallsEndBy - Now, Duration()));
   Impl_->Ticker_.stop();
   Impl_->Peers_.stop();
 }
--- a/lagoonpoint/src/Gateway/EntryVm.h
+++ b/lagoonpoint/src/Gateway/EntryVm.h
@@ -22,8 +22,9 @@
   /// \throws Error if listening on an address fails
   void start();
   /// Tells the core VMs that this VM is leaving, and keeps serving until
-  /// callers have stopped using it.
+  /// callers have stopped using it. Called at most once, before stop().
   void drain();
+  /// Waits for calls in flight, after a drain until the end of the StopPlan.
   void stop();
 
   /// \returns whether new callers may be directed to this VM.
--- a/lagoonpoint/src/Http/CallerServer.cpp
+++ b/lagoonpoint/src/Http/CallerServer.cpp
@@ -243,6 +243,9 @@
 
 void CallerServer::start() { Impl_->Listener_.start(); }
 void CallerServer::stop() { Impl_->Listener_.stop(); }
+void CallerServer::stop(Duration DrainLimit) {
+  Impl_->Listener_.stop(DrainLimit);
+}
 unsigned short CallerServer::port() const { return Impl_->Listener_.port(); }
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Http/CallerServer.h
+++ b/lagoonpoint/src/Http/CallerServer.h
@@ -27,8 +27,11 @@
 
   /// \throws Error if the address can't be listened on
   void start();
-  /// Stops gracefully: accepted requests are served, for at most DrainLimit_.
+  /// Stops gracefully: accepted requests are served, for at most DrainLimit_ of
+  /// the settings.
   void stop();
+  /// Stops gracefully within another limit than that of the settings.
+  void stop(Duration DrainLimit);
   /// \returns the bound port, also if the settings specify 0.
   unsigned short port() const;
 
--- a/lagoonpoint/src/Http/util/Listener.cpp
+++ b/lagoonpoint/src/Http/util/Listener.cpp
@@ -90,10 +90,10 @@
   }
 }
 
-void Listener::stop() {
+void Listener::stop(Duration DrainLimit) {
   if (!Poller_.joinable() || Stopping_.exchange(true))
     return;
-  waitForInFlight();
+  waitForInFlight(DrainLimit);
   shutDownServing();
   {
     std::lock_guard Lock(QueueLock_);
@@ -109,8 +109,8 @@
 // While this waits, the poller accepts the connections in the backlog and
 // closes those that become idle. Two checks in a row without an open connection
 // show that nothing is left to serve.
-void Listener::waitForInFlight() {
-  Time Limit = Clock_.now() + Options_.DrainLimit_;
+void Listener::waitForInFlight(Duration DrainLimit) {
+  Time Limit = Clock_.now() + DrainLimit;
   unsigned IdleChecks = 0;
   while (IdleChecks < 2 && Clock_.now() < Limit) {
     std::this_thread::sleep_for(
--- a/lagoonpoint/src/Http/util/Listener.h
+++ b/lagoonpoint/src/Http/util/Listener.h
@@ -73,7 +73,8 @@
   void start();
   /// Serves what has arrived, waits up to DrainLimit_ for requests in flight,
   /// and closes the remaining connections.
-  void stop();
+  void stop() { stop(Options_.DrainLimit_); }
+  void stop(Duration DrainLimit);
   /// \returns the bound port, also if port 0 was requested.
   unsigned short port() const { return Port_; }
   bool stopping() const { return Stopping_.load(); }
@@ -104,7 +105,7 @@
   void startLingeringClose(Connection &C);
   void sweep();
   bool expired(const Connection &C, Time Now) const;
-  void waitForInFlight();
+  void waitForInFlight(Duration DrainLimit);
   void shutDownServing();
   void closePolled();
   void countConnections() const;
--- a/test/FleetVms.cpp
+++ b/test/FleetVms.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <filesystem>
+#include <future>
 #include <thread>
 #include <unistd.h>
 
@@ -229,4 +230,35 @@
     CHECK(eventually(
         [&] { return Fleet.call(Get).find("mine") != std::string::npos; }));
   }
+  SECTION("a planned stop cuts no call, whenever it arrives") {
+    ScriptedUpstream Slow([&](RawSocket &S) {
+      while (!Slow.receive(S).empty()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+        S.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nslow");
+      }
+    });
+    UpstreamNotice SlowNotice =
+        notice(Slow.address().Port_, NoticePhase::Serving, 1);
+    SlowNotice.StartedAtMs_ = 6; // replaces the upstream above
+    REQUIRE(Fleet.Cores_[2]->announce(SlowNotice) == AnnounceResult::Accepted);
+    REQUIRE(eventually(
+        [&] { return Fleet.call(Get).find("slow") != std::string::npos; }));
+    std::thread Stop([&] {
+      Fleet.Entry_->drain();
+      Fleet.Entry_->stop();
+    });
+    auto CallAfter = [&](int Millis) {
+      return std::async(std::launch::async, [&Fleet, Get, Millis] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(Millis));
+        return Fleet.call(Get);
+      });
+    };
+    // The grace time is 4 s, and callers know this VM for 0.6 s of it.
+    auto Early = CallAfter(400);
+    auto Late = CallAfter(1200);
+    CHECK_THAT(Early.get(), Contains("slow"));
+    CHECK_THAT(Late.get(), StartsWith("HTTP/1.1 503 ") &&
+                               Contains("\"draining\",\"ran\":\"no\""));
+    Stop.join();
+  }
 }
