Report entry VMs between core VMs and relay proofs, so that heartbeats stay in a region

Cause: every entry VM sent a heartbeat each second to every core VM and got a reply from each, with the rates of all teams to all core VMs of its region, so that the bytes between regions grew with the number of entry VMs. Change: an entry VM asks the core VMs of its region only, while one of them is in contact and its proof is younger than half of revoke; else all, as before. Core VMs report the entry VMs that they hear to each other, with the age of the last heartbeat, and relay their own proof that the items are current with its age. The age counts from the request, so that a late reply or a paused core VM never makes it younger. Each core VM pushes items to the entry VMs it is responsible for, so that a change crosses regions once for each core VM. Rates of a team go to the two core VMs that may grant its tokens. CoreContacts and heartbeatTargets() are pure and tested in test_Fleet.

--- a/lagoonpoint/src/Fleet/FleetMessage.h
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -35,8 +35,18 @@
   MSGPACK_DEFINE(Id_, Sequence_, Age_)
 };
 
-/// Sent by every VM to every core VM that it knows. Leaves out what the
-/// receiver already has.
+/// An entry VM that sends its heartbeats to the reporting core VM.
+struct EntryReport {
+  VmId Vm_;
+  std::uint64_t StartedAtMs_ = 0;
+  bool Ready_ = false;
+  Duration Age_;                   ///< since its last heartbeat
+  std::vector<NodeRecord> Record_; ///< one, unless the receiver has it
+  MSGPACK_DEFINE(Vm_, StartedAtMs_, Ready_, Age_, Record_)
+};
+
+/// Sent by core VMs to all core VMs, and by entry VMs to those of their region
+/// (see HeartbeatPlan). Leaves out what the receiver already has.
 struct Heartbeat {
   std::uint64_t StartedAtMs_ = 0;     ///< start of the sender, Unix time in ms
   std::vector<NodeRecord> Self_;      ///< one, unless the receiver has it
@@ -52,12 +62,13 @@
   bool WantsRates_ = false; ///< the reply should include the fleet's rates
   /// Callers' demand at the sender; from a core VM: at its region's entry VMs.
   RateMap TeamRates_;
-  RateMap ServiceRates_;            ///< callers' demand at the sender
-  std::vector<Sighting> Sightings_; ///< only between core VMs
+  RateMap ServiceRates_;              ///< like TeamRates_, by service
+  std::vector<Sighting> Sightings_;   ///< only between core VMs
+  std::vector<EntryReport> EntryVms_; ///< only between core VMs
   MSGPACK_DEFINE(StartedAtMs_, Self_, Ready_, SentAt_, ItemsRevision_,
                  VoterConfigIndex_, KnowsVoters_, UpstreamsDigest_, CoreVms_,
                  WantsItems_, WantsRates_, TeamRates_, ServiceRates_,
-                 Sightings_)
+                 Sightings_, EntryVms_)
 };
 
 /// Positions in one core VM's copy of the log.
@@ -74,6 +85,14 @@
                  VoterConfigIndex_, VoterConfig_)
 };
 
+/// A core VM's own proof that its items are current, for entry VMs that hold at
+/// least its revision.
+struct RelayedProof {
+  Duration Age_; ///< since the oldest request of the quorum that proves it
+  std::vector<std::string> UnprovenTeams_; ///< teams to which it doesn't apply
+  MSGPACK_DEFINE(Age_, UnprovenTeams_)
+};
+
 /// Combined demand at all entry VMs.
 struct FleetRates {
   std::vector<VmId> EntryVms_;                 ///< live entry VMs
@@ -91,10 +110,12 @@
   /// Upstreams that recently announced nothing to any core VM.
   std::vector<UpstreamId> SilentUpstreams_;
   LogProof Proof_;
-  std::vector<VmId> CoreVms_;     ///< if the sender's list differs
-  std::vector<FleetRates> Rates_; ///< one, if requested
+  std::vector<VmId> CoreVms_;              ///< if the sender's list differs
+  std::vector<FleetRates> Rates_;          ///< one, if requested
+  std::vector<RelayedProof> RelayedProof_; ///< one, if it has a proof
   MSGPACK_DEFINE(EchoedSentAt_, KnowsSender_, Region_, ItemsRevision_,
-                 UpstreamsDigest_, SilentUpstreams_, Proof_, CoreVms_, Rates_)
+                 UpstreamsDigest_, SilentUpstreams_, Proof_, CoreVms_, Rates_,
+                 RelayedProof_)
 };
 
 /// Items that changed since an entry VM's revision.
--- a/lagoonpoint/src/Fleet/ItemFreshness.cpp
+++ b/lagoonpoint/src/Fleet/ItemFreshness.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <set>
 
 namespace lagoonpoint {
 
@@ -19,22 +20,22 @@
 
 namespace {
 
+bool contains(const std::vector<std::string> &Teams, const TeamId &Team) {
+  return std::find(Teams.begin(), Teams.end(), Team.str()) != Teams.end();
+}
+
 /// \returns true if a core VM's log has no entry that this VM has not applied
 /// and that could change the team's items.
 bool provesCurrent(const ItemFreshness &C, const LogProof &Proof,
                    const TeamId &Team) {
   if (Proof.LastIndex_ <= C.AppliedIndex_)
     return true;
-  const std::vector<std::string> &Doubtful = Proof.UnappliedTeams_;
   return Proof.AppliedIndex_ <= C.AppliedIndex_ &&
-         std::find(Doubtful.begin(), Doubtful.end(), Team.str()) ==
-             Doubtful.end();
+         !contains(Proof.UnappliedTeams_, Team);
 }
 
-} // namespace
-
-std::optional<Time> provenCurrentAt(const ItemFreshness &C,
-                                    const TeamId &Team) {
+/// \returns the time proven by the voters' own answers.
+std::optional<Time> provenByQuorum(const ItemFreshness &C, const TeamId &Team) {
   if (C.VoterConfig_.Voters_.empty())
     return std::nullopt;
   std::vector<Time> RequestTimes;
@@ -55,4 +56,39 @@
   return RequestTimes[C.VoterConfig_.quorum() - 1];
 }
 
+} // namespace
+
+void recordRelay(ItemFreshness &C, const VmId &Core, Time RequestedAt,
+                 const RelayedProof &Proof, Revision R) {
+  Time ProvenAt = RequestedAt - Proof.Age_;
+  ItemFreshness::Relay &Last = C.Relays_[Core];
+  if (ProvenAt >= Last.ProvenAt_)
+    Last = {ProvenAt, R, Proof.UnprovenTeams_};
+}
+
+std::optional<RelayedProof> relayedProof(const ItemFreshness &C, Time Now) {
+  std::optional<Time> At = provenByQuorum(C, TeamId());
+  if (!At)
+    return std::nullopt;
+  std::set<std::string> Doubtful;
+  for (const auto &[Core, Answer] : C.Answers_)
+    Doubtful.insert(Answer.Proof_.UnappliedTeams_.begin(),
+                    Answer.Proof_.UnappliedTeams_.end());
+  RelayedProof Out;
+  Out.Age_ = Now - *At;
+  for (const std::string &Team : Doubtful)
+    if (provenByQuorum(C, TeamId(Team)) != At)
+      Out.UnprovenTeams_.push_back(Team);
+  return Out;
+}
+
+std::optional<Time> provenCurrentAt(const ItemFreshness &C,
+                                    const TeamId &Team) {
+  std::optional<Time> Out = provenByQuorum(C, Team);
+  for (const auto &[Core, Relay] : C.Relays_)
+    if (Relay.Revision_ <= C.Revision_ && !contains(Relay.UnprovenTeams_, Team))
+      Out = std::max(Out, std::optional(Relay.ProvenAt_));
+  return Out;
+}
+
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Fleet/TeamDemand.cpp
+++ b/lagoonpoint/src/Fleet/TeamDemand.cpp
@@ -4,6 +4,7 @@
 #include "lagoonpoint/src/Core/util/StableHash.h"
 
 #include <algorithm>
+#include <set>
 
 namespace lagoonpoint {
 
@@ -11,6 +12,8 @@
 
 /// Tolerates the loss of two heartbeats in a row, which are sent once a second.
 constexpr Duration LivenessTimeout = Duration::millis(2700);
+/// Core VMs of a region that learn a team's demand.
+constexpr std::size_t RankedHolders = 2;
 
 void addRates(RateMap &Sum, const RateMap &Rates) {
   for (const auto &[Team, Rate] : Rates)
@@ -37,7 +40,7 @@
   Out.ContactAge_ = Ages[(Ages.size() + 1) / 2 - 1];
   Out.RatesByRegion_[Own];
   for (const auto &[Vm, Node] : R.Nodes_) {
-    Duration Age = Now - Node.HeardAt_;
+    Duration Age = Now - Node.DirectlyHeardAt_;
     if (!Node.Record_.Core_ && Age <= LivenessTimeout)
       addRates(Out.RatesByRegion_[Own], Node.TeamRates_);
   }
@@ -60,6 +63,43 @@
   return Cores;
 }
 
+std::map<VmId, RateMap> ratesByHolder(const RateMap &TeamRates,
+                                      const std::vector<VmId> &Cores) {
+  std::map<VmId, RateMap> Out;
+  for (const auto &[Team, Rate] : TeamRates) {
+    std::vector<VmId> Holders = rankHolders(Team, Cores);
+    Holders.resize(std::min(Holders.size(), RankedHolders));
+    for (const VmId &Core : Holders)
+      Out[Core][Team] = Rate;
+  }
+  return Out;
+}
+
+RateMap serviceRates(const NodeRegistry &R, const RegionId &Region, Time Now) {
+  RateMap Out;
+  for (const auto &[Vm, Node] : R.Nodes_)
+    if (!Node.Record_.Core_ && Node.Record_.Region_ == Region &&
+        Now - Node.DirectlyHeardAt_ <= LivenessTimeout)
+      addRates(Out, Node.ServiceRates_);
+  return Out;
+}
+
+FleetRates fleetRates(const NodeRegistry &R, const RegionId &Own, Time Now) {
+  FleetRates Out;
+  std::set<RegionId> Regions{Own};
+  for (const KnownNode *Node : liveEntryVms(R, LivenessTimeout, Now)) {
+    Out.EntryVms_.push_back(Node->Record_.Vm_);
+    Regions.insert(Node->Record_.Region_);
+  }
+  for (const RegionId &Region : Regions)
+    Out.RegionRates_[Region.str()] = serviceRates(R, Region, Now);
+  for (const KnownNode *Core : liveCoreVms(R, LivenessTimeout, Now))
+    if (Core->Record_.Region_ != Own)
+      takeMaxRates(Out.RegionRates_[Core->Record_.Region_.str()],
+                   Core->ServiceRates_);
+  return Out;
+}
+
 HolderRank rankOf(const NodeRegistry &R, const NodeRecord &Self,
                   const TeamId &Team, Time Now) {
   std::vector<VmId> Cores{Self.Vm_};
--- a/lagoonpoint/src/Fleet/TeamDemand.h
+++ b/lagoonpoint/src/Fleet/TeamDemand.h
@@ -26,6 +26,23 @@
 /// \ingroup Fleet
 std::vector<VmId> rankHolders(const std::string &Name, std::vector<VmId> Cores);
 
+/// Divides an entry VM's rates by team among the core VMs of its region. Each
+/// team's rate goes to the first two of rankHolders(), the one that grants its
+/// tokens and the one that takes over from it.
+/// \ingroup Fleet
+std::map<VmId, RateMap> ratesByHolder(const RateMap &TeamRates,
+                                      const std::vector<VmId> &Cores);
+
+/// \returns requests per second by service at the entry VMs of a region that
+/// send their heartbeats to this core VM.
+/// \ingroup Fleet
+RateMap serviceRates(const NodeRegistry &R, const RegionId &Region, Time Now);
+
+/// \returns the fleet's live entry VMs and its rates by region: those of \p Own
+/// as heard by this core VM, others as reported by their core VMs.
+/// \ingroup Fleet
+FleetRates fleetRates(const NodeRegistry &R, const RegionId &Own, Time Now);
+
 /// Rank of a core VM among those of its region for one team.
 struct HolderRank {
   bool First_ = true;          ///< no core VM of the region precedes it
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -30,6 +30,9 @@
 /// must be shorter.
 constexpr Duration ConfirmTimeout = Duration::millis(750);
 constexpr Duration ConfirmRetryInterval = Duration::millis(200);
+/// The records of all entry VMs are repeated once in this many heartbeats, in
+/// case a message was lost.
+constexpr unsigned HeartbeatsPerFullReport = 10;
 /// At the first start of a fleet, changes are refused until the other core VMs
 /// have joined the initial voters, but no longer than this. The first change is
 /// then replicated as widely as later ones.
@@ -100,7 +103,8 @@
   HeartbeatReply makeReply(const VmId &From, const Heartbeat &H, Time Now);
   void onNoticeSyncRequest(const VmId &From, const NoticeSyncRequest &Request);
   void onNoticeSyncReply(const VmId &From, const NoticeSyncReply &Reply);
-  FleetRates fleetRates(Time Now);
+  std::optional<RelayedProof> relayedProof(const LeaderView &View,
+                                           const LogProof &Own, Time Now);
   void sendHeartbeats();
   void sendTo(const VmId &To, const FleetMessage &M);
   void sendItems(const std::vector<VmId> &To, Revision Since);
@@ -146,8 +150,12 @@
   /// Consecutive replies with a different digest, by core VM.
   std::map<VmId, unsigned> DigestMismatches_;
   std::set<VmId> RecordSentTo_; ///< core VMs that hold this VM's record
+  /// Entry VMs whose records each core VM has, by the start of their process.
+  std::map<VmId, std::map<VmId, std::uint64_t>> ReportedTo_;
+  ItemFreshness ItemFreshness_;
   Time NextHeartbeat_;
-  VmId LoggedLeader_; ///< used by the ticker only
+  unsigned HeartbeatsSent_ = 0; ///< used by the ticker only
+  VmId LoggedLeader_;           ///< used by the ticker only
   std::map<std::uint64_t, std::set<VmId>> PendingConfirmations_;
   std::uint64_t NextNoticeNumber_ = 1;
 
@@ -229,18 +237,16 @@
     Peers_.send({Self_, Vm, Channel::Fleet, Body});
 }
 
-/// Only the leader pushes, since it knows of a change first. Entry VMs that
-/// miss its message request the items after the next heartbeat.
+/// Each core VM pushes to the entry VMs that it is responsible for, so that a
+/// change crosses regions once for each core VM. Entry VMs that miss the
+/// message request the items after the next heartbeat.
 void CoreVm::Impl::pushItems() {
   PushQueued_ = false;
-  if (!Host_.leaderView().IsLeader_)
-    return;
   std::map<Revision, std::vector<VmId>> To;
   {
     std::lock_guard Guard(Lock_);
-    for (const KnownNode *Node :
-         liveEntryVms(NodeRegistry_, LivenessTimeout, Clock_.now()))
-      To[Node->ItemsRevision_].push_back(Node->Record_.Vm_);
+    for (const VmId &Vm : entryVmsToNotify(Clock_.now()))
+      To[NodeRegistry_.Nodes_[Vm].ItemsRevision_].push_back(Vm);
   }
   for (const auto &[Since, Vms] : To)
     sendItems(Vms, Since);
@@ -253,11 +259,14 @@
   Out.StartedAtMs_ = StartedAtMs_;
   Out.SentAt_ = Clock_.now().count();
   Out.ItemsRevision_ = items()->Revision_;
+  Out.VoterConfigIndex_ = Host_.leaderView().VoterConfigIndex_;
+  Out.KnowsVoters_ = true;
   std::lock_guard Guard(Lock_);
-  TeamDemand Demand =
-      teamDemand(NodeRegistry_, Settings_.Region_, Clock_.now());
+  Time Now = Clock_.now();
+  TeamDemand Demand = teamDemand(NodeRegistry_, Settings_.Region_, Now);
   Quotas_.updateDemand(Demand);
   Out.TeamRates_ = Demand.RatesByRegion_[Settings_.Region_];
+  Out.ServiceRates_ = serviceRates(NodeRegistry_, Settings_.Region_, Now);
   Out.UpstreamsDigest_ = digestOf(Upstreams_);
   for (auto &[Id, S] : Sightings_)
     Out.Sightings_.push_back(S);
@@ -265,17 +274,19 @@
   return Out;
 }
 
-/// Called with Lock_ held.
-FleetRates CoreVm::Impl::fleetRates(Time Now) {
-  FleetRates Out;
-  for (const KnownNode *Node :
-       liveEntryVms(NodeRegistry_, LivenessTimeout, Now)) {
-    Out.EntryVms_.push_back(Node->Record_.Vm_);
-    RateMap &Region = Out.RegionRates_[Node->Record_.Region_.str()];
-    for (const auto &[Service, Rate] : Node->ServiceRates_)
-      Region[Service] += Rate;
+/// Evaluates the proof of the same view that the reply reports. Called with
+/// Lock_ held.
+std::optional<RelayedProof> CoreVm::Impl::relayedProof(const LeaderView &View,
+                                                       const LogProof &Own,
+                                                       Time Now) {
+  ItemFreshness_.AppliedIndex_ = View.AppliedIndex_;
+  if (View.VoterConfigIndex_ != ItemFreshness_.VoterConfigIndex_ ||
+      ItemFreshness_.VoterConfig_.Voters_.empty()) {
+    ItemFreshness_.VoterConfigIndex_ = View.VoterConfigIndex_;
+    ItemFreshness_.VoterConfig_ = View.VoterConfig_;
   }
-  return Out;
+  record(ItemFreshness_, Self_, Now, Own);
+  return lagoonpoint::relayedProof(ItemFreshness_, Now);
 }
 
 HeartbeatReply CoreVm::Impl::makeReply(const VmId &From, const Heartbeat &H,
@@ -285,9 +296,10 @@
   Out.Region_ = Settings_.Region_;
   LeaderView View = Host_.leaderView();
   Out.ItemsRevision_ = View.Revision_;
-  Out.Proof_ = {
+  const LogProof OwnProof{
       View.Disk_,           View.LastIndex_,        View.AppliedIndex_,
       View.UnappliedTeams_, View.VoterConfigIndex_, {}};
+  Out.Proof_ = OwnProof;
   if (!H.KnowsVoters_ || H.VoterConfigIndex_ != View.VoterConfigIndex_)
     Out.Proof_.VoterConfig_.push_back(View.VoterConfig_);
   Out.CoreVms_ = PeerRegistry_.coreVmsToSend(From);
@@ -297,7 +309,9 @@
     if (Known.Silent_ && Known.Notice_.Phase_ != NoticePhase::Gone)
       Out.SilentUpstreams_.push_back(Id);
   if (H.WantsRates_)
-    Out.Rates_.push_back(fleetRates(Now));
+    Out.Rates_.push_back(fleetRates(NodeRegistry_, Settings_.Region_, Now));
+  if (auto Relayed = relayedProof(View, OwnProof, Now))
+    Out.RelayedProof_.push_back(*Relayed);
   return Out;
 }
 
@@ -305,6 +319,9 @@
   Time Now = Clock_.now();
   HeartbeatResult Status = HeartbeatResult::Accepted;
   bool FromCore = false;
+  std::vector<VmId> Reported;
+  for (const EntryReport &Report : H.EntryVms_)
+    Reported.push_back(Report.Vm_);
   {
     std::lock_guard Guard(Lock_);
     Status = record(NodeRegistry_, From, H, Now);
@@ -312,12 +329,16 @@
       return;
     if (Status == HeartbeatResult::Accepted)
       FromCore = NodeRegistry_.Nodes_[From].Record_.Core_;
+    recordReports(NodeRegistry_, H.EntryVms_, Now);
+    if (!H.Self_.empty()) // the sender may have been restarted
+      ReportedTo_.erase(From);
     for (const Sighting &S : H.Sightings_)
       recordSighting(Upstreams_, S.Id_, S.Sequence_, S.Age_, Now);
   }
   if (FromCore)
     PeerRegistry_.addCoreVms({From});
   PeerRegistry_.add({From});
+  PeerRegistry_.add(Reported);
   PeerRegistry_.addCoreVms(H.CoreVms_);
   HeartbeatReply Reply = makeReply(From, H, Now);
   Reply.KnowsSender_ = Status == HeartbeatResult::Accepted;
@@ -332,8 +353,11 @@
   NoticeSyncRequest Request;
   {
     std::lock_guard Guard(Lock_);
-    if (!Reply.KnowsSender_)
+    record(ItemFreshness_, From, Time(Reply.EchoedSentAt_), Reply.Proof_);
+    if (!Reply.KnowsSender_) {
       RecordSentTo_.erase(From);
+      ReportedTo_.erase(From);
+    }
     // A single mismatch is expected while announcements are in transit.
     bool Differs = Reply.UpstreamsDigest_ != digestOf(Upstreams_);
     unsigned &Mismatches = DigestMismatches_[From];
@@ -585,12 +609,18 @@
 
 void CoreVm::Impl::sendHeartbeats() {
   Heartbeat Common = makeHeartbeat();
+  if (++HeartbeatsSent_ % HeartbeatsPerFullReport == 0) {
+    std::lock_guard Guard(Lock_);
+    ReportedTo_.clear();
+  }
   for (const VmId &Vm : PeerRegistry_.coreVms()) {
     Heartbeat Each = Common;
     Each.CoreVms_ = PeerRegistry_.coreVmsToSend(Vm);
     std::lock_guard Guard(Lock_);
     if (RecordSentTo_.insert(Vm).second)
       Each.Self_.push_back(selfRecord());
+    Each.EntryVms_ = reportEntryVms(NodeRegistry_, LivenessTimeout,
+                                    ReportedTo_[Vm], Clock_.now());
     sendTo(Vm, Each);
   }
 }
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -23,9 +23,6 @@
 constexpr Duration HeartbeatInterval = Duration::seconds(1);
 constexpr Duration UpstreamRetention = Duration::seconds(120);
 constexpr Duration ItemRequestInterval = Duration::millis(400);
-/// A core VM whose last reply is older is out of contact, and its report of
-/// silent upstreams is ignored.
-constexpr Duration LivenessTimeout = Duration::seconds(3);
 /// Consecutive replies with a different digest of the announcements after which
 /// the announcements are synchronized.
 constexpr unsigned MismatchesBeforeSync = 2;
@@ -49,16 +46,6 @@
 constexpr double RetryRatioFraction = 0.75;
 constexpr double RetrySlackFraction = 0.4;
 
-/// Contents of the last reply of a core VM.
-struct CoreStatus {
-  Time RepliedAt_;
-  Duration RoundTrip_;
-  std::set<UpstreamId> Silent_; ///< upstreams without recent announcements
-  RegionId Region_;
-  unsigned DigestMismatches_ = 0; ///< in consecutive replies
-  bool LoggedInContact_ = false;
-};
-
 /// The configuration in force at this VM.
 struct Configuration {
   Revision Revision_;
@@ -172,8 +159,6 @@
   void onNotices(const VmId &From, const NoticeBatch &Batch);
   NodeRecord selfRecord() const;
   void sendHeartbeats(const std::vector<VmId> &Only = {});
-  VmId nearestCoreVm(Time Now) const;
-  std::vector<VmId> coreVmsByDistance(Time Now, bool OwnRegion) const;
   void sendTo(const VmId &To, const FleetMessage &M);
   void updateDispatcher();
   void markSilent(Time Now);
@@ -215,7 +200,7 @@
   UpstreamRegistry Upstreams_;
   ItemFreshness ItemFreshness_;
   std::vector<VmId> EntryVms_;
-  std::map<VmId, CoreStatus> CoreStatuses_;
+  CoreContacts Cores_{Settings_.Region_, {}};
   Time NextItemRequest_;
   bool LoggedKeysProven_ = false;
   std::map<std::string, RateMap> RegionRates_;
@@ -272,19 +257,17 @@
       EntryVms_ = Reply.Rates_.front().EntryVms_;
       RegionRates_ = Reply.Rates_.front().RegionRates_;
     }
-    CoreStatus &Status = CoreStatuses_[From];
-    Status.RepliedAt_ = Now;
-    Status.Region_ = Reply.Region_;
-    Status.RoundTrip_ = Now - Time(Reply.EchoedSentAt_);
-    Status.Silent_ = {Reply.SilentUpstreams_.begin(),
-                      Reply.SilentUpstreams_.end()};
+    if (!Reply.RelayedProof_.empty())
+      recordRelay(ItemFreshness_, From, Time(Reply.EchoedSentAt_),
+                  Reply.RelayedProof_.front(), Reply.ItemsRevision_);
+    CoreContact &Core = recordReply(Cores_, From, Reply, Now);
     bool Differs = Reply.UpstreamsDigest_ != digestOf(Upstreams_);
-    Status.DigestMismatches_ = Differs ? Status.DigestMismatches_ + 1 : 0;
+    Core.DigestMismatches_ = Differs ? Core.DigestMismatches_ + 1 : 0;
     // A single mismatch is expected while announcements are in transit.
-    bool NeedsSync = Status.DigestMismatches_ >= MismatchesBeforeSync ||
+    bool NeedsSync = Core.DigestMismatches_ >= MismatchesBeforeSync ||
                      Upstreams_.Upstreams_.empty();
-    if (NeedsSync && Differs && From == nearestCoreVm(Now)) {
-      Status.DigestMismatches_ = 0;
+    if (NeedsSync && Differs && From == nearestCoreVm(Cores_, Now)) {
+      Core.DigestMismatches_ = 0;
       Request.Digests_ = bucketDigests(Upstreams_);
     }
     RequestItems =
@@ -323,7 +306,7 @@
   mergeItemsFromPeer(Next->Items_, Update.Items_);
   Next->Table_ = RouteTable(Next->Items_);
   Next->DrainedZones_ = drainedZones(Update.Drains_);
-  Next->Revision_ = Update.ToRevision_;
+  Next->Revision_ = ItemFreshness_.Revision_ = Update.ToRevision_;
   log({.Step_ = "config.apply",
        .Message_ = "configuration applied",
        .Revision_ = Next->Revision_});
@@ -357,9 +340,9 @@
 /// An upstream is silent if all live core VMs report it as silent.
 void EntryVm::Impl::markSilent(Time Now) {
   std::vector<const std::set<UpstreamId> *> Reports;
-  for (const auto &[Core, Status] : CoreStatuses_)
-    if (Now - Status.RepliedAt_ <= LivenessTimeout)
-      Reports.push_back(&Status.Silent_);
+  for (const auto &[Core, Contact] : Cores_.Contacts_)
+    if (Now - Contact.RepliedAt_ <= CoreLivenessTimeout)
+      Reports.push_back(&Contact.Silent_);
   lagoonpoint::applySilentReports(Upstreams_, Reports, UpstreamRetention, Now);
 }
 
@@ -373,11 +356,11 @@
   return Out;
 }
 
-/// Sends heartbeats. Only the nearest core VM is asked for the fleet's rates,
-/// and team rates go only to the core VMs that grant tokens.
-/// \param Only if not empty, the heartbeats go only to these core VMs and
-/// request items from them; used for the first core VM that reports newer items
-/// in an ItemRequestInterval
+/// Sends heartbeats to the heartbeatTargets(). Only the nearest core VM is
+/// asked for the fleet's rates, and team rates go only to the core VMs that
+/// grant tokens. \param Only if not empty, the heartbeats go only to these core
+/// VMs and request items from them; used for the first core VM that reports
+/// newer items in an ItemRequestInterval
 void EntryVm::Impl::sendHeartbeats(const std::vector<VmId> &Only) {
   Heartbeat Common;
   Common.WantsItems_ = !Only.empty();
@@ -394,61 +377,41 @@
   Common.KnowsVoters_ = !ItemFreshness_.VoterConfig_.Voters_.empty();
   Common.UpstreamsDigest_ = digestOf(Upstreams_);
   Time Now = Clock_.now();
-  VmId Nearest = nearestCoreVm(Now);
-  std::vector<VmId> LocalCores = coreVmsByDistance(Now, true);
+  VmId Nearest = nearestCoreVm(Cores_, Now);
+  std::vector<VmId> LocalCores = coreVmsByDistance(Cores_, true, Now);
   if (LocalCores.empty())
     LocalCores.push_back(Nearest);
-  for (const VmId &Core : Only.empty() ? PeerRegistry_.coreVms() : Only) {
+  std::map<VmId, RateMap> RatesByHolder = ratesByHolder(TeamRates, LocalCores);
+  std::vector<VmId> Targets = heartbeatTargets(
+      Cores_, PeerRegistry_.coreVms(),
+      provenCurrentAt(ItemFreshness_, TeamId()), Settings_.Revoke_ / 2, Now);
+  for (const VmId &Core : Only.empty() ? Targets : Only) {
     Heartbeat Each = Common;
     Each.CoreVms_ = PeerRegistry_.coreVmsToSend(Core);
     Each.WantsRates_ = Core == Nearest;
-    if (std::find(LocalCores.begin(), LocalCores.end(), Core) !=
-        LocalCores.end())
-      Each.TeamRates_ = TeamRates;
+    Each.TeamRates_ = RatesByHolder[Core];
     if (RecordSentTo_.insert(Core).second)
       Each.Self_.push_back(Own);
     sendTo(Core, Each);
   }
 }
 
-/// \returns the live core VMs of this region or of all others, by increasing
-/// round-trip time.
-std::vector<VmId> EntryVm::Impl::coreVmsByDistance(Time Now,
-                                                   bool OwnRegion) const {
-  std::vector<std::pair<Duration, VmId>> Found;
-  for (const auto &[Core, Status] : CoreStatuses_)
-    if (Now - Status.RepliedAt_ <= LivenessTimeout &&
-        (Status.Region_ == Settings_.Region_) == OwnRegion)
-      Found.push_back({Status.RoundTrip_, Core});
-  std::sort(Found.begin(), Found.end());
-  std::vector<VmId> Out;
-  for (const auto &[RoundTrip, Core] : Found)
-    Out.push_back(Core);
-  return Out;
-}
-
-VmId EntryVm::Impl::nearestCoreVm(Time Now) const {
-  for (bool OwnRegion : {true, false})
-    for (const VmId &Core : coreVmsByDistance(Now, OwnRegion))
-      return Core;
-  return VmId();
-}
-
-/// Logs each core VM whose contact was lost or restored.
+/// Logs each core VM whose contact was lost or restored, of those that get this
+/// VM's heartbeats.
 void EntryVm::Impl::logCoreContact(Time Now) {
-  for (auto &[Core, Status] : CoreStatuses_) {
-    Duration Silence = Now - Status.RepliedAt_;
-    bool InContact = Silence <= LivenessTimeout;
-    if (InContact == Status.LoggedInContact_)
+  for (auto &[Core, Contact] : Cores_.Contacts_) {
+    Duration Silence = Now - Contact.RepliedAt_;
+    bool InContact = Silence <= CoreLivenessTimeout;
+    if (InContact == Contact.LoggedInContact_ || !Contact.Asked_)
       continue;
-    Status.LoggedInContact_ = InContact;
+    Contact.LoggedInContact_ = InContact;
     log({.Level_ = InContact ? LogLevel::Info : LogLevel::Warning,
          .Step_ = "entry.core",
-         .Message_ = InContact
-                         ? "core VM answers, round trip " +
-                               std::to_string(Status.RoundTrip_.count()) + " ms"
-                         : "core VM has not answered for " +
-                               std::to_string(Silence.count()) + " ms",
+         .Message_ =
+             InContact ? "core VM answers, round trip " +
+                             std::to_string(Contact.RoundTrip_.count()) + " ms"
+                       : "core VM has not answered for " +
+                             std::to_string(Silence.count()) + " ms",
          .Peer_ = Core.str()});
   }
 }
@@ -480,8 +443,8 @@
   markSilent(Now);
   logCoreContact(Now);
   logKeyProof();
-  TeamTokens_.setHolders(coreVmsByDistance(Now, true),
-                         coreVmsByDistance(Now, false));
+  TeamTokens_.setHolders(coreVmsByDistance(Cores_, true, Now),
+                         coreVmsByDistance(Cores_, false, Now));
   updateDispatcher();
   Dispatcher_.rebalance(RegionRates_, RebalancedAt_ == Time()
                                           ? TickInterval
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -470,3 +470,160 @@
                     .PrecedingLive_);
   }
 }
+
+TEST_CASE("An entry VM sends heartbeats to the core VMs of its region") {
+  CoreContacts C{RegionId("north"), {}};
+  auto Reply = [&](const char *Core, const char *Region, Time At) {
+    HeartbeatReply R;
+    R.Region_ = RegionId(Region);
+    R.EchoedSentAt_ = At.count() - 10;
+    recordReply(C, VmId(Core), R, At);
+  };
+  std::vector<VmId> All{VmId("n1"), VmId("n2"), VmId("s1"), VmId("new")};
+  Duration MaxProofAge = Duration::millis(2500);
+  auto Targets = [&](Time ProvenAt, Time Now) {
+    return heartbeatTargets(C, All, ProvenAt, MaxProofAge, Now);
+  };
+  Reply("n1", "north", Start);
+  Reply("n2", "north", Start);
+  Reply("s1", "south", Start);
+
+  SECTION("and to those of unknown regions") {
+    CHECK(Targets(Start, Start) ==
+          std::vector<VmId>{VmId("n1"), VmId("n2"), VmId("new")});
+    CHECK_FALSE(C.Contacts_[VmId("s1")].Asked_);
+  }
+  SECTION("to all while no core VM of its region is in contact") {
+    Time Later = Start + Duration::seconds(4);
+    Reply("s1", "south", Later);
+    CHECK(Targets(Later, Later) == All);
+    SECTION("until one is again") {
+      Reply("n2", "north", Later);
+      CHECK(Targets(Later, Later).size() == 3);
+    }
+  }
+  SECTION("to all while its proof is old, as if the region were cut off from "
+          "the quorum") {
+    Time Later = Start + Duration::millis(2501);
+    Reply("n1", "north", Later);
+    CHECK(Targets(Start, Later) == All);
+    CHECK(heartbeatTargets(C, All, std::nullopt, MaxProofAge, Later) == All);
+  }
+}
+
+TEST_CASE("A core VM relays its proof to entry VMs") {
+  VoterConfig Config = makeVoters({1, 2, 3});
+  ItemFreshness Core;
+  Core.AppliedIndex_ = LogIndex(20);
+  record(Core, VmId("c1"), Time(5000), makeProof(1, 20, 20, Config));
+  CHECK_FALSE(relayedProof(Core, Time(5000)));
+  record(Core, VmId("c2"), Time(4800), makeProof(2, 20, 20, Config));
+  auto Proof = relayedProof(Core, Time(5000));
+  REQUIRE(Proof);
+  CHECK(Proof->Age_ == Duration::millis(200));
+
+  ItemFreshness Entry;
+  Entry.Revision_ = Revision(7);
+  TeamId Team("rangers");
+  SECTION("whose age counts from the request, however late the reply arrives") {
+    recordRelay(Entry, VmId("c1"), Time(90'000), *Proof, Revision(7));
+    CHECK(provenCurrentAt(Entry, Team) == Time(89'800));
+    SECTION("and which no older proof replaces") {
+      recordRelay(Entry, VmId("c1"), Time(89'000), *Proof, Revision(7));
+      CHECK(provenCurrentAt(Entry, Team) == Time(89'800));
+    }
+    SECTION("while another core VM's newer one counts") {
+      recordRelay(Entry, VmId("c2"), Time(90'500), *Proof, Revision(6));
+      CHECK(provenCurrentAt(Entry, Team) == Time(90'300));
+    }
+  }
+  SECTION("but not to one that lacks some of its items") {
+    recordRelay(Entry, VmId("c1"), Time(90'000), *Proof, Revision(8));
+    CHECK_FALSE(provenCurrentAt(Entry, Team));
+    Entry.Revision_ = Revision(8);
+    CHECK(provenCurrentAt(Entry, Team));
+  }
+  SECTION("but not for teams of uncommitted entries") {
+    LogProof Tail = makeProof(2, 22, 20, Config);
+    Tail.UnappliedTeams_ = {"agents"};
+    record(Core, VmId("c2"), Time(4900), Tail);
+    Proof = relayedProof(Core, Time(5000));
+    REQUIRE(Proof);
+    recordRelay(Entry, VmId("c1"), Time(90'000), *Proof, Revision(7));
+    CHECK(provenCurrentAt(Entry, Team));
+    CHECK_FALSE(provenCurrentAt(Entry, TeamId("agents")));
+  }
+  SECTION("unless it lacks an entry of the quorum") {
+    record(Core, VmId("c2"), Time(4900), makeProof(2, 21, 21, Config));
+    CHECK_FALSE(relayedProof(Core, Time(5000)));
+  }
+}
+
+TEST_CASE("Core VMs report the entry VMs that they hear") {
+  NodeRegistry Near;
+  NodeRegistry Far;
+  NodeRecord E1 = makeNode("e1", false, "north");
+  record(Near, E1.Vm_, makeHeartbeat(E1), Start);
+  std::map<VmId, std::uint64_t> Sent;
+  Duration Silence = Duration::millis(2700);
+  auto Report = [&](Time Now) {
+    auto Reports = reportEntryVms(Near, Silence, Sent, Now);
+    recordReports(Far, Reports, Now);
+    return Reports;
+  };
+  auto Named = [&](Time Now) {
+    return chooseEntries(Far, {RegionId("north"), ZoneId("a"), {}}, Silence,
+                         Now);
+  };
+  CHECK(Report(Start).front().Record_.size() == 1);
+  CHECK(Named(Start) == std::vector<std::string>{"e1:80"});
+
+  SECTION("with each record once") {
+    CHECK(Report(Start + Duration::seconds(1)).front().Record_.empty());
+    CHECK(Named(Start + Duration::seconds(1)).size() == 1);
+    SECTION("until the VM is restarted") {
+      E1.StartedAtMs_ = 8;
+      record(Near, E1.Vm_, makeHeartbeat(E1, false), Start);
+      CHECK(Report(Start).front().Record_.size() == 1);
+      CHECK(Named(Start).empty()); // not ready yet
+    }
+  }
+  SECTION("and not those that are silent") {
+    Time Dead = Start + Duration::millis(2800);
+    CHECK(Report(Dead).empty());
+    // Its last report kept it live for one more report interval.
+    CHECK(Named(Start + Duration::millis(3701)).empty());
+  }
+  SECTION("and the demand at them is counted once") {
+    Heartbeat B = makeHeartbeat(E1);
+    B.TeamRates_ = {{"rangers", 4}};
+    B.ServiceRates_ = {{"register", 4}};
+    record(Near, E1.Vm_, B, Start);
+    record(Far, E1.Vm_, B, Start - Duration::seconds(5)); // before it moved
+    recordReports(Far, reportEntryVms(Near, Silence, Sent, Start), Start);
+    CHECK(teamDemand(Far, RegionId("south"), Start)
+              .RatesByRegion_[RegionId("south")]
+              .empty());
+    Heartbeat FromCore = makeHeartbeat(makeNode("c1", true, "north"));
+    FromCore.ServiceRates_ = serviceRates(Near, RegionId("north"), Start);
+    record(Far, VmId("c1"), FromCore, Start);
+    FleetRates Rates = fleetRates(Far, RegionId("south"), Start);
+    CHECK(Rates.EntryVms_ == std::vector<VmId>{VmId("e1")});
+    CHECK(Rates.RegionRates_["north"]["register"] == 4);
+  }
+}
+
+TEST_CASE("An entry VM tells a team's demand to two core VMs of its region") {
+  std::vector<VmId> Cores{VmId("c1"), VmId("c2"), VmId("c3")};
+  RateMap Rates;
+  for (int N = 0; N < 60; ++N)
+    Rates["t" + std::to_string(N)] = N;
+  std::map<VmId, RateMap> ByHolder = ratesByHolder(Rates, Cores);
+  for (const auto &[Team, Rate] : Rates) {
+    std::vector<VmId> Ranked = rankHolders(Team, Cores);
+    CHECK(ByHolder[Ranked[0]].at(Team) == Rate);
+    CHECK(ByHolder[Ranked[1]].at(Team) == Rate);
+    CHECK(ByHolder[Ranked[2]].count(Team) == 0);
+  }
+  CHECK(ratesByHolder(Rates, {VmId("c1")})[VmId("c1")] == Rates);
+}
--- a/test/FleetVms.cpp
+++ b/test/FleetVms.cpp
@@ -146,11 +146,18 @@
 } // namespace
 
 TEST_CASE("A fleet bootstraps from its seeds and serves requests") {
-  TestFleet Fleet;
+  // Destroyed after the fleet, whose connections they serve.
   ScriptedUpstream Upstream([&](RawSocket &S) {
     while (!Upstream.receive(S).empty())
       S.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine");
   });
+  ScriptedUpstream Slow([&](RawSocket &S) {
+    while (!Slow.receive(S).empty()) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+      S.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nslow");
+    }
+  });
+  TestFleet Fleet;
   unsigned short Port = Upstream.address().Port_;
   std::string Get = "GET /tags/7 HTTP/1.1\r\nX-Api-Key: key-one\r\n";
 
@@ -231,12 +238,6 @@
         [&] { return Fleet.call(Get).find("mine") != std::string::npos; }));
   }
   SECTION("a planned stop cuts no call, whenever it arrives") {
-    ScriptedUpstream Slow([&](RawSocket &S) {
-      while (!Slow.receive(S).empty()) {
-        std::this_thread::sleep_for(std::chrono::milliseconds(2000));
-        S.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nslow");
-      }
-    });
     UpstreamNotice SlowNotice =
         notice(Slow.address().Port_, NoticePhase::Serving, 1);
     SlowNotice.StartedAtMs_ = 6; // replaces the upstream above
