Let shares of a rate follow demand, and use more of the slack

Cause: 0.4 of a team's rate was divided evenly among the regions, so that a team whose callers are in one region had 0.73 of it; and as the smaller of two own reports and the larger of two totals counted, shares added up to 0.84 of a rate at 3 requests/s. Change: demand of 1.5 requests/s is assumed, evenly, beyond what is known. The cautious rules hold only for changes that chance does not explain (two standard deviations of the smoothed rate). Half of the slack is granted as rate. Load test: 3 regions, random callers at 0.6 of 10, 40 and 100/s, all in one region, uneven and even: refused in less than 1 of 1,000, and at twice the rate within the limit of every window.

--- a/lagoonpoint/src/Limits/DemandShare.cpp
+++ b/lagoonpoint/src/Limits/DemandShare.cpp
@@ -10,6 +10,15 @@
 /// Half-life of older events in a smoothed rate.
 constexpr Duration SmoothingHalfLife = Duration::seconds(2);
 constexpr double MinIntervalSeconds = 0.05;
+/// Two standard deviations by which a smoothed rate changes within a second, as
+/// a multiple of its square root: 2 * (1 - 2^(-1 s / SmoothingHalfLife)).
+constexpr double ChanceFactor = 0.59;
+
+/// \returns the rate that a second may make of \p Rate without a change of
+/// demand, for requests that arrive at random.
+double usualMaximum(double Rate) {
+  return Rate + ChanceFactor * std::sqrt(Rate);
+}
 
 } // namespace
 
@@ -29,15 +38,18 @@
                  std::size_t Holders) {
   B.PreviousDemand_ = B.ReportedDemand_;
   B.ReportedDemand_ = OwnDemand;
-  double EvenShare =
-      1.0 / static_cast<double>(std::max<std::size_t>(Holders, 1));
-  double Total = std::max({TotalDemand, B.TotalDemand_, B.ReportedDemand_});
+  auto Count = static_cast<double>(std::max<std::size_t>(Holders, 1));
+  bool Surge = TotalDemand > usualMaximum(B.TotalDemand_);
+  double Total = std::max(TotalDemand, OwnDemand);
+  if (Surge || B.TotalDemand_ > usualMaximum(TotalDemand))
+    Total = std::max(Total, B.TotalDemand_);
   B.TotalDemand_ = TotalDemand;
-  double KnownDemand = std::min(B.ReportedDemand_, B.PreviousDemand_);
-  double Fraction = Total > 0 ? KnownDemand / Total : EvenShare;
-  double SafeFraction = std::min(Fraction, B.DemandFraction_);
+  double KnownDemand = std::min(
+      OwnDemand, Surge ? B.PreviousDemand_ : usualMaximum(B.PreviousDemand_));
+  double Fraction =
+      (KnownDemand + AssumedDemand / Count) / (Total + AssumedDemand);
+  B.Share_ = Surge ? std::min(Fraction, B.DemandFraction_) : Fraction;
   B.DemandFraction_ = Fraction;
-  B.Share_ = EvenFraction * EvenShare + (1 - EvenFraction) * SafeFraction;
 }
 
 double shareFactor(Duration Age) {
@@ -52,12 +64,14 @@
   if (R.Rate_ <= 0)
     return {Requested + Prefetch, {}};
   double Share = B.Share_ * ShareFactor;
-  double LocalRate = R.Rate_ * Share;
+  double WindowSeconds = std::max(R.Window_.inSeconds(), 1.0);
+  double LocalSlack = R.Slack_ * ShareFactor / static_cast<double>(Holders);
+  double LocalRate = R.Rate_ * (1 + R.Overage_ * RateOverage) * Share +
+                     LocalSlack * RateSlack / WindowSeconds;
   double OverageUnits =
       R.Overage_ * (R.Rate_ * R.Window_.inSeconds() + R.Burst_);
-  double Capacity =
-      (R.Burst_ + OverageUnits * UsableOverage) * Share +
-      R.Slack_ * UsableSlack * ShareFactor / static_cast<double>(Holders);
+  double Capacity = (R.Burst_ + OverageUnits * CapacityOverage) * Share +
+                    LocalSlack * CapacitySlack;
   Capacity = std::max(Capacity, 1.0);
   double Span = (Now - B.RefilledAt_).inSeconds();
   B.Tokens_ = std::min(Capacity, B.Tokens_ + std::max(0.0, Span) * LocalRate);
--- a/lagoonpoint/src/Limits/DemandShare.h
+++ b/lagoonpoint/src/Limits/DemandShare.h
@@ -39,9 +39,10 @@
   Time RefilledAt_;
 };
 
-/// Fraction of a rate that is divided evenly, so that a holder can grant the
-/// first request of a team before any demand is known.
-inline constexpr double EvenFraction = 0.4;
+/// Demand in requests per second that is assumed beyond the known demand,
+/// evenly at all holders, so that a holder can grant a team's first requests. A
+/// team with much demand at one holder still gets nearly all of its rate there.
+inline constexpr double AssumedDemand = 1.5;
 
 /// \class GlobalRate
 /// \ingroup Limits
@@ -55,11 +56,14 @@
   double Slack_ = 0;   ///< allowed excess in units per window
 };
 
-/// Fractions of the overage and of the slack that holders use. The rest is a
+/// Fractions of the overage and of the slack that holders use, as additional
+/// capacity and, spread over a window, as additional rate. The rest is a
 /// margin: shares computed from reports of different times may add up to more
 /// than one.
-inline constexpr double UsableOverage = 0.3;
-inline constexpr double UsableSlack = 0.5;
+inline constexpr double CapacityOverage = 0.3;
+inline constexpr double CapacitySlack = 0.4;
+inline constexpr double RateOverage = 0.3;
+inline constexpr double RateSlack = 0.5;
 
 /// Holders stop counting a holder that has not exchanged reports for this long.
 inline constexpr Duration ShareValidFor = Duration::millis(2200);
@@ -70,15 +74,15 @@
 /// Recomputes the share from the demand that this holder reports and the total
 /// over all holders.
 ///
-/// A share shrinks at once but grows only with the second report: in a surge,
-/// the first holder to report it gets a total without the other holders'
-/// increase. The larger of the last two totals is used, because an isolated
-/// holder receives a total that is too small. The smaller of the last two local
-/// reports is used, because the other holders' demand in a total is older than
-/// this holder's latest report.
-/// \ingroup Limits
-/// \param OwnDemand local demand that is being reported
-/// \param TotalDemand latest known total, including \p OwnDemand
+/// A share shrinks at once, but beyond the usual variation it grows only with
+/// the second report: in a surge, the first holder to report it gets a total
+/// without the other holders' increase. The larger of the last two totals is
+/// used if they differ by more than that, because an isolated holder receives a
+/// total that is too small. Of the last two local reports, the smaller is used
+/// in the same way, because the other holders' demand in a total is older than
+/// this holder's latest report. \ingroup Limits \param OwnDemand local demand
+/// that is being reported \param TotalDemand latest known total, including \p
+/// OwnDemand
 void updateShare(RateShare &B, double OwnDemand, double TotalDemand,
                  std::size_t Holders);
 
--- a/test/DemandShare.cpp
+++ b/test/DemandShare.cpp
@@ -129,6 +129,80 @@
   }
 }
 
+namespace {
+
+/// Callers that arrive at random at three regions, whose core VMs share a rate.
+/// The load that DemandShare answers: a team within its rate, whose callers may
+/// all be in one region.
+struct RandomCallers {
+  /// \returns the fraction of requests that were refused, after 20 s for the
+  /// demand to become known
+  double refusedFraction(double Rate, double Load,
+                         const std::vector<double> &Parts) {
+    GlobalRate R{Rate, Rate, Duration::seconds(5), 0.1, 20};
+    std::vector<double> Rates;
+    for (double Part : Parts)
+      Rates.push_back(Rate * Load * Part);
+    int Offered = 0;
+    int Admitted = 0;
+    Time Now = Start;
+    for (int Ms = 0; Ms < 320'000; ++Ms, Now = Now + Duration::millis(1)) {
+      for (std::size_t Vm = 0; Vm < Rates.size(); ++Vm) {
+        if ((Ms + static_cast<int>(Vm) * 110) % 1000 == 0)
+          Sharers_.reportDemand(Vm, Now);
+        if (std::uniform_real_distribution<>()(Random_) >= Rates[Vm] / 1000)
+          continue;
+        recordEvents(Sharers_.Meters_[Vm]);
+        bool Taken =
+            take(Sharers_.Buckets_[Vm], R, Rates.size(), 1, 1, 0, Now).Count_ >
+            0;
+        if (Taken)
+          AdmittedAt_.push_back(Now);
+        if (Ms < 20'000)
+          continue;
+        ++Offered;
+        Admitted += Taken ? 1 : 0;
+      }
+    }
+    return 1 - double(Admitted) / Offered;
+  }
+  /// \returns the most requests admitted in any five seconds.
+  std::size_t busiestWindow() const {
+    std::size_t First = 0;
+    std::size_t Busiest = 0;
+    for (std::size_t Last = 0; Last < AdmittedAt_.size(); ++Last) {
+      while (AdmittedAt_[Last] - AdmittedAt_[First] >= Duration::seconds(5))
+        ++First;
+      Busiest = std::max(Busiest, Last - First + 1);
+    }
+    return Busiest;
+  }
+
+  RateSharers Sharers_{3};
+  Random Random_{20261204};
+  std::vector<Time> AdmittedAt_;
+};
+
+} // namespace
+
+TEST_CASE("Random callers of a team") {
+  auto Parts =
+      GENERATE(std::vector<double>{1, 0, 0}, std::vector<double>{0.6, 0.3, 0.1},
+               std::vector<double>{1. / 3, 1. / 3, 1. / 3});
+  double Rate = GENERATE(10, 40, 100);
+  CAPTURE(Parts, Rate);
+  RandomCallers Callers;
+  SECTION("are refused in less than one of 1,000 requests at six tenths of the "
+          "rate, wherever they are") {
+    CHECK(Callers.refusedFraction(Rate, 0.6, Parts) < 0.001);
+  }
+  SECTION("never get more than the rate, the burst and the excess allow at "
+          "twice the rate") {
+    CHECK(Callers.refusedFraction(Rate, 2, Parts) > 0.3);
+    CHECK(double(Callers.busiestWindow()) <= (Rate * 5 + Rate) * 1.1 + 20);
+  }
+}
+
 TEST_CASE("A share decays with the age of its total") {
   CHECK(shareFactor(Duration::millis(1000)) == 1);
   CHECK(shareFactor(ShareValidFor) == 1);
