Acknowledge a departure only once every entry VM in contact has confirmed it

Change: Departures keeps the confirmations of an upstream's phase over repeated announcements, so that a late one counts for the next attempt. A departure is acknowledged only with a quorum and all confirmations; a VM that failed delays it until it is out of contact. Where no core VM of a region is in contact, the entry VMs that it reported count for 6 s more, as they may still serve callers. Test: test_Fleet, departures.

--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -156,8 +156,7 @@
   Time NextHeartbeat_;
   unsigned HeartbeatsSent_ = 0; ///< used by the ticker only
   VmId LoggedLeader_;           ///< used by the ticker only
-  std::map<std::uint64_t, std::set<VmId>> PendingConfirmations_;
-  std::uint64_t NextNoticeNumber_ = 1;
+  Departures Departures_;
 
   std::atomic<bool> PushQueued_{false};
   Worker PushWorker_; ///< declared before Host_, whose start reports the stored
@@ -409,12 +408,8 @@
 
 void CoreVm::Impl::onNoticeAck(const VmId &From, const NoticeAck &Ack) {
   std::lock_guard Guard(Lock_);
-  auto Found = PendingConfirmations_.find(Ack.Number_);
-  if (Found == PendingConfirmations_.end())
-    return;
-  Found->second.erase(From);
-  if (Found->second.empty())
-    Confirmed_.notify_all();
+  confirmDeparture(Departures_, From, Ack.Number_);
+  Confirmed_.notify_all();
 }
 
 void CoreVm::Impl::onTokenRequest(const VmId &From,
@@ -433,11 +428,8 @@
 }
 
 std::set<VmId> CoreVm::Impl::entryVmsInContact(Time Now) {
-  std::set<VmId> Out;
-  for (const KnownNode *Node :
-       liveEntryVms(NodeRegistry_, LivenessTimeout, Now))
-    Out.insert(Node->Record_.Vm_);
-  return Out;
+  return entryVmsToConfirm(NodeRegistry_, Settings_.Region_, LivenessTimeout,
+                           Now);
 }
 
 /// \returns whether this VM and the live core VMs form a quorum of the voters.
@@ -515,16 +507,20 @@
     Peers_.send({Self_, Vm, Channel::Fleet, Body});
 }
 
+/// \returns whether all entry VMs in contact have confirmed in time. One that
+/// has just failed delays this until it is out of contact; the upstream repeats
+/// its announcement. Without a quorum, entry VMs may exist that this VM doesn't
+/// know.
 bool CoreVm::Impl::confirmNotice(const UpstreamNotice &Notice) {
   Time Deadline = Clock_.now() + ConfirmTimeout;
-  std::uint64_t Number = 0;
   std::vector<VmId> Cores = PeerRegistry_.coreVms();
-  std::set<VmId> To(Cores.begin(), Cores.end());
   std::unique_lock Guard(Lock_);
-  Number = NextNoticeNumber_++;
-  PendingConfirmations_[Number] = entryVmsInContact(Clock_.now());
-  To.insert(PendingConfirmations_[Number].begin(),
-            PendingConfirmations_[Number].end());
+  std::uint64_t Number = beginDeparture(Departures_, Notice, Clock_.now());
+  auto Missing = [&] {
+    return unconfirmed(Departures_, Number, entryVmsInContact(Clock_.now()));
+  };
+  std::set<VmId> To = Missing();
+  To.insert(Cores.begin(), Cores.end());
   bool AllConfirmed = false;
   while (!AllConfirmed && Clock_.now() < Deadline) {
     Guard.unlock();
@@ -532,15 +528,17 @@
     Guard.lock();
     AllConfirmed = Confirmed_.wait_for(
         Guard, std::chrono::milliseconds(ConfirmRetryInterval.count()),
-        [&] { return PendingConfirmations_[Number].empty(); });
-    To = PendingConfirmations_[Number];
+        [&] { return Missing().empty(); });
+    To = Missing();
   }
-  bool HasQuorum = quorumInContact(Clock_.now());
-  PendingConfirmations_.erase(Number);
-  // An entry VM that has just failed cannot confirm. If it comes back, it
-  // learns of the change through any core VM's reply to its next heartbeat.
-  return AllConfirmed ? HasQuorum || !entryVmsInContact(Clock_.now()).empty()
-                      : HasQuorum;
+  if (!AllConfirmed)
+    log({.Level_ = LogLevel::Warning,
+         .Step_ = "upstream.confirm",
+         .Message_ = std::to_string(To.size()) +
+                     " entry VMs have not confirmed the departure, first " +
+                     (To.empty() ? std::string("none") : To.begin()->str()),
+         .Peer_ = Notice.Id_.str()});
+  return AllConfirmed && quorumInContact(Clock_.now());
 }
 
 void CoreVm::Impl::repairVoters() {
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -627,3 +627,60 @@
   }
   CHECK(ratesByHolder(Rates, {VmId("c1")})[VmId("c1")] == Rates);
 }
+
+TEST_CASE("A departure is confirmed by the entry VMs in contact") {
+  Departures D;
+  UpstreamNotice Leaving =
+      withPhase(makeNotice("i1", 50, 4), NoticePhase::Leaving);
+  std::uint64_t Number = beginDeparture(D, Leaving, Start);
+  std::set<VmId> Needed{VmId("e1"), VmId("e2")};
+  confirmDeparture(D, VmId("e1"), Number);
+  CHECK(unconfirmed(D, Number, Needed) == std::set<VmId>{VmId("e2")});
+
+  SECTION("of which a late one counts for the repeated announcement") {
+    confirmDeparture(D, VmId("e2"), Number);
+    ++Leaving.Sequence_;
+    Time Later = Start + Duration::seconds(1);
+    CHECK(beginDeparture(D, Leaving, Later) == Number);
+    CHECK(unconfirmed(D, Number, Needed).empty());
+  }
+  SECTION("but not for the end of the upstream, or its next process") {
+    Leaving.Phase_ = NoticePhase::Gone;
+    CHECK(unconfirmed(D, beginDeparture(D, Leaving, Start), Needed) == Needed);
+    Leaving.StartedAtMs_ = 60;
+    CHECK(unconfirmed(D, beginDeparture(D, Leaving, Start), Needed) == Needed);
+  }
+  SECTION("and is forgotten in the end") {
+    Time Later = Start + Duration::seconds(31);
+    beginDeparture(D, makeNotice("i2", 50, 1), Later);
+    CHECK(D.Departures_.size() == 1);
+  }
+}
+
+TEST_CASE("The entry VMs that have to confirm a departure") {
+  NodeRegistry R;
+  NodeRecord Near = makeNode("e1", false, "north");
+  NodeRecord Far = makeNode("e2", false, "south");
+  NodeRecord FarCore = makeNode("c2", true, "south");
+  Duration Silence = Duration::millis(2700);
+  auto Needed = [&](Time Now) {
+    return entryVmsToConfirm(R, RegionId("north"), Silence, Now);
+  };
+  record(R, Near.Vm_, makeHeartbeat(Near), Start);
+  record(R, FarCore.Vm_, makeHeartbeat(FarCore), Start);
+  EntryReport Report{Far.Vm_, Far.StartedAtMs_, true, Duration(), {Far}};
+  recordReports(R, {Report}, Start);
+  CHECK(Needed(Start) == std::set<VmId>{VmId("e1"), VmId("e2")});
+
+  SECTION("are not those that died") {
+    Time Later = Start + Duration::seconds(3);
+    record(R, FarCore.Vm_, makeHeartbeat(FarCore), Later);
+    CHECK(Needed(Later).empty());
+  }
+  SECTION("are also those of a region whose core VMs are out of contact, until "
+          "they can be heard directly") {
+    Time Later = Start + Duration::seconds(4);
+    CHECK(Needed(Later) == std::set<VmId>{VmId("e2")});
+    CHECK(Needed(Start + Duration::seconds(7)).empty());
+  }
+}
