Dial a restarted VM again as soon as it is heard

Cause: after a loss of power, connections to the earlier process are neither answered nor reset, and a VM that came back was reached only after the stall or handshake limit and the backoff. Change: when a peer has dialed this VM, a connection to it that has not been answered for 300 ms is replaced. Test: test_Peer, a silent connection to the earlier process, time-outs of 60 s; the old code doesn't deliver within 20 s.

--- a/lagoonpoint/src/Peer/PeerLoop.cpp
+++ b/lagoonpoint/src/Peer/PeerLoop.cpp
@@ -149,6 +149,7 @@
 void PeerLoop::onInboundAuthenticated(PeerConnection &Connection) {
   Counters_.add(&PeerCounters::Connects_);
   closeOlderConnections(Connection);
+  redialUnanswered(Connection.peer());
 }
 
 void PeerLoop::deliver(PeerConnection &Connection) {
--- a/lagoonpoint/src/Peer/PeerLoop.h
+++ b/lagoonpoint/src/Peer/PeerLoop.h
@@ -54,6 +54,7 @@
   void serveInbound(const Poco::Net::Socket &Socket, int Mode);
   void deliver(PeerConnection &Connection);
   void onInboundAuthenticated(PeerConnection &Connection);
+  void redialUnanswered(const VmId &Peer);
 
   void sendQueued(const VmId &Peer);
   void dial(const VmId &Peer, OutboundConnection &Out,
--- a/lagoonpoint/src/Peer/PeerLoopMaintenance.cpp
+++ b/lagoonpoint/src/Peer/PeerLoopMaintenance.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr Duration MaintenanceInterval = Duration::millis(50);
+/// A connection to a live peer is answered within this time, also across
+/// regions.
+constexpr Duration UsualAnswerTime = Duration::millis(300);
 
 } // namespace
 
@@ -59,6 +62,28 @@
     closeOutbound(Peer, nullptr);
 }
 
+/// Called when a peer has dialed this VM. A connection to it that is not
+/// answered leads to its process before a restart or loss of power.
+void PeerLoop::redialUnanswered(const VmId &Peer) {
+  auto Found = Outbound_.find(Peer);
+  if (Found == Outbound_.end())
+    return;
+  OutboundConnection &Out = Found->second;
+  if (Out.Connection_) {
+    PeerConnection &Connection = *Out.Connection_;
+    bool HandshakePending = !Connection.sender();
+    bool Awaits = HandshakePending || Connection.sender()->unacknowledged() > 0;
+    Time Since =
+        HandshakePending ? Connection.openedAt() : Connection.lastRead();
+    if (!Awaits || Clock_.now() - Since <= UsualAnswerTime)
+      return;
+    Error Reason("peer.write", Peer.str(),
+                 "unanswered connection replaced, the peer has dialed anew");
+    closeOutbound(Peer, &Reason);
+  }
+  Out.NextDialAt_ = Time();
+}
+
 void PeerLoop::checkInbound() {
   const PeerLimits &Limits = Options_.Limits_;
   Time Now = Clock_.now();
--- a/test/Peer.cpp
+++ b/test/Peer.cpp
@@ -349,3 +349,25 @@
   CHECK(eventually([&] { return VmB.sawError("meant for another VM"); }));
   CHECK(VmB.received() == 0);
 }
+
+TEST_CASE("A restarted VM is dialed again as soon as it is heard") {
+  PeerLimits Patient;
+  Patient.HandshakeTimeout_ = Patient.StallTimeout_ = Duration::seconds(60);
+  Patient.QueueAge_ = Patient.MaxBackoff_ = Duration::seconds(60);
+  // The connection to the earlier process is neither answered nor reset, as
+  // after a loss of power.
+  Poco::Net::ServerSocket Earlier(Poco::Net::SocketAddress("127.0.0.1", 0));
+  unsigned short Port = Earlier.address().port();
+  TestVm VmA(A, Secret, 0, Patient);
+  VmA.Transport_.setPeers({{B, {"127.0.0.1", Port}}});
+  VmA.send(B, "one");
+  Poco::Net::StreamSocket Silent = Earlier.acceptConnection();
+  Earlier.close();
+
+  TestVm VmB(B, Secret, Port, Patient);
+  VmB.Transport_.setPeers({{A, VmA.address()}});
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  VmB.Transport_.send({B, A, Channel::Membership, "started"});
+  REQUIRE(eventually([&] { return VmA.received() == 1; }));
+  CHECK(eventually([&] { return VmB.received() == 1; }));
+}
