Change a connection's poll mode only where it differs

Change: PeerConnection keeps the events that it is polled for. Conclusion: kept as it is less work; what takes the processor is still to be found.

--- a/lagoonpoint/src/Peer/PeerConnection.h
+++ b/lagoonpoint/src/Peer/PeerConnection.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace lagoonpoint::internal {
 
@@ -50,6 +51,11 @@
   Time lastActivity() const { return LastActivity_; }
   /// Restarts the wait for bytes from the peer, as if bytes had just been read.
   void restartReadTimer(Time Now) { LastRead_ = Now; }
+  /// Records the events that this connection is polled for.
+  /// \returns false if they are unchanged, which saves a system call
+  bool changePollMode(int Mode) {
+    return std::exchange(PollMode_, Mode) != Mode;
+  }
 
 private:
   void processInput(std::string_view Bytes);
@@ -67,6 +73,7 @@
   Time OpenedAt_;
   Time LastRead_;
   Time LastActivity_;
+  int PollMode_ = 0;
 };
 
 } // namespace lagoonpoint::internal
--- a/lagoonpoint/src/Peer/PeerLoop.cpp
+++ b/lagoonpoint/src/Peer/PeerLoop.cpp
@@ -119,6 +119,7 @@
       Socket, std::move(NewHandshake), Options_.Self_, Options_.Limits_,
       Clock_.now());
   PollSet_.add(Socket, Poco::Net::PollSet::POLL_READ);
+  Connection->changePollMode(Poco::Net::PollSet::POLL_READ);
   Inbound_[Socket] = std::move(Connection);
   serveInbound(Socket, Poco::Net::PollSet::POLL_WRITE);
 }
@@ -220,6 +221,7 @@
         Socket, std::move(NewHandshake), Options_.Self_, Limits, Now);
     DialedPeers_[Socket] = Peer;
     PollSet_.add(Socket, Poco::Net::PollSet::POLL_WRITE);
+    Out.Connection_->changePollMode(Poco::Net::PollSet::POLL_WRITE);
   } catch (const Poco::Exception &E) {
     report(Error("peer.connect", Peer.str(), E.displayText()), true);
   }
@@ -263,7 +265,8 @@
     Mode |= Poco::Net::PollSet::POLL_READ;
   if (!Connected || Connection.wantsWrite())
     Mode |= Poco::Net::PollSet::POLL_WRITE;
-  PollSet_.update(Connection.socket(), Mode);
+  if (Connection.changePollMode(Mode))
+    PollSet_.update(Connection.socket(), Mode);
 }
 
 } // namespace lagoonpoint::internal
