Report teams' rates between regions from the core VMs that may grant their tokens

Cause: each core VM sent the rates of all teams of its region to every other core VM, 3.4 KB a second for 190 teams. Change: ratesByHolder() also picks what a core VM reports: teams of which it is the first or second holder. Receivers take the largest report of a region, as before.

--- a/lagoonpoint/src/Fleet/FleetMessage.h
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -60,7 +60,9 @@
   std::vector<VmId> CoreVms_;         ///< known to the sender; empty: unchanged
   bool WantsItems_ = false;
   bool WantsRates_ = false; ///< the reply should include the fleet's rates
-  /// Callers' demand at the sender; from a core VM: at its region's entry VMs.
+  /// Callers' demand at the sender, of teams whose tokens the receiver may
+  /// grant; from a core VM: at its region's entry VMs, of teams whose tokens it
+  /// may grant.
   RateMap TeamRates_;
   RateMap ServiceRates_;              ///< like TeamRates_, by service
   std::vector<Sighting> Sightings_;   ///< only between core VMs
--- a/lagoonpoint/src/Fleet/TeamDemand.h
+++ b/lagoonpoint/src/Fleet/TeamDemand.h
@@ -26,9 +26,10 @@
 /// \ingroup Fleet
 std::vector<VmId> rankHolders(const std::string &Name, std::vector<VmId> Cores);
 
-/// Divides an entry VM's rates by team among the core VMs of its region. Each
-/// team's rate goes to the first two of rankHolders(), the one that grants its
-/// tokens and the one that takes over from it.
+/// Divides rates by team among the core VMs of a region. Each team's rate goes
+/// to the first two of rankHolders(), the one that grants its tokens and the
+/// one that takes over from it. Entry VMs report to these, and these to other
+/// regions.
 /// \ingroup Fleet
 std::map<VmId, RateMap> ratesByHolder(const RateMap &TeamRates,
                                       const std::vector<VmId> &Cores);
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -264,7 +264,12 @@
   Time Now = Clock_.now();
   TeamDemand Demand = teamDemand(NodeRegistry_, Settings_.Region_, Now);
   Quotas_.updateDemand(Demand);
-  Out.TeamRates_ = Demand.RatesByRegion_[Settings_.Region_];
+  std::vector<VmId> RegionCores{Self_};
+  for (const KnownNode *Core : liveCoreVms(NodeRegistry_, LivenessTimeout, Now))
+    if (Core->Record_.Region_ == Settings_.Region_)
+      RegionCores.push_back(Core->Record_.Vm_);
+  Out.TeamRates_ = ratesByHolder(Demand.RatesByRegion_[Settings_.Region_],
+                                 RegionCores)[Self_];
   Out.ServiceRates_ = serviceRates(NodeRegistry_, Settings_.Region_, Now);
   Out.UpstreamsDigest_ = digestOf(Upstreams_);
   for (auto &[Id, S] : Sightings_)
