--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -30,6 +30,8 @@
 /// must be shorter.
 constexpr Duration ConfirmTimeout = Duration::millis(750);
 constexpr Duration ConfirmRetryInterval = Duration::millis(200);
+/// An entry VM that has missed two heartbeats need not confirm a departure.
+constexpr Duration ConfirmSilence = Duration::millis(2100);
 /// The records of all entry VMs are repeated once in this many heartbeats, in
 /// case a message was lost.
 constexpr unsigned HeartbeatsPerFullReport = 10;
@@ -433,7 +435,7 @@
 }
 
 std::set<VmId> CoreVm::Impl::entryVmsInContact(Time Now) {
-  return entryVmsToConfirm(NodeRegistry_, Settings_.Region_, LivenessTimeout,
+  return entryVmsToConfirm(NodeRegistry_, Settings_.Region_, ConfirmSilence,
                            Now);
 }
 
