--- a/test/Platform.cpp
+++ b/test/Platform.cpp
@@ -1,3 +1,5 @@
+#include "fakes/RawSocket.h"
+#include "platform/Servers.h"
 #include "platform/Wire.h"
 
 #include <catch2/catch.hpp>
@@ -149,3 +151,28 @@
   for (const char *Bad : {"", "5", "ms", "-1s", "1m", "1 s", "1e99s", "nans"})
     CHECK_THROWS_AS(decodeDuration(Bad, "f"), WireError);
 }
+
+TEST_CASE("A server for probes stops without waiting for its clients") {
+  FleetSettings S;
+  S.Host_ = "127.0.22.1";
+  S.MetricsPort_ = 17990;
+  MetricRegistry Metrics;
+  // With a second for each stop, these would take twenty.
+  constexpr int Stops = 20;
+  constexpr Duration MaxTime = Duration::seconds(10);
+  SystemClock Clock;
+  Time Start = Clock.now();
+  for (int Count = 0; Count < Stops; ++Count) {
+    MetricsServer Server(Metrics, S);
+    Server.start();
+    fakes::RawSocket Client(S.Host_, 17990);
+    Client.send("GET /metrics HTTP/1.1\r\nHost: vm\r\n\r\n");
+    CHECK_THAT(Client.readMessage(), Contains("200 OK"));
+    // The client closes only later, as one that polls once a second.
+    Client.send(
+        "GET /metrics HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\r\n");
+    CHECK_THAT(Client.readMessage(), Contains("200 OK"));
+    Server.stop();
+  }
+  CHECK(Clock.now() - Start < MaxTime);
+}
