Ask core VMs of other regions, and slow ones, for tokens again

Change: remoteCoreVms() also names core VMs that are not asked for replies. Where all are suspected, the first is asked again: a slow answer is better than none. Tests: test_Fleet (remoteCoreVms), test_TeamTokens (one slow core VM).

--- a/lagoonpoint/src/Fleet/CoreContacts.cpp
+++ b/lagoonpoint/src/Fleet/CoreContacts.cpp
@@ -10,6 +10,19 @@
   return Now - Contact.RepliedAt_ <= CoreLivenessTimeout;
 }
 
+template <class Accept>
+std::vector<VmId> sortByDistance(const CoreContacts &C, const Accept &Accepts) {
+  std::vector<std::pair<Duration, VmId>> Found;
+  for (const auto &[Core, Contact] : C.Contacts_)
+    if (Accepts(Contact))
+      Found.push_back({Contact.RoundTrip_, Core});
+  std::sort(Found.begin(), Found.end());
+  std::vector<VmId> Out;
+  for (const auto &[RoundTrip, Core] : Found)
+    Out.push_back(Core);
+  return Out;
+}
+
 } // namespace
 
 CoreContact &recordReply(CoreContacts &C, const VmId &From,
@@ -25,16 +38,17 @@
 
 std::vector<VmId> coreVmsByDistance(const CoreContacts &C, bool OwnRegion,
                                     Time Now) {
-  std::vector<std::pair<Duration, VmId>> Found;
-  for (const auto &[Core, Contact] : C.Contacts_)
-    if (inContact(Contact, Now) &&
-        (Contact.Region_ == C.OwnRegion_) == OwnRegion)
-      Found.push_back({Contact.RoundTrip_, Core});
-  std::sort(Found.begin(), Found.end());
-  std::vector<VmId> Out;
-  for (const auto &[RoundTrip, Core] : Found)
-    Out.push_back(Core);
-  return Out;
+  return sortByDistance(C, [&](const CoreContact &Contact) {
+    return inContact(Contact, Now) &&
+           (Contact.Region_ == C.OwnRegion_) == OwnRegion;
+  });
+}
+
+std::vector<VmId> remoteCoreVms(const CoreContacts &C, Time Now) {
+  return sortByDistance(C, [&](const CoreContact &Contact) {
+    return Contact.Region_ != C.OwnRegion_ &&
+           (inContact(Contact, Now) || !Contact.Asked_);
+  });
 }
 
 VmId nearestCoreVm(const CoreContacts &C, Time Now) {
--- a/lagoonpoint/src/Fleet/CoreContacts.h
+++ b/lagoonpoint/src/Fleet/CoreContacts.h
@@ -48,6 +48,10 @@
 /// \ingroup Fleet
 VmId nearestCoreVm(const CoreContacts &C, Time Now);
 
+/// \returns the core VMs of other regions that may answer, nearest first: those
+/// in contact, and those that are not asked for replies. \ingroup Fleet
+std::vector<VmId> remoteCoreVms(const CoreContacts &C, Time Now);
+
 /// Chooses the core VMs that get an entry VM's next heartbeats: those of its
 /// region, and those that it doesn't know yet. They report this VM to the other
 /// regions and relay the proof that its items are current, so that the traffic
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -444,7 +444,7 @@
   logCoreContact(Now);
   logKeyProof();
   TeamTokens_.setHolders(coreVmsByDistance(Cores_, true, Now),
-                         coreVmsByDistance(Cores_, false, Now));
+                         remoteCoreVms(Cores_, Now));
   updateDispatcher();
   Dispatcher_.rebalance(RegionRates_, RebalancedAt_ == Time()
                                           ? TickInterval
--- a/lagoonpoint/src/Gateway/TeamTokens.cpp
+++ b/lagoonpoint/src/Gateway/TeamTokens.cpp
@@ -73,7 +73,8 @@
     if (Found == SuspectedUntil_.end() || Now >= Found->second)
       return Vm;
   }
-  return VmId();
+  // A slow answer is better than none: all of them may only be busy.
+  return Order.empty() ? VmId() : Order.front();
 }
 
 /// Requests tokens unless a request is outstanding.
--- a/lagoonpoint/src/Gateway/TeamTokens.h
+++ b/lagoonpoint/src/Gateway/TeamTokens.h
@@ -21,9 +21,9 @@
   /// \param Send sends a token request; must not block
   TeamTokens(const Clock &C, Sender Send) : Clock_(C), Send_(std::move(Send)) {}
 
-  /// Sets the core VMs in contact.
-  /// \param Local of this VM's region
-  /// \param Remote of other regions, the nearest first
+  /// Sets the core VMs that may grant tokens.
+  /// \param Local those in contact of this VM's region
+  /// \param Remote those of other regions, the nearest first
   void setHolders(std::vector<VmId> Local, std::vector<VmId> Remote);
 
   /// Counts a request for a service.
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -492,11 +492,15 @@
     CHECK(Targets(Start, Start) ==
           std::vector<VmId>{VmId("n1"), VmId("n2"), VmId("new")});
     CHECK_FALSE(C.Contacts_[VmId("s1")].Asked_);
+    // The others may still be asked for tokens, whenever they replied last.
+    CHECK(remoteCoreVms(C, Start + Duration::seconds(60)) ==
+          std::vector<VmId>{VmId("s1")});
   }
   SECTION("to all while no core VM of its region is in contact") {
     Time Later = Start + Duration::seconds(4);
     Reply("s1", "south", Later);
     CHECK(Targets(Later, Later) == All);
+    CHECK(remoteCoreVms(C, Later + Duration::seconds(4)).empty());
     SECTION("until one is again") {
       Reply("n2", "north", Later);
       CHECK(Targets(Later, Later).size() == 3);
--- a/test/TeamTokens.cpp
+++ b/test/TeamTokens.cpp
@@ -126,6 +126,18 @@
     E.grant(NextRequest, 1);
     CHECK_NOTHROW(Call.get());
   }
+  SECTION("core VMs that were all slow are asked again, instead of refusing at "
+          "once") {
+    E.Tokens_.setHolders({Request.first}, {});
+    E.Clock_.advance(Duration::millis(200));
+    auto Again = E.nextRequest();
+    CHECK(Again.first == Request.first);
+    E.grant(Again, 1);
+    CHECK_NOTHROW(Call.get());
+    Call = E.take(); // it is still suspected
+    E.grant(E.nextRequest(), 1);
+    CHECK_NOTHROW(Call.get());
+  }
   SECTION("without any answer, requests are refused as not ready") {
     E.Clock_.advance(Duration::millis(450));
     try {
