Correct three comments of Fleet

Cause: one named a type that doesn't exist, one had lost its line break, one constant's comment told of its use elsewhere. Change: comments only. Conclusion: no change of behaviour.

--- a/lagoonpoint/src/Fleet/CoreContacts.h
+++ b/lagoonpoint/src/Fleet/CoreContacts.h
@@ -49,7 +49,8 @@
 VmId nearestCoreVm(const CoreContacts &C, Time Now);
 
 /// \returns the core VMs of other regions that may answer, nearest first: those
-/// in contact, and those that are not asked for replies. \ingroup Fleet
+/// in contact, and those that don't get heartbeats now.
+/// \ingroup Fleet
 std::vector<VmId> remoteCoreVms(const CoreContacts &C, Time Now);
 
 /// Chooses the core VMs that get an entry VM's next heartbeats: those of its
--- a/lagoonpoint/src/Fleet/FleetMessage.h
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -46,7 +46,7 @@
 };
 
 /// Sent by core VMs to all core VMs, and by entry VMs to those of their region
-/// (see HeartbeatPlan). Leaves out what the receiver already has.
+/// (see heartbeatTargets()). Leaves out what the receiver already has.
 struct Heartbeat {
   std::uint64_t StartedAtMs_ = 0;     ///< start of the sender, Unix time in ms
   std::vector<NodeRecord> Self_;      ///< one, unless the receiver has it
--- a/lagoonpoint/src/Fleet/NodeRegistry.cpp
+++ b/lagoonpoint/src/Fleet/NodeRegistry.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Core VMs report once in this time. A reported VM stays live in between.
+/// Core VMs report once in this time.
 constexpr Duration ReportInterval = Duration::seconds(1);
 
 std::vector<const KnownNode *> listLiveNodes(const NodeRegistry &R, bool Core,
@@ -57,6 +57,7 @@
       Node = {};
       Node.Record_ = Report.Record_.front();
     }
+    // Keeps the VM live until the next report.
     Time HeardAt = Now - std::max(Report.Age_ - ReportInterval, Duration());
     if (HeardAt < Node.HeardAt_)
       continue;
