Measure the time that VMs spend on messages of each other

Logs and metrics could not tell the three hypotheses on the shortage apart. lagoonpoint_control_seconds shows the time by kind of message, lagoonpoint_upstream_updates_total the states computed for the choice of an upstream, the step vm.control a second in which messages took over a tenth of the time, and core.submit each verdict with its duration. No decision changes.

--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -2,6 +2,7 @@
 
 #include "lagoonpoint/Log"
 #include "lagoonpoint/Peer"
+#include "lagoonpoint/src/Gateway/ControlLoad.h"
 #include "lagoonpoint/src/Gateway/PeerRegistry.h"
 #include "lagoonpoint/src/Gateway/QuotaHolder.h"
 #include "lagoonpoint/src/Node/ChangeRouter.h"
@@ -88,7 +89,10 @@
         Host_(ReplicaSettings_, Clock_, Peers_,
               [this](const Catalog &C, const Change *) { onCatalogChange(C); }),
         Router_(Self_, seedVms(S), &Host_, Clock_, Peers_),
-        Ticker_("core.tick", TickInterval, [this] { tick(); }) {}
+        Ticker_("core.tick", TickInterval, [this] {
+          ControlLoad_.measure("tick", [this] { tick(); });
+          ControlLoad_.report();
+        }) {}
 
   void receive(Envelope Message);
   void onCatalogChange(const Catalog &C);
@@ -131,6 +135,7 @@
   const Time StartedAt_;
   const VmId Self_;
   MetricRegistry Metrics_;
+  ControlLoad ControlLoad_{Clock_, Metrics_};
   PeerTransport Peers_;
   PeerRegistry PeerRegistry_;
   QuotaHolder Quotas_;
@@ -176,20 +181,25 @@
   if (Message.Channel_ != Channel::Fleet)
     return;
   FleetMessage M = decodeFleetMessage(Message.Body_, Message.From_);
+  const VmId &From = Message.From_;
   if (const auto *H = std::get_if<Heartbeat>(&M))
-    onHeartbeat(Message.From_, *H);
+    ControlLoad_.measure("heartbeat", [&] { onHeartbeat(From, *H); });
   else if (const auto *Reply = std::get_if<HeartbeatReply>(&M))
-    onHeartbeatReply(Message.From_, *Reply);
+    ControlLoad_.measure("heartbeat_reply",
+                         [&] { onHeartbeatReply(From, *Reply); });
   else if (const auto *Batch = std::get_if<NoticeBatch>(&M))
-    onNotices(Message.From_, *Batch);
+    ControlLoad_.measure("notices", [&] { onNotices(From, *Batch); });
   else if (const auto *Ack = std::get_if<NoticeAck>(&M))
-    onNoticeAck(Message.From_, *Ack);
+    ControlLoad_.measure("notice_ack", [&] { onNoticeAck(From, *Ack); });
   else if (const auto *SyncRequest = std::get_if<NoticeSyncRequest>(&M))
-    onNoticeSyncRequest(Message.From_, *SyncRequest);
+    ControlLoad_.measure("notice_sync",
+                         [&] { onNoticeSyncRequest(From, *SyncRequest); });
   else if (const auto *SyncReply = std::get_if<NoticeSyncReply>(&M))
-    onNoticeSyncReply(Message.From_, *SyncReply);
+    ControlLoad_.measure("notice_sync",
+                         [&] { onNoticeSyncReply(From, *SyncReply); });
   else if (const auto *Request = std::get_if<TokenRequest>(&M))
-    onTokenRequest(Message.From_, *Request);
+    ControlLoad_.measure("token_request",
+                         [&] { onTokenRequest(From, *Request); });
 }
 
 void CoreVm::Impl::onCatalogChange(const Catalog &C) {
@@ -672,7 +682,15 @@
       return {ChangeVerdict::Accepted, Now->Revision_, "nothing newer"};
     Identified.Id_ = ChangeId("p" + sha256Hex(encode(C.Items_)));
   }
-  return Impl_->Router_.submit(Identified, Wait);
+  Time SubmittedAt = Impl_->Clock_.now();
+  ChangeReply Reply = Impl_->Router_.submit(Identified, Wait);
+  log({.Step_ = "core.submit",
+       .Message_ = "change " + Identified.Id_.str() + ": " +
+                   toString(Reply.Verdict_) + " after " +
+                   std::to_string((Impl_->Clock_.now() - SubmittedAt).count()) +
+                   " ms",
+       .Revision_ = Reply.Revision_});
+  return Reply;
 }
 
 AnnounceResult CoreVm::announce(const UpstreamNotice &Notice) {
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -2,6 +2,7 @@
 
 #include "lagoonpoint/Log"
 #include "lagoonpoint/Peer"
+#include "lagoonpoint/src/Gateway/ControlLoad.h"
 #include "lagoonpoint/src/Gateway/FleetCall.h"
 #include "lagoonpoint/src/Gateway/PeerRegistry.h"
 #include "lagoonpoint/src/Gateway/StopPlan.h"
@@ -127,7 +128,7 @@
         Peers_(
             fleetPeerOptions(S), [this](Envelope E) { receive(std::move(E)); },
             Clock_, [](const Error &E) { logError(E, LogLevel::Debug); }),
-        PeerRegistry_(S, Peers_), Dispatcher_(S, Clock_),
+        PeerRegistry_(S, Peers_), Dispatcher_(S, Clock_, Metrics_),
         TeamTokens_(Clock_,
                     [this](const VmId &To, const TokenRequest &Request) {
                       sendTo(To, Request);
@@ -140,7 +141,10 @@
                   [this] { return retryLimits(); },
                   [this](const TeamId &T) { TeamTokens_.returnToken(T); }},
         Server_(*this, CallerSettings_, Clock_, &Metrics_, std::move(D)),
-        Ticker_("entry.tick", TickInterval, [this] { tick(); }) {}
+        Ticker_("entry.tick", TickInterval, [this] {
+          ControlLoad_.measure("tick", [this] { tick(); });
+          ControlLoad_.report();
+        }) {}
 
   LookupReply lookup(const LookupQuery &) override {
     throw Refusal(RefusalReason::NoSuchRoute, Ran::No, "lookup",
@@ -183,6 +187,7 @@
   const std::uint64_t StartedAtMs_;
   const VmId Self_;
   MetricRegistry Metrics_;
+  ControlLoad ControlLoad_{Clock_, Metrics_};
   PeerTransport Peers_;
   PeerRegistry PeerRegistry_;
   SharedDispatcher Dispatcher_;
@@ -225,16 +230,20 @@
   if (Message.Channel_ != Channel::Fleet)
     return;
   FleetMessage M = decodeFleetMessage(Message.Body_, Message.From_);
+  const VmId &From = Message.From_;
   if (const auto *Reply = std::get_if<HeartbeatReply>(&M))
-    onHeartbeatReply(Message.From_, *Reply);
+    ControlLoad_.measure("heartbeat_reply",
+                         [&] { onHeartbeatReply(From, *Reply); });
   else if (const auto *Update = std::get_if<ItemUpdate>(&M))
-    onItems(*Update);
+    ControlLoad_.measure("items", [&] { onItems(*Update); });
   else if (const auto *Batch = std::get_if<NoticeBatch>(&M))
-    onNotices(Message.From_, *Batch);
+    ControlLoad_.measure("notices", [&] { onNotices(From, *Batch); });
   else if (const auto *SyncReply = std::get_if<NoticeSyncReply>(&M))
-    onNoticeSyncReply(Message.From_, *SyncReply);
+    ControlLoad_.measure("notice_sync",
+                         [&] { onNoticeSyncReply(From, *SyncReply); });
   else if (const auto *Grant = std::get_if<TokenGrant>(&M))
-    TeamTokens_.onGrant(Message.From_, *Grant);
+    ControlLoad_.measure("token_grant",
+                         [&] { TeamTokens_.onGrant(From, *Grant); });
 }
 
 void EntryVm::Impl::onHeartbeatReply(const VmId &From,
--- a/lagoonpoint/src/Gateway/SharedDispatcher.cpp
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.cpp
@@ -74,8 +74,9 @@
 
 } // namespace
 
-SharedDispatcher::SharedDispatcher(const FleetSettings &S, const Clock &C)
-    : Settings_(S), Clock_(C) {}
+SharedDispatcher::SharedDispatcher(const FleetSettings &S, const Clock &C,
+                                   MetricRegistry &Metrics)
+    : Settings_(S), Clock_(C), Metrics_(Metrics) {}
 
 SharedDispatcher::Shard *SharedDispatcher::findShard(const ServiceId &Service) {
   std::lock_guard Guard(Lock_);
@@ -141,6 +142,8 @@
   for (const auto &[Id, Known] : Fleet.Upstreams_.Upstreams_)
     if (Known.Notice_.Phase_ != NoticePhase::Gone)
       ByService[Known.Notice_.Service_].push_back(makeUpstream(Known, Fleet));
+  Metrics_.add(Metric::UpstreamUpdates, {},
+               static_cast<double>(Fleet.Upstreams_.Upstreams_.size()));
   for (auto &[Service, Upstreams] : ByService) {
     Shard &S = findOrCreateShard(Service);
     std::lock_guard Guard(S.Lock_);
--- a/lagoonpoint/src/Gateway/SharedDispatcher.h
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.h
@@ -3,6 +3,7 @@
 #include "lagoonpoint/Fleet"
 #include "lagoonpoint/Http"
 #include "lagoonpoint/Items"
+#include "lagoonpoint/Metrics"
 #include "lagoonpoint/Steering"
 
 #include <condition_variable>
@@ -45,7 +46,8 @@
 /// capacity wait in order of priority. Thread-safe, one lock per service.
 class SharedDispatcher {
 public:
-  SharedDispatcher(const FleetSettings &S, const Clock &C);
+  SharedDispatcher(const FleetSettings &S, const Clock &C,
+                   MetricRegistry &Metrics);
 
   /// Replaces the known upstreams of all services.
   void update(const FleetSnapshot &Fleet);
@@ -85,6 +87,7 @@
 
   const FleetSettings &Settings_;
   const Clock &Clock_;
+  MetricRegistry &Metrics_;
   const KeyedChoiceOptions Options_;
   std::mutex Lock_; ///< guards the map, not its shards
   std::map<ServiceId, std::unique_ptr<Shard>> Shards_;
--- a/lagoonpoint/src/Metrics/MetricTable.h
+++ b/lagoonpoint/src/Metrics/MetricTable.h
@@ -17,6 +17,8 @@
   Retries,
   InFlight,
   Connections,
+  ControlSeconds,
+  UpstreamUpdates,
   InvariantViolations,
 };
 
