Update only the upstreams that an announcement changes

Cause: EntryVm::onNotices computed the state of all 1,083 upstreams again for each message with a change, and hashed the names of all 273 entry VMs anew for each comparison of each cold upstream. While upstreams leave and are replaced, departures arrive one by one, some 70 a second: up to 6.3 ms each, of the 100 ms of processor time that an entry VM has in a second. Class of fault: the cost of one event grows with the fleet.

Change: the dispatcher replaces the changed upstreams only, and names are hashed once for all upstreams; which VM warms an upstream up stays the same. All are computed again twice a second, as before, for what depends on time.

The new test in test_FleetVms failed before (30,000 states computed for 100 departures, 732 allowed) and passes.

--- a/lagoonpoint/src/Core/util/StableHash.h
+++ b/lagoonpoint/src/Core/util/StableHash.h
@@ -5,9 +5,12 @@
 
 namespace lagoonpoint::internal {
 
+constexpr std::uint64_t StableHashOffset = 14695981039346656037ULL;
+
 /// FNV-1a hash, with the same result on every VM and in every build.
-constexpr std::uint64_t stableHash(std::string_view Text) {
-  std::uint64_t Hash = 14695981039346656037ULL;
+/// \param Hash hash of the text that precedes \p Text
+constexpr std::uint64_t stableHash(std::string_view Text,
+                                   std::uint64_t Hash = StableHashOffset) {
   for (char C : Text)
     Hash = (Hash ^ static_cast<unsigned char>(C)) * 1099511628211ULL;
   return Hash;
--- a/lagoonpoint/src/Fleet/UpstreamRegistry.cpp
+++ b/lagoonpoint/src/Fleet/UpstreamRegistry.cpp
@@ -116,6 +116,20 @@
   return Changed;
 }
 
+std::vector<UpstreamId> applyNotices(UpstreamRegistry &Registry,
+                                     const std::vector<UpstreamNotice> &Notices,
+                                     Time Now) {
+  std::vector<UpstreamId> Changed;
+  for (const UpstreamNotice &A : Notices) {
+    if (!applyNotice(Registry, A, Now))
+      continue;
+    for (const auto &[Id, Known] : Registry.Upstreams_)
+      if (Known.Notice_.Address_ == A.Address_)
+        Changed.push_back(Id);
+  }
+  return Changed;
+}
+
 void recordSighting(UpstreamRegistry &Registry, const UpstreamId &Id,
                     std::uint64_t Sequence, Duration Age, Time Now) {
   auto Found = Registry.Upstreams_.find(Id);
--- a/lagoonpoint/src/Fleet/UpstreamRegistry.h
+++ b/lagoonpoint/src/Fleet/UpstreamRegistry.h
@@ -35,6 +35,14 @@
 /// \returns true if it changes more than the time of the last announcement
 bool applyNotice(UpstreamRegistry &Registry, const UpstreamNotice &A, Time Now);
 
+/// Applies several announcements, as applyNotice().
+/// \ingroup Fleet
+/// \returns the upstreams that changed, and those that share an address with
+/// one of them; may contain an upstream more than once
+std::vector<UpstreamId> applyNotices(UpstreamRegistry &Registry,
+                                     const std::vector<UpstreamNotice> &Notices,
+                                     Time Now);
+
 /// Records that another VM heard from an upstream.
 /// \ingroup Fleet
 void recordSighting(UpstreamRegistry &Registry, const UpstreamId &Id,
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -164,6 +164,7 @@
   NodeRecord selfRecord() const;
   void sendHeartbeats(const std::vector<VmId> &Only = {});
   void sendTo(const VmId &To, const FleetMessage &M);
+  FleetSnapshot fleetSnapshot(const Configuration &C) const;
   void updateDispatcher();
   void markSilent(Time Now);
   void logCoreContact(Time Now);
@@ -329,21 +330,26 @@
 void EntryVm::Impl::onNotices(const VmId &From, const NoticeBatch &Batch) {
   {
     std::lock_guard Guard(Lock_);
-    bool Changed = false;
-    for (const UpstreamNotice &Notice : Batch.Notices_)
-      Changed |= lagoonpoint::applyNotice(Upstreams_, Notice, Clock_.now());
-    if (Changed)
-      updateDispatcher();
+    std::vector<UpstreamId> Changed =
+        applyNotices(Upstreams_, Batch.Notices_, Clock_.now());
+    auto C = current();
+    if (!Changed.empty())
+      Dispatcher_.update(fleetSnapshot(*C), Changed);
   }
   if (Batch.Number_ != 0)
     sendTo(From, NoticeAck{Batch.Number_});
 }
 
+/// Called with Lock_ held. Refers to this object and to \p C.
+FleetSnapshot EntryVm::Impl::fleetSnapshot(const Configuration &C) const {
+  return {Upstreams_, C.DrainedZones_, EntryVms_, C.Items_.Services_,
+          Clock_.now()};
+}
+
 /// Called with Lock_ held.
 void EntryVm::Impl::updateDispatcher() {
   auto C = current();
-  Dispatcher_.update({Upstreams_, C->DrainedZones_, EntryVms_,
-                      C->Items_.Services_, Clock_.now()});
+  Dispatcher_.update(fleetSnapshot(*C));
 }
 
 /// An upstream is silent if all live core VMs report it as silent.
--- a/lagoonpoint/src/Gateway/SharedDispatcher.cpp
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.cpp
@@ -34,26 +34,66 @@
                  "the service has no usable upstream", RetryAfterHint);
 }
 
-/// Carries over this VM's observations of the upstreams. Both lists are sorted
-/// by id.
+/// Carries over this VM's observations of an upstream, unless it was restarted.
+void carryOverObservations(const SharedUpstream &Old, SharedUpstream &New) {
+  if (Old.StartedAtMs_ != New.StartedAtMs_)
+    return;
+  New.ServiceSeconds_ = Old.ServiceSeconds_;
+  New.InFlight_ = Old.InFlight_;
+  New.OthersInFlight_ = Old.OthersInFlight_;
+  New.OthersReportedAt_ = Old.OthersReportedAt_;
+  New.UnansweredSince_ = Old.UnansweredSince_;
+  New.BackOffUntil_ = Old.BackOffUntil_;
+  New.ConsecutiveFailures_ = Old.ConsecutiveFailures_;
+  New.LastColdSendAt_ = Old.LastColdSendAt_;
+}
+
+/// Carries over the observations of all upstreams. Both lists are sorted by id.
 void carryOverObservations(const std::vector<SharedUpstream> &Previous,
                            std::vector<SharedUpstream> &Current) {
   auto Old = Previous.begin();
   for (SharedUpstream &New : Current) {
     while (Old != Previous.end() && Old->Id_ < New.Id_)
       ++Old;
-    if (Old == Previous.end() || Old->Id_ != New.Id_ ||
-        Old->StartedAtMs_ != New.StartedAtMs_)
-      continue;
-    New.ServiceSeconds_ = Old->ServiceSeconds_;
-    New.InFlight_ = Old->InFlight_;
-    New.OthersInFlight_ = Old->OthersInFlight_;
-    New.OthersReportedAt_ = Old->OthersReportedAt_;
-    New.UnansweredSince_ = Old->UnansweredSince_;
-    New.BackOffUntil_ = Old->BackOffUntil_;
-    New.ConsecutiveFailures_ = Old->ConsecutiveFailures_;
-    New.LastColdSendAt_ = Old->LastColdSendAt_;
+    if (Old != Previous.end() && Old->Id_ == New.Id_)
+      carryOverObservations(*Old, New);
+  }
+}
+
+/// \returns the position of an upstream in a sorted list, or where it would be
+/// inserted.
+std::vector<SharedUpstream>::iterator
+findPosition(std::vector<SharedUpstream> &Upstreams, const UpstreamId &Id) {
+  return std::lower_bound(
+      Upstreams.begin(), Upstreams.end(), Id,
+      [](const SharedUpstream &U, const UpstreamId &I) { return U.Id_ < I; });
+}
+
+/// \returns whether the list has changed.
+bool removeUpstream(std::vector<SharedUpstream> &Upstreams,
+                    const UpstreamId &Id) {
+  auto At = findPosition(Upstreams, Id);
+  if (At == Upstreams.end() || At->Id_ != Id)
+    return false;
+  Upstreams.erase(At);
+  return true;
+}
+
+void insertOrReplace(std::vector<SharedUpstream> &Upstreams, SharedUpstream U) {
+  auto At = findPosition(Upstreams, U.Id_);
+  if (At == Upstreams.end() || At->Id_ != U.Id_) {
+    Upstreams.insert(At, std::move(U));
+    return;
   }
+  carryOverObservations(*At, U);
+  *At = std::move(U);
+}
+
+/// \returns the calls per second that a cold upstream of a service can take.
+double warmupRate(const ItemMap<ServiceItem> &Services,
+                  const ServiceId &Service) {
+  const ServiceItem *Item = findItem(Services, Service.str());
+  return Item ? Item->WarmupRate_ : 0;
 }
 
 SharedOutcome sharedOutcomeOf(const TryReport &Report) {
@@ -78,6 +118,15 @@
                                    MetricRegistry &Metrics)
     : Settings_(S), Clock_(C), Metrics_(Metrics) {}
 
+std::vector<std::pair<ServiceId, SharedDispatcher::Shard *>>
+SharedDispatcher::shards() {
+  std::vector<std::pair<ServiceId, Shard *>> Out;
+  std::lock_guard Guard(Lock_);
+  for (const auto &[Service, Slot] : Shards_)
+    Out.push_back({Service, Slot.get()});
+  return Out;
+}
+
 SharedDispatcher::Shard *SharedDispatcher::findShard(const ServiceId &Service) {
   std::lock_guard Guard(Lock_);
   auto Found = Shards_.find(Service);
@@ -98,22 +147,39 @@
   return Found == Settings_.Zones_.end() ? RegionId() : Found->second;
 }
 
-/// \returns whether this VM is the one that warms up an upstream. All VMs that
-/// know the same entry VMs choose the same one.
-bool SharedDispatcher::warmsUp(const UpstreamId &Id,
-                               const std::vector<VmId> &EntryVms) const {
-  auto Weight = [&](const VmId &Vm) {
-    return internal::mixBits(internal::stableHash(Vm.str() + "~" + Id.str()));
-  };
-  auto Best = std::max_element(
-      EntryVms.begin(), EntryVms.end(),
-      [&](const VmId &A, const VmId &B) { return Weight(A) < Weight(B); });
-  return Best != EntryVms.end() && *Best == VmId(Settings_.Host_);
-}
+/// All VMs that know the same entry VMs choose the same one. Their names are
+/// hashed once for all upstreams.
+class SharedDispatcher::WarmupChoice {
+public:
+  explicit WarmupChoice(const std::vector<VmId> &EntryVms)
+      : EntryVms_(EntryVms) {
+    for (const VmId &Vm : EntryVms)
+      Hashes_.push_back(internal::stableHash(Vm.str() + "~"));
+  }
+
+  bool chooses(const VmId &Vm, const UpstreamId &Id) const {
+    std::size_t Best = 0;
+    std::uint64_t BestWeight = 0;
+    for (std::size_t Index = 0; Index < Hashes_.size(); ++Index) {
+      std::uint64_t Weight =
+          internal::mixBits(internal::stableHash(Id.str(), Hashes_[Index]));
+      if (Index != 0 && Weight <= BestWeight)
+        continue;
+      Best = Index;
+      BestWeight = Weight;
+    }
+    return !EntryVms_.empty() && EntryVms_[Best] == Vm;
+  }
+
+private:
+  const std::vector<VmId> &EntryVms_;
+  std::vector<std::uint64_t> Hashes_; ///< of the names, in the same order
+};
 
 SharedUpstream
 SharedDispatcher::makeUpstream(const KnownUpstream &Known,
-                               const FleetSnapshot &Fleet) const {
+                               const FleetSnapshot &Fleet,
+                               const WarmupChoice &Warmup) const {
   SharedUpstream U;
   U.Id_ = Known.Notice_.Id_;
   U.IdHash_ = rendezvousHash(U.Id_.str());
@@ -127,21 +193,20 @@
                  !Fleet.DrainedZones_.count(U.Zone_);
   U.Silent_ = Known.Silent_;
   U.WarmupEndsAt_ = Known.WarmupEndsAt_;
-  U.IsWarmedHere_ =
-      Fleet.Now_ < U.WarmupEndsAt_ && warmsUp(U.Id_, Fleet.EntryVms_);
+  U.IsWarmedHere_ = Fleet.Now_ < U.WarmupEndsAt_ &&
+                    Warmup.chooses(VmId(Settings_.Host_), U.Id_);
   return U;
 }
 
 void SharedDispatcher::update(const FleetSnapshot &Fleet) {
+  const WarmupChoice Warmup(Fleet.EntryVms_);
   std::map<ServiceId, std::vector<SharedUpstream>> ByService;
-  {
-    std::lock_guard Guard(Lock_);
-    for (const auto &[Service, Slot] : Shards_)
-      ByService[Service];
-  }
+  for (const auto &[Service, S] : shards())
+    ByService[Service];
   for (const auto &[Id, Known] : Fleet.Upstreams_.Upstreams_)
     if (Known.Notice_.Phase_ != NoticePhase::Gone)
-      ByService[Known.Notice_.Service_].push_back(makeUpstream(Known, Fleet));
+      ByService[Known.Notice_.Service_].push_back(
+          makeUpstream(Known, Fleet, Warmup));
   Metrics_.add(Metric::UpstreamUpdates, {},
                static_cast<double>(Fleet.Upstreams_.Upstreams_.size()));
   for (auto &[Service, Upstreams] : ByService) {
@@ -149,8 +214,33 @@
     std::lock_guard Guard(S.Lock_);
     carryOverObservations(S.Group_.Upstreams_, Upstreams);
     S.Group_.Upstreams_ = std::move(Upstreams);
-    const ServiceItem *Item = findItem(Fleet.Services_, Service.str());
-    S.Group_.WarmupRate_ = Item ? Item->WarmupRate_ : 0;
+    S.Group_.WarmupRate_ = warmupRate(Fleet.Services_, Service);
+    S.Changed_.notify_all();
+  }
+}
+
+void SharedDispatcher::update(const FleetSnapshot &Fleet,
+                              const std::vector<UpstreamId> &Changed) {
+  const WarmupChoice Warmup(Fleet.EntryVms_);
+  Metrics_.add(Metric::UpstreamUpdates, {},
+               static_cast<double>(Changed.size()));
+  for (const UpstreamId &Id : Changed) {
+    auto Found = Fleet.Upstreams_.Upstreams_.find(Id);
+    bool IsKnown = Found != Fleet.Upstreams_.Upstreams_.end() &&
+                   Found->second.Notice_.Phase_ != NoticePhase::Gone;
+    ServiceId Service = IsKnown ? Found->second.Notice_.Service_ : ServiceId();
+    for (const auto &[Other, S] : shards()) {
+      std::lock_guard Guard(S->Lock_);
+      if (Other != Service && removeUpstream(S->Group_.Upstreams_, Id))
+        S->Changed_.notify_all();
+    }
+    if (!IsKnown)
+      continue;
+    Shard &S = findOrCreateShard(Service);
+    std::lock_guard Guard(S.Lock_);
+    insertOrReplace(S.Group_.Upstreams_,
+                    makeUpstream(Found->second, Fleet, Warmup));
+    S.Group_.WarmupRate_ = warmupRate(Fleet.Services_, Service);
     S.Changed_.notify_all();
   }
 }
@@ -169,13 +259,7 @@
   // The limit holds for a window of two seconds. Only half of it is used per
   // window, because windows are not aligned.
   double MaxMoved = Settings_.MaxRegionShift_ / 4 * Elapsed.inSeconds();
-  std::vector<std::pair<ServiceId, Shard *>> All;
-  {
-    std::lock_guard Guard(Lock_);
-    for (const auto &[Service, Slot] : Shards_)
-      All.push_back({Service, Slot.get()});
-  }
-  for (const auto &[Service, S] : All) {
+  for (const auto &[Service, S] : shards()) {
     std::map<RegionId, double> DemandRates;
     for (const auto &[Zone, Region] : Settings_.Zones_)
       DemandRates[Region];
--- a/lagoonpoint/src/Gateway/SharedDispatcher.h
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.h
@@ -51,6 +51,10 @@
 
   /// Replaces the known upstreams of all services.
   void update(const FleetSnapshot &Fleet);
+  /// Replaces some upstreams. Others are not looked at, so that the cost of an
+  /// announcement does not grow with the number of upstreams.
+  void update(const FleetSnapshot &Fleet,
+              const std::vector<UpstreamId> &Changed);
   /// Moves the regions' shares towards the targets that follow from demand and
   /// slots.
   /// \param RegionRates requests per second by region and service
@@ -75,14 +79,18 @@
     std::map<unsigned, unsigned> Waiting_; ///< calls by priority
   };
 
+  /// Chooses the VM that warms up an upstream.
+  class WarmupChoice;
+
+  std::vector<std::pair<ServiceId, Shard *>> shards();
   Shard *findShard(const ServiceId &Service);
   Shard &findOrCreateShard(const ServiceId &Service);
   RegionId regionOf(const ZoneId &Zone) const;
   KeyedRequest makeKeyedRequest(const Shard &S,
                                 const SharedDispatchRequest &Request) const;
   SharedUpstream makeUpstream(const KnownUpstream &Known,
-                              const FleetSnapshot &Fleet) const;
-  bool warmsUp(const UpstreamId &Id, const std::vector<VmId> &EntryVms) const;
+                              const FleetSnapshot &Fleet,
+                              const WarmupChoice &Warmup) const;
   std::map<RegionId, double> slotsOf(const SharedGroup &G) const;
 
   const FleetSettings &Settings_;
--- a/test/FleetVms.cpp
+++ b/test/FleetVms.cpp
@@ -143,6 +143,16 @@
   return A;
 }
 
+constexpr const char *UpdatesMetric = "lagoonpoint_upstream_updates_total ";
+
+/// \returns the value of a counter without labels, 0 if it was never counted.
+double counter(EntryVm &Vm, const std::string &Name) {
+  std::string Text = "\n" + Vm.metrics().text();
+  std::size_t At = Text.find("\n" + Name);
+  return At == std::string::npos ? 0
+                                 : std::stod(Text.substr(At + 1 + Name.size()));
+}
+
 } // namespace
 
 TEST_CASE("A fleet bootstraps from its seeds and serves requests") {
@@ -263,3 +273,38 @@
     Stop.join();
   }
 }
+
+TEST_CASE("Departures that come in series cost an entry VM work for each "
+          "departure, not for each known upstream") {
+  constexpr int Upstreams = 300;
+  constexpr int Departures = 100;
+  constexpr Duration RefreshInterval = Duration::millis(500); // as in EntryVm
+  TestFleet Fleet;
+  REQUIRE(Fleet.apply(items(1, {"key-one"})).Verdict_ ==
+          ChangeVerdict::Accepted);
+  auto Numbered = [](int N, NoticePhase Phase, std::uint64_t Sequence) {
+    UpstreamNotice A =
+        notice(static_cast<unsigned short>(N + 1), Phase, Sequence);
+    A.Id_ = UpstreamId("i" + std::to_string(N));
+    return A;
+  };
+  auto Updates = [&] { return counter(*Fleet.Entry_, UpdatesMetric); };
+  for (int N = 0; N < Upstreams; ++N)
+    Fleet.Cores_[0]->announce(Numbered(N, NoticePhase::Serving, 1));
+  // A refresh that covers all upstreams shows that all have arrived.
+  REQUIRE(eventually([&] {
+    double Before = Updates();
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    return Updates() - Before >= Upstreams;
+  }));
+
+  SystemClock C;
+  Time StartedAt = C.now();
+  double Before = Updates();
+  for (int N = 0; N < Departures; ++N)
+    REQUIRE(Fleet.Cores_[0]->announce(Numbered(N, NoticePhase::Leaving, 2)) ==
+            AnnounceResult::Accepted);
+  double Refreshes =
+      (C.now() - StartedAt).inSeconds() / RefreshInterval.inSeconds() + 2;
+  CHECK(Updates() - Before <= Departures + Refreshes * Upstreams);
+}
