Wake a waiting departure once, when its last confirmation arrives

What operators saw: a leaving upstream waited 0.7 s too long for its acknowledgement on the large site.

Cause: each of 273 confirmations of a departure woke all threads that wait for one, and each of them built the set of entry VMs in contact again and searched all departures of the last 30 s. The work of a core VM grows with the square of the departures under way.

Change: a departure keeps the confirmations that it awaits, by number.

test_Fleet has the new cases (the last confirmation ends the wait, repeated and foreign ones don't, a VM that joins is awaited); the functions are new, so that they can't fail on the old code. test_FleetVms and test_FleetScale pass.

--- a/lagoonpoint/src/Fleet/Departures.cpp
+++ b/lagoonpoint/src/Fleet/Departures.cpp
@@ -1,6 +1,7 @@
 #include "lagoonpoint/src/Fleet/Departures.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace lagoonpoint {
 
@@ -18,28 +19,40 @@
   std::erase_if(D.Departures_, [&](const auto &Entry) {
     return Now - Entry.second.AnnouncedAt_ > DepartureRetention;
   });
-  auto [Found, New] = D.Departures_.try_emplace(
-      {Notice.Id_, Notice.StartedAtMs_, Notice.Phase_});
+  std::erase_if(D.Numbers_, [&](const auto &Entry) {
+    return !D.Departures_.count(Entry.second);
+  });
+  auto [Found, New] =
+      D.Numbers_.try_emplace({Notice.Id_, Notice.StartedAtMs_, Notice.Phase_});
   if (New)
-    Found->second.Number_ = ++D.LastNumber_;
-  Found->second.AnnouncedAt_ = Now;
-  return Found->second.Number_;
+    Found->second = ++D.LastNumber_;
+  D.Departures_[Found->second].AnnouncedAt_ = Now;
+  return Found->second;
 }
 
-void confirmDeparture(Departures &D, const VmId &From, std::uint64_t Number) {
-  for (auto &[Key, Departure] : D.Departures_)
-    if (Departure.Number_ == Number)
-      Departure.Confirmed_.insert(From);
+bool confirmDeparture(Departures &D, const VmId &From, std::uint64_t Number) {
+  auto Found = D.Departures_.find(Number);
+  if (Found == D.Departures_.end())
+    return false;
+  Departures::Departure &Departure = Found->second;
+  Departure.Confirmed_.insert(From);
+  return Departure.Awaited_.erase(From) != 0 && Departure.Awaited_.empty();
 }
 
-std::set<VmId> unconfirmed(const Departures &D, std::uint64_t Number,
-                           const std::set<VmId> &Needed) {
-  std::set<VmId> Out = Needed;
-  for (const auto &[Key, Departure] : D.Departures_)
-    if (Departure.Number_ == Number)
-      for (const VmId &Vm : Departure.Confirmed_)
-        Out.erase(Vm);
-  return Out;
+std::set<VmId> awaitConfirmations(Departures &D, std::uint64_t Number,
+                                  const std::set<VmId> &Needed) {
+  Departures::Departure &Departure = D.Departures_[Number];
+  Departure.Awaited_.clear();
+  std::set_difference(
+      Needed.begin(), Needed.end(), Departure.Confirmed_.begin(),
+      Departure.Confirmed_.end(),
+      std::inserter(Departure.Awaited_, Departure.Awaited_.end()));
+  return Departure.Awaited_;
+}
+
+bool isConfirmed(const Departures &D, std::uint64_t Number) {
+  auto Found = D.Departures_.find(Number);
+  return Found == D.Departures_.end() || Found->second.Awaited_.empty();
 }
 
 std::set<VmId> entryVmsToConfirm(const NodeRegistry &R, const RegionId &Own,
--- a/lagoonpoint/src/Fleet/Departures.h
+++ b/lagoonpoint/src/Fleet/Departures.h
@@ -18,11 +18,12 @@
 struct Departures {
   using Key = std::tuple<UpstreamId, std::uint64_t, NoticePhase>;
   struct Departure {
-    std::uint64_t Number_ = 0; ///< in NoticeBatch and NoticeAck
     std::set<VmId> Confirmed_;
-    Time AnnouncedAt_; ///< last time
+    std::set<VmId> Awaited_; ///< see awaitConfirmations()
+    Time AnnouncedAt_;       ///< last time
   };
-  std::map<Key, Departure> Departures_;
+  std::map<Key, std::uint64_t> Numbers_; ///< in NoticeBatch and NoticeAck
+  std::map<std::uint64_t, Departure> Departures_; ///< by number
   std::uint64_t LastNumber_ = 0;
 };
 
@@ -32,14 +33,21 @@
 std::uint64_t beginDeparture(Departures &D, const UpstreamNotice &Notice,
                              Time Now);
 
-/// Records an entry VM's confirmation. Ignores unknown numbers.
+/// Records an entry VM's confirmation. Ignores unknown numbers. The cost does
+/// not grow with the fleet, because every entry VM confirms every departure.
+/// \returns true if it was the last one that was awaited
 /// \ingroup Fleet
-void confirmDeparture(Departures &D, const VmId &From, std::uint64_t Number);
+bool confirmDeparture(Departures &D, const VmId &From, std::uint64_t Number);
 
-/// \returns the entry VMs among \p Needed that have not confirmed.
+/// Awaits the confirmations of those of \p Needed that have not confirmed.
+/// \returns these entry VMs
 /// \ingroup Fleet
-std::set<VmId> unconfirmed(const Departures &D, std::uint64_t Number,
-                           const std::set<VmId> &Needed);
+std::set<VmId> awaitConfirmations(Departures &D, std::uint64_t Number,
+                                  const std::set<VmId> &Needed);
+
+/// \returns whether no awaited confirmation is missing.
+/// \ingroup Fleet
+bool isConfirmed(const Departures &D, std::uint64_t Number);
 
 /// \returns the entry VMs that must confirm a departure: those that are live
 /// and, where no core VM of their region is live any more, those that one
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -425,8 +425,8 @@
 
 void CoreVm::Impl::onNoticeAck(const VmId &From, const NoticeAck &Ack) {
   std::lock_guard Guard(Lock_);
-  confirmDeparture(Departures_, From, Ack.Number_);
-  Confirmed_.notify_all();
+  if (confirmDeparture(Departures_, From, Ack.Number_))
+    Confirmed_.notify_all();
 }
 
 void CoreVm::Impl::onTokenRequest(const VmId &From,
@@ -533,20 +533,22 @@
   std::vector<VmId> Cores = PeerRegistry_.coreVms();
   std::unique_lock Guard(Lock_);
   std::uint64_t Number = beginDeparture(Departures_, Notice, Clock_.now());
-  auto Missing = [&] {
-    return unconfirmed(Departures_, Number, entryVmsInContact(Clock_.now()));
+  auto AwaitAll = [&] {
+    return awaitConfirmations(Departures_, Number,
+                              entryVmsInContact(Clock_.now()));
   };
-  std::set<VmId> To = Missing();
+  std::set<VmId> To = AwaitAll();
   To.insert(Cores.begin(), Cores.end());
   bool AllConfirmed = false;
   while (!AllConfirmed && Clock_.now() < Deadline) {
     Guard.unlock();
     sendNotice(Number, Notice, To);
     Guard.lock();
-    AllConfirmed = Confirmed_.wait_for(
-        Guard, std::chrono::milliseconds(ConfirmRetryInterval.count()),
-        [&] { return Missing().empty(); });
-    To = Missing();
+    Confirmed_.wait_for(Guard,
+                        std::chrono::milliseconds(ConfirmRetryInterval.count()),
+                        [&] { return isConfirmed(Departures_, Number); });
+    To = AwaitAll(); // VMs may have joined or fallen silent
+    AllConfirmed = To.empty();
   }
   if (!AllConfirmed)
     log({.Level_ = LogLevel::Warning,
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -639,20 +639,39 @@
   std::uint64_t Number = beginDeparture(D, Leaving, Start);
   std::set<VmId> Needed{VmId("e1"), VmId("e2")};
   confirmDeparture(D, VmId("e1"), Number);
-  CHECK(unconfirmed(D, Number, Needed) == std::set<VmId>{VmId("e2")});
-
+  CHECK(awaitConfirmations(D, Number, Needed) == std::set<VmId>{VmId("e2")});
+  CHECK_FALSE(isConfirmed(D, Number));
+
+  SECTION("and only the last of these ends the wait") {
+    Needed.insert(VmId("e3"));
+    CHECK(awaitConfirmations(D, Number, Needed).size() == 2);
+    CHECK_FALSE(confirmDeparture(D, VmId("e2"), Number));
+    CHECK_FALSE(confirmDeparture(D, VmId("e2"), Number)); // repeated
+    CHECK_FALSE(confirmDeparture(D, VmId("e9"), Number)); // not awaited
+    CHECK_FALSE(isConfirmed(D, Number));
+    CHECK(confirmDeparture(D, VmId("e3"), Number));
+    CHECK(isConfirmed(D, Number));
+  }
+  SECTION("also of one that joined meanwhile") {
+    CHECK(confirmDeparture(D, VmId("e2"), Number));
+    Needed.insert(VmId("e4"));
+    CHECK(awaitConfirmations(D, Number, Needed) == std::set<VmId>{VmId("e4")});
+    CHECK_FALSE(isConfirmed(D, Number));
+  }
   SECTION("of which a late one counts for the repeated announcement") {
     confirmDeparture(D, VmId("e2"), Number);
     ++Leaving.Sequence_;
     Time Later = Start + Duration::seconds(1);
     CHECK(beginDeparture(D, Leaving, Later) == Number);
-    CHECK(unconfirmed(D, Number, Needed).empty());
+    CHECK(awaitConfirmations(D, Number, Needed).empty());
   }
   SECTION("but not for the end of the upstream, or its next process") {
     Leaving.Phase_ = NoticePhase::Gone;
-    CHECK(unconfirmed(D, beginDeparture(D, Leaving, Start), Needed) == Needed);
+    CHECK(awaitConfirmations(D, beginDeparture(D, Leaving, Start), Needed) ==
+          Needed);
     Leaving.StartedAtMs_ = 60;
-    CHECK(unconfirmed(D, beginDeparture(D, Leaving, Start), Needed) == Needed);
+    CHECK(awaitConfirmations(D, beginDeparture(D, Leaving, Start), Needed) ==
+          Needed);
   }
   SECTION("and is forgotten in the end") {
     Time Later = Start + Duration::seconds(31);
