Keep all entry VMs together to the limit that an upstream states

Cause: nothing read the field. Class of fault: a word of an upstream about itself that the decisions never see.

Each VM holds its part (Steering/StatedLimit), by the live entry VMs that it knows last: while one request of each VM at once is within the tolerance (6 L + 5 in 4 s), each gets an equal part; in larger fleets the first 1.5 L + 4 by a ranking that all VMs agree on do, and the others may send one request now and then, one VM after the other, to learn that the limit has ended. A VM begins with no token. A response to a request from before the last statement doesn't end a limit, as it may be older.

--- a/lagoonpoint/src/Gateway/FleetCall.cpp
+++ b/lagoonpoint/src/Gateway/FleetCall.cpp
@@ -89,6 +89,11 @@
                                          tryResultLabel(Report.Result_)});
 }
 
+void FleetCall::recordStatement(const UpstreamStatement &Statement) {
+  Services_.Dispatcher_.recordStatement(Admission_.Route_.Service_, Slot_,
+                                        Statement);
+}
+
 bool FleetCall::recordTry(const TryReport &Report) {
   releaseSlot(Report);
   Time Now = Services_.Clock_.now();
--- a/lagoonpoint/src/Gateway/FleetCall.h
+++ b/lagoonpoint/src/Gateway/FleetCall.h
@@ -55,6 +55,7 @@
   }
   std::optional<StoredResponse> storedResponse() override { return {}; }
   CallTarget nextTarget() override;
+  void recordStatement(const UpstreamStatement &Statement) override;
   bool recordTry(const TryReport &Report) override;
   void storeResponse(const StoredResponse &) override {}
 
--- a/lagoonpoint/src/Gateway/SharedDispatcher.cpp
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.cpp
@@ -1,6 +1,6 @@
 #include "lagoonpoint/src/Gateway/SharedDispatcher.h"
 
-#include "lagoonpoint/src/Core/util/StableHash.h"
+#include "lagoonpoint/Log"
 
 #include <algorithm>
 #include <chrono>
@@ -46,6 +46,7 @@
   New.BackOffUntil_ = Old.BackOffUntil_;
   New.ConsecutiveFailures_ = Old.ConsecutiveFailures_;
   New.LastColdSendAt_ = Old.LastColdSendAt_;
+  New.Limit_ = Old.Limit_;
 }
 
 /// Carries over the observations of all upstreams. Both lists are sorted by id.
@@ -116,7 +117,7 @@
 
 SharedDispatcher::SharedDispatcher(const FleetSettings &S, const Clock &C,
                                    MetricRegistry &Metrics)
-    : Settings_(S), Clock_(C), Metrics_(Metrics) {}
+    : Settings_(S), Self_(S.Host_), Clock_(C), Metrics_(Metrics) {}
 
 std::vector<std::pair<ServiceId, SharedDispatcher::Shard *>>
 SharedDispatcher::shards() {
@@ -147,39 +148,26 @@
   return Found == Settings_.Zones_.end() ? RegionId() : Found->second;
 }
 
-/// All VMs that know the same entry VMs choose the same one. Their names are
-/// hashed once for all upstreams.
-class SharedDispatcher::WarmupChoice {
-public:
-  explicit WarmupChoice(const std::vector<VmId> &EntryVms)
-      : EntryVms_(EntryVms) {
-    for (const VmId &Vm : EntryVms)
-      Hashes_.push_back(internal::stableHash(Vm.str() + "~"));
-  }
+std::shared_ptr<const VmRanking>
+SharedDispatcher::updateRanking(const std::vector<VmId> &EntryVms) {
+  std::lock_guard Guard(Lock_);
+  if (Ranking_->vms() != EntryVms)
+    Ranking_ = std::make_shared<VmRanking>(EntryVms);
+  return Ranking_;
+}
 
-  bool chooses(const VmId &Vm, const UpstreamId &Id) const {
-    std::size_t Best = 0;
-    std::uint64_t BestWeight = 0;
-    for (std::size_t Index = 0; Index < Hashes_.size(); ++Index) {
-      std::uint64_t Weight =
-          internal::mixBits(internal::stableHash(Id.str(), Hashes_[Index]));
-      if (Index != 0 && Weight <= BestWeight)
-        continue;
-      Best = Index;
-      BestWeight = Weight;
-    }
-    return !EntryVms_.empty() && EntryVms_[Best] == Vm;
+LimitSharer SharedDispatcher::limitSharer(const UpstreamId &Id) {
+  std::shared_ptr<const VmRanking> Ranking;
+  {
+    std::lock_guard Guard(Lock_);
+    Ranking = Ranking_;
   }
+  return Ranking->sharer(Self_, Id);
+}
 
-private:
-  const std::vector<VmId> &EntryVms_;
-  std::vector<std::uint64_t> Hashes_; ///< of the names, in the same order
-};
-
-SharedUpstream
-SharedDispatcher::makeUpstream(const KnownUpstream &Known,
-                               const FleetSnapshot &Fleet,
-                               const WarmupChoice &Warmup) const {
+SharedUpstream SharedDispatcher::makeUpstream(const KnownUpstream &Known,
+                                              const FleetSnapshot &Fleet,
+                                              const VmRanking &Ranking) const {
   SharedUpstream U;
   U.Id_ = Known.Notice_.Id_;
   U.IdHash_ = rendezvousHash(U.Id_.str());
@@ -193,35 +181,42 @@
                  !Fleet.DrainedZones_.count(U.Zone_);
   U.Silent_ = Known.Silent_;
   U.WarmupEndsAt_ = Known.WarmupEndsAt_;
-  U.IsWarmedHere_ = Fleet.Now_ < U.WarmupEndsAt_ &&
-                    Warmup.chooses(VmId(Settings_.Host_), U.Id_);
+  U.IsWarmedHere_ =
+      Fleet.Now_ < U.WarmupEndsAt_ && Ranking.isFirst(Self_, U.Id_);
   return U;
 }
 
 void SharedDispatcher::update(const FleetSnapshot &Fleet) {
-  const WarmupChoice Warmup(Fleet.EntryVms_);
+  std::shared_ptr<const VmRanking> Ranking = updateRanking(Fleet.EntryVms_);
   std::map<ServiceId, std::vector<SharedUpstream>> ByService;
   for (const auto &[Service, S] : shards())
     ByService[Service];
   for (const auto &[Id, Known] : Fleet.Upstreams_.Upstreams_)
     if (Known.Notice_.Phase_ != NoticePhase::Gone)
       ByService[Known.Notice_.Service_].push_back(
-          makeUpstream(Known, Fleet, Warmup));
+          makeUpstream(Known, Fleet, *Ranking));
   Metrics_.add(Metric::UpstreamUpdates, {},
                static_cast<double>(Fleet.Upstreams_.Upstreams_.size()));
+  double Limited = 0;
   for (auto &[Service, Upstreams] : ByService) {
     Shard &S = findOrCreateShard(Service);
     std::lock_guard Guard(S.Lock_);
     carryOverObservations(S.Group_.Upstreams_, Upstreams);
     S.Group_.Upstreams_ = std::move(Upstreams);
+    for (SharedUpstream &U : S.Group_.Upstreams_)
+      if (U.Limit_) {
+        applySharer(*U.Limit_, Ranking->sharer(Self_, U.Id_), Fleet.Now_);
+        ++Limited;
+      }
     S.Group_.WarmupRate_ = warmupRate(Fleet.Services_, Service);
     S.Changed_.notify_all();
   }
+  Metrics_.set(Metric::UpstreamsHeld, {"limit"}, Limited);
 }
 
 void SharedDispatcher::update(const FleetSnapshot &Fleet,
                               const std::vector<UpstreamId> &Changed) {
-  const WarmupChoice Warmup(Fleet.EntryVms_);
+  std::shared_ptr<const VmRanking> Ranking = updateRanking(Fleet.EntryVms_);
   Metrics_.add(Metric::UpstreamUpdates, {},
                static_cast<double>(Changed.size()));
   for (const UpstreamId &Id : Changed) {
@@ -239,7 +234,7 @@
     Shard &S = findOrCreateShard(Service);
     std::lock_guard Guard(S.Lock_);
     insertOrReplace(S.Group_.Upstreams_,
-                    makeUpstream(Found->second, Fleet, Warmup));
+                    makeUpstream(Found->second, Fleet, *Ranking));
     S.Group_.WarmupRate_ = warmupRate(Fleet.Services_, Service);
     S.Changed_.notify_all();
   }
@@ -316,7 +311,7 @@
       double InFlight = estimatedInFlight(*U, Options_, Now);
       reserve(*U, Now);
       StopWaiting();
-      return {{U->Id_, {}, U->Address_}, InFlight};
+      return {{U->Id_, {}, U->Address_}, InFlight, Now};
     }
     if (Now >= Request.WaitUntil_) {
       StopWaiting();
@@ -331,6 +326,31 @@
   }
 }
 
+void SharedDispatcher::recordStatement(const ServiceId &Service,
+                                       const SharedSlot &Slot,
+                                       const UpstreamStatement &Statement) {
+  Shard *S = findShard(Service);
+  if (!S)
+    return;
+  const UpstreamId &Id = Slot.Target_.Upstream_;
+  LimitSharer Sharer = limitSharer(Id);
+  std::lock_guard Guard(S->Lock_);
+  auto At = findPosition(S->Group_.Upstreams_, Id);
+  if (At == S->Group_.Upstreams_.end() || At->Id_ != Id)
+    return;
+  if (!applyStatement(At->Limit_, Statement.RequestsPerSecond_, Sharer,
+                      Slot.AcquiredAt_, Clock_.now()))
+    return;
+  log({.Step_ = "upstream.limit",
+       .Message_ =
+           At->Limit_ ? "limited to " + std::to_string(At->Limit_->PerSecond_) +
+                            " requests/s of all VMs, of which " +
+                            std::to_string(At->Limit_->Part_.PerSecond_) +
+                            " from this one"
+                      : std::string("no limit any more"),
+       .Peer_ = Id.str()});
+}
+
 void SharedDispatcher::release(const ServiceId &Service, const SharedSlot &Slot,
                                const TryReport &Report) {
   Shard *S = findShard(Service);
--- a/lagoonpoint/src/Gateway/SharedDispatcher.h
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.h
@@ -5,6 +5,7 @@
 #include "lagoonpoint/Items"
 #include "lagoonpoint/Metrics"
 #include "lagoonpoint/Steering"
+#include "lagoonpoint/src/Gateway/VmRanking.h"
 
 #include <condition_variable>
 #include <map>
@@ -29,6 +30,7 @@
 struct SharedSlot {
   CallTarget Target_;
   double InFlightAtSend_ = 0; ///< expected load before this try
+  Time AcquiredAt_;
 };
 
 /// The fleet's state as the dispatcher needs it; refers to data of the caller.
@@ -65,6 +67,9 @@
   /// Reserves an upstream.
   /// \throws Refusal if none has free capacity in time
   SharedSlot acquire(const SharedDispatchRequest &Request);
+  /// Records what the upstream of a try states about itself.
+  void recordStatement(const ServiceId &Service, const SharedSlot &Slot,
+                       const UpstreamStatement &Statement);
   /// Releases the slot of a try and records its outcome.
   void release(const ServiceId &Service, const SharedSlot &Slot,
                const TryReport &Report);
@@ -79,9 +84,6 @@
     std::map<unsigned, unsigned> Waiting_; ///< calls by priority
   };
 
-  /// Chooses the VM that warms up an upstream.
-  class WarmupChoice;
-
   std::vector<std::pair<ServiceId, Shard *>> shards();
   Shard *findShard(const ServiceId &Service);
   Shard &findOrCreateShard(const ServiceId &Service);
@@ -90,15 +92,21 @@
                                 const SharedDispatchRequest &Request) const;
   SharedUpstream makeUpstream(const KnownUpstream &Known,
                               const FleetSnapshot &Fleet,
-                              const WarmupChoice &Warmup) const;
+                              const VmRanking &Ranking) const;
+  std::shared_ptr<const VmRanking>
+  updateRanking(const std::vector<VmId> &EntryVms);
+  LimitSharer limitSharer(const UpstreamId &Id);
   std::map<RegionId, double> slotsOf(const SharedGroup &G) const;
 
   const FleetSettings &Settings_;
+  const VmId Self_;
   const Clock &Clock_;
   MetricRegistry &Metrics_;
   const KeyedChoiceOptions Options_;
-  std::mutex Lock_; ///< guards the map, not its shards
+  std::mutex Lock_; ///< guards what follows, but not the shards themselves
   std::map<ServiceId, std::unique_ptr<Shard>> Shards_;
+  std::shared_ptr<const VmRanking> Ranking_ =
+      std::make_shared<VmRanking>(std::vector<VmId>());
 };
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Http/CallerPort.h
+++ b/lagoonpoint/src/Http/CallerPort.h
@@ -65,6 +65,12 @@
   unsigned Slots_ = 0;
 };
 
+/// What an upstream states about itself in the head of a response.
+struct UpstreamStatement {
+  /// Rate that it accepts from all VMs together; none if it states no limit.
+  std::optional<double> RequestsPerSecond_;
+};
+
 /// The listener's report on one try.
 struct TryReport {
   TryResult Result_ = TryResult::Answered;
@@ -109,6 +115,10 @@
   /// \throws Refusal if the call must end
   virtual CallTarget nextTarget() = 0;
 
+  /// Records what the upstream of the current try states about itself. Called
+  /// when the head of its response has arrived, before the caller gets it.
+  virtual void recordStatement(const UpstreamStatement &) {}
+
   /// Records the outcome of a try and releases its slot.
   /// \returns true if the call may be tried again
   virtual bool recordTry(const TryReport &Report) = 0;
--- a/lagoonpoint/src/Http/Dialect.h
+++ b/lagoonpoint/src/Http/Dialect.h
@@ -21,6 +21,9 @@
   std::string Team_;     ///< caller's team; empty: not sent
   std::string Affinity_; ///< affinity key of the call; empty: not read
   std::string Load_;     ///< load in an upstream's response; empty: not read
+  /// Rate that an upstream accepts from all VMs together, in its response;
+  /// empty: not read.
+  std::string RequestLimit_;
   /// The caller sets the request id. It is forwarded, and an upstream's
   /// response must carry it. Otherwise this VM generates the id.
   bool CallerSetsRequestId_ = false;
--- a/lagoonpoint/src/Http/util/Forwarding.cpp
+++ b/lagoonpoint/src/Http/util/Forwarding.cpp
@@ -1,5 +1,6 @@
 #include "lagoonpoint/src/Http/util/Forwarding.h"
 
+#include "lagoonpoint/Log"
 #include "lagoonpoint/src/Http/util/Hop.h"
 #include "lagoonpoint/src/Http/util/JsonService.h"
 
@@ -7,6 +8,8 @@
 #include <Poco/String.h>
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <initializer_list>
 #include <string_view>
@@ -18,6 +21,7 @@
 constexpr std::size_t MaxIdempotencyKeyBytes = 256;
 constexpr std::size_t MaxDeadlineDigits = 9;
 constexpr const char *OwnFieldPrefix = "x-lagoonpoint-";
+constexpr std::size_t MaxLoggedValue = 40; ///< characters
 
 Refusal badRequest(const std::string &Message) {
   return Refusal(RefusalReason::BadRequest, Ran::No, "http.call", Message);
@@ -52,6 +56,25 @@
                 OwnFieldPrefix);
 }
 
+std::ptrdiff_t countFields(const Poco::Net::MessageHeader &H,
+                           const std::string &Wanted) {
+  return std::count_if(H.begin(), H.end(), [&](const auto &Field) {
+    return equals(Field.first, Wanted);
+  });
+}
+
+/// \returns a decimal number that is not negative, or none for other text.
+std::optional<double> parseRate(const std::string &Text) {
+  double Rate = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Rest, Error] =
+      std::from_chars(Text.data(), End, Rate, std::chars_format::fixed);
+  bool IsNumber = Error == std::errc() && Rest == End;
+  if (!IsNumber || !std::isfinite(Rate) || Rate < 0)
+    return {};
+  return Rate;
+}
+
 std::vector<std::string> connectionTokens(const Poco::Net::MessageHeader &H) {
   std::vector<std::string> Tokens;
   for (const auto &[Name, Value] : H)
@@ -229,6 +252,25 @@
   return Duration::seconds(Seconds);
 }
 
+UpstreamStatement readStatement(const Poco::Net::HTTPResponse &Response,
+                                const Dialect &D, const UpstreamId &From) {
+  UpstreamStatement Out;
+  if (D.RequestLimit_.empty() || !Response.has(D.RequestLimit_))
+    return Out;
+  const std::string &Text = Response.get(D.RequestLimit_);
+  bool Repeated = countFields(Response, D.RequestLimit_) > 1;
+  Out.RequestsPerSecond_ = Repeated ? std::nullopt : parseRate(Text);
+  if (!Out.RequestsPerSecond_)
+    log({.Level_ = LogLevel::Warning,
+         .Step_ = "upstream.statement",
+         .Message_ = D.RequestLimit_ +
+                     (Repeated ? " is repeated"
+                               : " is not a number of requests per second: \"" +
+                                     Text.substr(0, MaxLoggedValue) + "\""),
+         .Peer_ = From.str()});
+  return Out;
+}
+
 std::optional<ReportedLoad> readLoad(const Poco::Net::HTTPResponse &Response,
                                      const Dialect &D) {
   if (D.Load_.empty() || !Response.has(D.Load_))
--- a/lagoonpoint/src/Http/util/Forwarding.h
+++ b/lagoonpoint/src/Http/util/Forwarding.h
@@ -45,6 +45,12 @@
 std::optional<Duration>
 keepAliveTimeout(const Poco::Net::HTTPResponse &Response);
 
+/// \returns what an upstream states about itself in a response. A field with a
+/// malformed value is logged and counts as absent.
+/// \ingroup Http
+UpstreamStatement readStatement(const Poco::Net::HTTPResponse &Response,
+                                const Dialect &D, const UpstreamId &From);
+
 /// \returns the load reported in a response: running, waiting, slots.
 /// \ingroup Http
 std::optional<ReportedLoad> readLoad(const Poco::Net::HTTPResponse &Response,
--- a/lagoonpoint/src/Http/util/ProxyResponse.cpp
+++ b/lagoonpoint/src/Http/util/ProxyResponse.cpp
@@ -24,8 +24,13 @@
         return fail(T, TryResult::Broken);
       if (Interim)
         continue;
-      if (matchesRequest(T.Head_->Response_, Call_.Request_, Context_.Dialect_))
+      if (matchesRequest(T.Head_->Response_, Call_.Request_,
+                         Context_.Dialect_)) {
+        if (!T.Report_.Misdirected_) // else another upstream has responded
+          Handle_->recordStatement(readStatement(
+              T.Head_->Response_, Context_.Dialect_, T.Target_.Upstream_));
         return true;
+      }
       if (!skipResponse(T))
         return false;
       continue;
--- a/lagoonpoint/src/Metrics/MetricTable.h
+++ b/lagoonpoint/src/Metrics/MetricTable.h
@@ -19,6 +19,7 @@
   Connections,
   ControlSeconds,
   UpstreamUpdates,
+  UpstreamsHeld,
   InvariantViolations,
 };
 
--- a/lagoonpoint/src/Steering/KeyedChoice.cpp
+++ b/lagoonpoint/src/Steering/KeyedChoice.cpp
@@ -100,6 +100,8 @@
       double Queued =
           Seen == 0 ? Options.FirstChoiceQueue_ : Options.OtherChoiceQueue_;
       ++Seen;
+      if (U->Limit_ && !hasToken(*U->Limit_, Now))
+        continue; // as a full one: a further choice would be another cold run
       if (!hasRoom(*U, Queued, Request.TimeLeft_, Options, Now))
         continue;
       if (isCold(*U, Now))
@@ -123,6 +125,8 @@
 
 void reserve(SharedUpstream &U, Time Now) {
   ++U.InFlight_;
+  if (U.Limit_)
+    takeToken(*U.Limit_, Now);
   if (U.UnansweredSince_ == Time())
     U.UnansweredSince_ = Now;
 }
@@ -134,6 +138,8 @@
     U.OthersInFlight_ = std::max(0.0, *Outcome.ReportedInFlight_ - U.InFlight_);
     U.OthersReportedAt_ = Now;
   }
+  if (Outcome.NotConnected_ && U.Limit_)
+    returnToken(*U.Limit_, Now);
   if (Outcome.Answered_) {
     U.ConsecutiveFailures_ = 0;
     U.UnansweredSince_ = U.InFlight_ > 0 ? Now : Time();
--- a/lagoonpoint/src/Steering/KeyedChoice.h
+++ b/lagoonpoint/src/Steering/KeyedChoice.h
@@ -2,6 +2,7 @@
 
 #include "lagoonpoint/Config"
 #include "lagoonpoint/Core"
+#include "lagoonpoint/src/Steering/StatedLimit.h"
 
 #include <cstdint>
 #include <map>
@@ -37,6 +38,7 @@
   Time BackOffUntil_;         ///< not used until then, after failures
   unsigned ConsecutiveFailures_ = 0; ///< reset by any response
   Time LastColdSendAt_;              ///< last call sent while it was cold
+  std::optional<StatedLimit> Limit_; ///< on the rate of calls, if it states one
 };
 
 /// Parameters of the choice among shared upstreams.
--- a/test/FleetVms.cpp
+++ b/test/FleetVms.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <filesystem>
 #include <future>
 #include <thread>
@@ -65,6 +66,7 @@
         std::make_unique<FleetSettings>(settings(4, false, Folder_)));
     Dialect D;
     D.AllowsCloseDelimited_ = true;
+    D.RequestLimit_ = "Server-Limit";
     Entry_ = std::make_unique<EntryVm>(*Settings_.back(), D);
     Entry_->start();
   }
@@ -308,3 +310,55 @@
       (C.now() - StartedAt).inSeconds() / RefreshInterval.inSeconds() + 2;
   CHECK(Updates() - Before <= Departures + Refreshes * Upstreams);
 }
+
+TEST_CASE("An upstream that states a limit gets no more requests than that") {
+  constexpr int Calls = 30;
+  constexpr int Tolerated = 17; // in 4 s with a limit of 2: 1.5 * 4 * 2 + 5
+  std::atomic<bool> IsLimited{true};
+  auto Respond = [&](RawSocket &S) {
+    std::string Limit = IsLimited ? "Server-Limit: 2\r\n" : "";
+    S.send("HTTP/1.1 200 OK\r\n" + Limit + "Content-Length: 4\r\n\r\nmine");
+  };
+  ScriptedUpstream Upstream([&](RawSocket &S) {
+    while (!Upstream.receive(S).empty())
+      Respond(S);
+  });
+  TestFleet Fleet;
+  ItemSet Items = items(1, {"key-one"});
+  Items.Routes_["tags"].Value_.LatencyObjective_ = Duration::millis(400);
+  REQUIRE(Fleet.apply(Items).Verdict_ == ChangeVerdict::Accepted);
+  REQUIRE(eventually([&] { return Fleet.Entry_->ready(); }));
+  UpstreamNotice Serving =
+      notice(Upstream.address().Port_, NoticePhase::Serving, 1);
+  Serving.Slots_ = Calls;
+  REQUIRE(Fleet.Cores_[2]->announce(Serving) == AnnounceResult::Accepted);
+  std::string Get = "GET /tags/7 HTTP/1.1\r\nX-Api-Key: key-one\r\n";
+  REQUIRE(eventually(
+      [&] { return Fleet.call(Get).find("mine") != std::string::npos; }));
+
+  auto CallAtOnce = [&] {
+    std::vector<std::future<std::string>> Pending;
+    for (int N = 0; N < Calls; ++N)
+      Pending.push_back(
+          std::async(std::launch::async, [&] { return Fleet.call(Get); }));
+    int Served = 0;
+    for (auto &Response : Pending) {
+      std::string Text = Response.get();
+      bool IsServed = Text.find("mine") != std::string::npos;
+      Served += IsServed;
+      if (!IsServed)
+        CHECK_THAT(Text, StartsWith("HTTP/1.1 503 ") &&
+                             Contains("\"no_capacity\",\"ran\":\"no\""));
+    }
+    return Served;
+  };
+  int Before = Upstream.requests();
+  int Served = CallAtOnce();
+  CHECK(Upstream.requests() - Before <= Tolerated);
+  CHECK(Upstream.requests() - Before == Served);
+
+  SECTION("until it states none any more") {
+    IsLimited = false;
+    CHECK(eventually([&] { return CallAtOnce() == Calls; }));
+  }
+}
