Heed upstreams that say in responses that they leave or want a pause

An upstream that leaves says so in its responses, and one that answers 503 with Retry-After wants nothing from this VM for so long; nothing read either.

Change: UpstreamStatement, which brought the limit, carries both. A VM that reads that an upstream leaves applies it like the upstream's announcement, to the same process of it only, so that a later process ends it and older or repeated announcements don't; the nearest core VM hears of it and passes it on as it does announcements. A pause is kept with the VM's observations of the upstream: a longer one replaces a shorter one, not the reverse, and only the steady clock counts. Where all upstreams that could take a call are closed for longer than it may wait, it is refused at once with the time until the first opens.

Evidence: the new test in test_FleetVms (keep-alive stand-in; both statements, their ends, malformed fields) failed without the fields' names in the dialect: 3 of 3 requests reached the upstream, 0 expected.

--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -139,7 +139,8 @@
                   Metrics_,
                   [this](const TeamId &T) { checkKeys(T); },
                   [this] { return retryLimits(); },
-                  [this](const TeamId &T) { TeamTokens_.returnToken(T); }},
+                  [this](const TeamId &T) { TeamTokens_.returnToken(T); },
+                  [this](const SharedSlot &Slot) { markLeaving(Slot); }},
         Server_(*this, CallerSettings_, Clock_, &Metrics_, std::move(D)),
         Ticker_("entry.tick", TickInterval, [this] {
           ControlLoad_.measure("tick", [this] { tick(); });
@@ -161,6 +162,7 @@
   void onNoticeSyncReply(const VmId &From, const NoticeSyncReply &Reply);
   void onItems(const ItemUpdate &Update);
   void onNotices(const VmId &From, const NoticeBatch &Batch);
+  void markLeaving(const SharedSlot &Slot);
   NodeRecord selfRecord() const;
   void sendHeartbeats(const std::vector<VmId> &Only = {});
   void sendTo(const VmId &To, const FleetMessage &M);
@@ -340,6 +342,37 @@
     sendTo(From, NoticeAck{Batch.Number_});
 }
 
+/// Treats an upstream's own word in a response like its announcement, and
+/// passes it on to the nearest core VM. This VM stops using it at once.
+void EntryVm::Impl::markLeaving(const SharedSlot &Slot) {
+  const UpstreamId &Id = Slot.Target_.Upstream_;
+  NoticeBatch Batch;
+  VmId Core;
+  {
+    std::lock_guard Guard(Lock_);
+    Time Now = Clock_.now();
+    auto Found = Upstreams_.Upstreams_.find(Id);
+    if (Found == Upstreams_.Upstreams_.end() ||
+        Found->second.Notice_.StartedAtMs_ != Slot.StartedAtMs_ ||
+        Found->second.Notice_.Phase_ != NoticePhase::Serving)
+      return;
+    UpstreamNotice Leaving = Found->second.Notice_;
+    Leaving.Phase_ = NoticePhase::Leaving;
+    Leaving.WarmupLeft_ = Duration();
+    Leaving.Age_ = Now - Found->second.HeardAt_;
+    Batch.Notices_.push_back(Leaving);
+    auto C = current();
+    Dispatcher_.update(fleetSnapshot(*C),
+                       applyNotices(Upstreams_, Batch.Notices_, Now));
+    Core = nearestCoreVm(Cores_, Now);
+  }
+  log({.Step_ = "upstream.leaving",
+       .Message_ = "states in a response that it is leaving",
+       .Peer_ = Id.str()});
+  if (!Core.empty())
+    sendTo(Core, Batch);
+}
+
 /// Called with Lock_ held. Refers to this object and to \p C.
 FleetSnapshot EntryVm::Impl::fleetSnapshot(const Configuration &C) const {
   return {Upstreams_, C.DrainedZones_, EntryVms_, C.Items_.Services_,
--- a/lagoonpoint/src/Gateway/FleetCall.cpp
+++ b/lagoonpoint/src/Gateway/FleetCall.cpp
@@ -92,6 +92,8 @@
 void FleetCall::recordStatement(const UpstreamStatement &Statement) {
   Services_.Dispatcher_.recordStatement(Admission_.Route_.Service_, Slot_,
                                         Statement);
+  if (Statement.Leaving_)
+    Services_.MarkLeaving_(Slot_);
 }
 
 bool FleetCall::recordTry(const TryReport &Report) {
--- a/lagoonpoint/src/Gateway/FleetCall.h
+++ b/lagoonpoint/src/Gateway/FleetCall.h
@@ -20,6 +20,8 @@
   std::function<void(const TeamId &)> CheckKeys_;
   std::function<RetryBudgetLimits()> RetryLimits_;
   std::function<void(const TeamId &)> ReturnToken_; ///< for an unspent token
+  /// Called when the upstream of a try states that it is leaving.
+  std::function<void(const SharedSlot &)> MarkLeaving_;
 };
 
 /// Result of a call's admission.
--- a/lagoonpoint/src/Gateway/SharedDispatcher.cpp
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.cpp
@@ -47,6 +47,7 @@
   New.ConsecutiveFailures_ = Old.ConsecutiveFailures_;
   New.LastColdSendAt_ = Old.LastColdSendAt_;
   New.Limit_ = Old.Limit_;
+  New.PausedUntil_ = Old.PausedUntil_;
 }
 
 /// Carries over the observations of all upstreams. Both lists are sorted by id.
@@ -97,6 +98,27 @@
   return Item ? Item->WarmupRate_ : 0;
 }
 
+void logLimit(const SharedUpstream &U) {
+  std::string Message = "no limit any more";
+  if (U.Limit_)
+    Message = "limited to " + std::to_string(U.Limit_->PerSecond_) +
+              " requests/s of all VMs, of which " +
+              std::to_string(U.Limit_->Part_.PerSecond_) + " from this one";
+  log({.Step_ = "upstream.limit", .Message_ = Message, .Peer_ = U.Id_.str()});
+}
+
+/// A longer pause replaces a shorter one, and not the reverse.
+void applyPause(SharedUpstream &U, Duration Pause, Time Now) {
+  if (Now + Pause <= U.PausedUntil_)
+    return;
+  if (Now >= U.PausedUntil_)
+    log({.Step_ = "upstream.pause",
+         .Message_ =
+             "wants no requests for " + std::to_string(Pause.count()) + " ms",
+         .Peer_ = U.Id_.str()});
+  U.PausedUntil_ = Now + Pause;
+}
+
 SharedOutcome sharedOutcomeOf(const TryReport &Report) {
   SharedOutcome Outcome;
   Outcome.Answered_ = Report.Result_ == TryResult::Answered ||
@@ -198,20 +220,24 @@
   Metrics_.add(Metric::UpstreamUpdates, {},
                static_cast<double>(Fleet.Upstreams_.Upstreams_.size()));
   double Limited = 0;
+  double Paused = 0;
   for (auto &[Service, Upstreams] : ByService) {
     Shard &S = findOrCreateShard(Service);
     std::lock_guard Guard(S.Lock_);
     carryOverObservations(S.Group_.Upstreams_, Upstreams);
     S.Group_.Upstreams_ = std::move(Upstreams);
-    for (SharedUpstream &U : S.Group_.Upstreams_)
-      if (U.Limit_) {
-        applySharer(*U.Limit_, Ranking->sharer(Self_, U.Id_), Fleet.Now_);
-        ++Limited;
-      }
+    for (SharedUpstream &U : S.Group_.Upstreams_) {
+      Paused += Fleet.Now_ < U.PausedUntil_ ? 1 : 0;
+      if (!U.Limit_)
+        continue;
+      applySharer(*U.Limit_, Ranking->sharer(Self_, U.Id_), Fleet.Now_);
+      ++Limited;
+    }
     S.Group_.WarmupRate_ = warmupRate(Fleet.Services_, Service);
     S.Changed_.notify_all();
   }
   Metrics_.set(Metric::UpstreamsHeld, {"limit"}, Limited);
+  Metrics_.set(Metric::UpstreamsHeld, {"pause"}, Paused);
 }
 
 void SharedDispatcher::update(const FleetSnapshot &Fleet,
@@ -311,7 +337,14 @@
       double InFlight = estimatedInFlight(*U, Options_, Now);
       reserve(*U, Now);
       StopWaiting();
-      return {{U->Id_, {}, U->Address_}, InFlight, Now};
+      return {{U->Id_, {}, U->Address_}, InFlight, Now, U->StartedAtMs_};
+    }
+    Time OpenAt = usableFrom(S->Group_, Keyed, Now);
+    if (OpenAt > Request.WaitUntil_) {
+      StopWaiting();
+      throw Refusal(RefusalReason::NoCapacity, Ran::No, Step,
+                    "all upstreams of the service want no calls for now",
+                    std::max(OpenAt - Now, RetryAfterHint));
     }
     if (Now >= Request.WaitUntil_) {
       StopWaiting();
@@ -336,19 +369,16 @@
   LimitSharer Sharer = limitSharer(Id);
   std::lock_guard Guard(S->Lock_);
   auto At = findPosition(S->Group_.Upstreams_, Id);
-  if (At == S->Group_.Upstreams_.end() || At->Id_ != Id)
-    return;
-  if (!applyStatement(At->Limit_, Statement.RequestsPerSecond_, Sharer,
-                      Slot.AcquiredAt_, Clock_.now()))
+  bool IsSameProcess = At != S->Group_.Upstreams_.end() && At->Id_ == Id &&
+                       At->StartedAtMs_ == Slot.StartedAtMs_;
+  if (!IsSameProcess)
     return;
-  log({.Step_ = "upstream.limit",
-       .Message_ =
-           At->Limit_ ? "limited to " + std::to_string(At->Limit_->PerSecond_) +
-                            " requests/s of all VMs, of which " +
-                            std::to_string(At->Limit_->Part_.PerSecond_) +
-                            " from this one"
-                      : std::string("no limit any more"),
-       .Peer_ = Id.str()});
+  Time Now = Clock_.now();
+  if (Statement.Pause_)
+    applyPause(*At, *Statement.Pause_, Now);
+  if (applyStatement(At->Limit_, Statement.RequestsPerSecond_, Sharer,
+                     Slot.AcquiredAt_, Now))
+    logLimit(*At);
 }
 
 void SharedDispatcher::release(const ServiceId &Service, const SharedSlot &Slot,
--- a/lagoonpoint/src/Gateway/SharedDispatcher.h
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.h
@@ -31,6 +31,7 @@
   CallTarget Target_;
   double InFlightAtSend_ = 0; ///< expected load before this try
   Time AcquiredAt_;
+  std::uint64_t StartedAtMs_ = 0; ///< of the upstream's process
 };
 
 /// The fleet's state as the dispatcher needs it; refers to data of the caller.
--- a/lagoonpoint/src/Http/CallerPort.h
+++ b/lagoonpoint/src/Http/CallerPort.h
@@ -69,6 +69,9 @@
 struct UpstreamStatement {
   /// Rate that it accepts from all VMs together; none if it states no limit.
   std::optional<double> RequestsPerSecond_;
+  bool Leaving_ = false; ///< it accepts no new requests soon
+  /// Time in which it wants no request of this VM, with status 503.
+  std::optional<Duration> Pause_;
 };
 
 /// The listener's report on one try.
--- a/lagoonpoint/src/Http/Dialect.h
+++ b/lagoonpoint/src/Http/Dialect.h
@@ -24,6 +24,10 @@
   /// Rate that an upstream accepts from all VMs together, in its response;
   /// empty: not read.
   std::string RequestLimit_;
+  /// Set to 1 in the responses of an upstream that leaves; empty: not read.
+  std::string Leaving_;
+  /// An upstream's `Retry-After` with status 503 applies to this VM.
+  bool UpstreamsPause_ = false;
   /// The caller sets the request id. It is forwarded, and an upstream's
   /// response must carry it. Otherwise this VM generates the id.
   bool CallerSetsRequestId_ = false;
--- a/lagoonpoint/src/Http/util/Forwarding.cpp
+++ b/lagoonpoint/src/Http/util/Forwarding.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t MaxDeadlineDigits = 9;
 constexpr const char *OwnFieldPrefix = "x-lagoonpoint-";
 constexpr std::size_t MaxLoggedValue = 40; ///< characters
+constexpr int ServiceUnavailable = 503;
+/// Bounds the time for which an upstream may keep a VM away by one response.
+constexpr Duration MaxPause = Duration::seconds(3600);
 
 Refusal badRequest(const std::string &Message) {
   return Refusal(RefusalReason::BadRequest, Ran::No, "http.call", Message);
@@ -64,15 +67,37 @@
 }
 
 /// \returns a decimal number that is not negative, or none for other text.
-std::optional<double> parseRate(const std::string &Text) {
-  double Rate = 0;
+std::optional<double> parseNumber(const std::string &Text) {
+  double Number = 0;
   const char *End = Text.data() + Text.size();
   auto [Rest, Error] =
-      std::from_chars(Text.data(), End, Rate, std::chars_format::fixed);
+      std::from_chars(Text.data(), End, Number, std::chars_format::fixed);
   bool IsNumber = Error == std::errc() && Rest == End;
-  if (!IsNumber || !std::isfinite(Rate) || Rate < 0)
+  if (!IsNumber || !std::isfinite(Number) || Number < 0)
     return {};
-  return Rate;
+  return Number;
+}
+
+/// \returns the number in a field of an upstream's response. A malformed or
+/// repeated field is logged and counts as absent.
+/// \param Field name; empty: not read
+std::optional<double> readNumber(const Poco::Net::HTTPResponse &Response,
+                                 const std::string &Field,
+                                 const UpstreamId &From) {
+  if (Field.empty() || !Response.has(Field))
+    return {};
+  const std::string &Text = Response.get(Field);
+  bool Repeated = countFields(Response, Field) > 1;
+  std::optional<double> Number = Repeated ? std::nullopt : parseNumber(Text);
+  if (!Number)
+    log({.Level_ = LogLevel::Warning,
+         .Step_ = "upstream.statement",
+         .Message_ =
+             Field + (Repeated ? " is repeated"
+                               : " is not a number: \"" +
+                                     Text.substr(0, MaxLoggedValue) + "\""),
+         .Peer_ = From.str()});
+  return Number;
 }
 
 std::vector<std::string> connectionTokens(const Poco::Net::MessageHeader &H) {
@@ -255,19 +280,12 @@
 UpstreamStatement readStatement(const Poco::Net::HTTPResponse &Response,
                                 const Dialect &D, const UpstreamId &From) {
   UpstreamStatement Out;
-  if (D.RequestLimit_.empty() || !Response.has(D.RequestLimit_))
-    return Out;
-  const std::string &Text = Response.get(D.RequestLimit_);
-  bool Repeated = countFields(Response, D.RequestLimit_) > 1;
-  Out.RequestsPerSecond_ = Repeated ? std::nullopt : parseRate(Text);
-  if (!Out.RequestsPerSecond_)
-    log({.Level_ = LogLevel::Warning,
-         .Step_ = "upstream.statement",
-         .Message_ = D.RequestLimit_ +
-                     (Repeated ? " is repeated"
-                               : " is not a number of requests per second: \"" +
-                                     Text.substr(0, MaxLoggedValue) + "\""),
-         .Peer_ = From.str()});
+  Out.RequestsPerSecond_ = readNumber(Response, D.RequestLimit_, From);
+  Out.Leaving_ = readNumber(Response, D.Leaving_, From) == 1;
+  if (D.UpstreamsPause_ && Response.getStatus() == ServiceUnavailable)
+    if (auto Seconds = readNumber(Response, "Retry-After", From))
+      Out.Pause_ = Duration::millis(static_cast<std::int64_t>(
+          std::min(*Seconds, MaxPause.inSeconds()) * 1000));
   return Out;
 }
 
--- a/lagoonpoint/src/Steering/KeyedChoice.cpp
+++ b/lagoonpoint/src/Steering/KeyedChoice.cpp
@@ -27,13 +27,25 @@
   return Now - U.LastColdSendAt_ >= Interval;
 }
 
+/// \returns when this VM may send calls to an upstream again.
+Time openAt(const SharedUpstream &U) {
+  return std::max(U.BackOffUntil_, U.PausedUntil_);
+}
+
 bool usable(const SharedGroup &G, const SharedUpstream &U,
             const KeyedRequest &Request, Time Now) {
-  if (!U.Available_ || Now < U.BackOffUntil_ || Request.Tried_.count(U.Id_))
+  if (!U.Available_ || Now < openAt(U) || Request.Tried_.count(U.Id_))
     return false;
   return !isCold(U, Now) || maySendCold(G, U, Now);
 }
 
+/// \returns whether an upstream could take the call at some time.
+bool isAllowed(const SharedUpstream &U, const KeyedRequest &Request) {
+  bool InRegion = std::find(Request.Regions_.begin(), Request.Regions_.end(),
+                            U.Region_) != Request.Regions_.end();
+  return InRegion && U.Available_ && !Request.Tried_.count(U.Id_);
+}
+
 /// \returns the usable upstreams of a region, best first.
 std::vector<SharedUpstream *> rankedUpstreams(SharedGroup &G,
                                               const RegionId &Region,
@@ -113,14 +125,18 @@
 }
 
 bool anyAvailable(const SharedGroup &G, const KeyedRequest &Request, Time Now) {
-  return std::any_of(
-      G.Upstreams_.begin(), G.Upstreams_.end(), [&](const SharedUpstream &U) {
-        bool Allowed =
-            std::find(Request.Regions_.begin(), Request.Regions_.end(),
-                      U.Region_) != Request.Regions_.end();
-        return Allowed && U.Available_ && Now >= U.BackOffUntil_ &&
-               !Request.Tried_.count(U.Id_);
-      });
+  return std::any_of(G.Upstreams_.begin(), G.Upstreams_.end(),
+                     [&](const SharedUpstream &U) {
+                       return isAllowed(U, Request) && Now >= openAt(U);
+                     });
+}
+
+Time usableFrom(const SharedGroup &G, const KeyedRequest &Request, Time Now) {
+  std::optional<Time> First;
+  for (const SharedUpstream &U : G.Upstreams_)
+    if (isAllowed(U, Request))
+      First = std::min(First.value_or(openAt(U)), openAt(U));
+  return std::max(First.value_or(Now), Now);
 }
 
 void reserve(SharedUpstream &U, Time Now) {
--- a/lagoonpoint/src/Steering/KeyedChoice.h
+++ b/lagoonpoint/src/Steering/KeyedChoice.h
@@ -39,6 +39,7 @@
   unsigned ConsecutiveFailures_ = 0; ///< reset by any response
   Time LastColdSendAt_;              ///< last call sent while it was cold
   std::optional<StatedLimit> Limit_; ///< on the rate of calls, if it states one
+  Time PausedUntil_;                 ///< it wants no call of this VM until then
 };
 
 /// Parameters of the choice among shared upstreams.
@@ -108,6 +109,11 @@
 /// \ingroup Steering
 bool anyAvailable(const SharedGroup &G, const KeyedRequest &Request, Time Now);
 
+/// \returns when an upstream that could take the call is neither paused nor
+/// backed off; \p Now if there is none.
+/// \ingroup Steering
+Time usableFrom(const SharedGroup &G, const KeyedRequest &Request, Time Now);
+
 /// Result of a call to a shared upstream.
 struct SharedOutcome {
   bool Answered_ = false;
--- a/test/FleetVms.cpp
+++ b/test/FleetVms.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <filesystem>
 #include <future>
+#include <mutex>
 #include <thread>
 #include <unistd.h>
 
@@ -67,6 +68,8 @@
     Dialect D;
     D.AllowsCloseDelimited_ = true;
     D.RequestLimit_ = "Server-Limit";
+    D.Leaving_ = "Server-Leaving";
+    D.UpstreamsPause_ = true;
     Entry_ = std::make_unique<EntryVm>(*Settings_.back(), D);
     Entry_->start();
   }
@@ -362,3 +365,85 @@
     CHECK(eventually([&] { return CallAtOnce() == Calls; }));
   }
 }
+
+TEST_CASE(
+    "An upstream that asks for no more requests in a response gets none") {
+  std::string Head = "HTTP/1.1 200 OK\r\n";
+  std::mutex Lock;
+  ScriptedUpstream Upstream([&](RawSocket &S) {
+    while (!Upstream.receive(S).empty()) {
+      std::lock_guard Guard(Lock);
+      S.send(Head + "Content-Length: 4\r\n\r\nmine");
+    }
+  });
+  auto Respond = [&](const std::string &NewHead) {
+    std::lock_guard Guard(Lock);
+    Head = NewHead;
+  };
+  TestFleet Fleet;
+  REQUIRE(Fleet.apply(items(1, {"key-one"})).Verdict_ ==
+          ChangeVerdict::Accepted);
+  REQUIRE(eventually([&] { return Fleet.Entry_->ready(); }));
+  unsigned short Port = Upstream.address().Port_;
+  REQUIRE(Fleet.Cores_[2]->announce(notice(Port, NoticePhase::Serving, 1)) ==
+          AnnounceResult::Accepted);
+  std::string Get = "GET /tags/7 HTTP/1.1\r\nX-Api-Key: key-one\r\n";
+  auto IsServed = [&] {
+    return Fleet.call(Get).find("mine") != std::string::npos;
+  };
+  REQUIRE(eventually(IsServed));
+  auto RequestsDuringCalls = [&] {
+    int Before = Upstream.requests();
+    for (int N = 0; N < 3; ++N)
+      CHECK_THAT(Fleet.call(Get),
+                 StartsWith("HTTP/1.1 503 ") && Contains("\"ran\":\"no\""));
+    return Upstream.requests() - Before;
+  };
+
+  SECTION("because it is leaving") {
+    Respond("HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\n");
+    CHECK(IsServed());
+    CHECK(RequestsDuringCalls() == 0);
+    Respond("HTTP/1.1 200 OK\r\n");
+    Fleet.Cores_[0]->announce(notice(Port, NoticePhase::Serving, 2));
+    CHECK(RequestsDuringCalls() == 0);
+
+    UpstreamNotice Restarted = notice(Port, NoticePhase::Serving, 1);
+    Restarted.StartedAtMs_ = 6;
+    REQUIRE(Fleet.Cores_[0]->announce(Restarted) == AnnounceResult::Accepted);
+    CHECK(eventually(IsServed));
+  }
+  SECTION("for some time, because it is busy, and callers hear it at once") {
+    SystemClock C;
+    Respond("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 3\r\n");
+    CHECK_FALSE(IsServed());
+    Time PausedAt = C.now();
+    Respond("HTTP/1.1 200 OK\r\n");
+    CHECK(RequestsDuringCalls() == 0);
+    CHECK(eventually(IsServed));
+    CHECK(C.now() - PausedAt >= Duration::millis(2500));
+  }
+  SECTION("but not because of malformed fields") {
+    for (const char *Fields :
+         {"Server-Leaving: true\r\n", "Server-Leaving: 0\r\n",
+          "Server-Leaving: 1, 1\r\n", "Server-Limit: -3\r\n",
+          "Server-Leaving: 1\r\nServer-Leaving: 1\r\n", "Server-Limit: inf\r\n",
+          "Retry-After: 5\r\n"}) {
+      CAPTURE(Fields);
+      Respond(std::string("HTTP/1.1 200 OK\r\n") + Fields);
+      CHECK(IsServed());
+    }
+    Respond("HTTP/1.1 200 OK\r\n");
+    CHECK(IsServed());
+    for (const char *Value : {"-1", "later", "nan",
+                              "Sat, 05 Dec 2026 01:00:00 "
+                              "GMT"}) {
+      CAPTURE(Value);
+      Respond(std::string("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n") +
+              "Retry-After: " + Value + "\r\n");
+      CHECK_FALSE(IsServed());
+      Respond("HTTP/1.1 200 OK\r\n");
+      CHECK(IsServed());
+    }
+  }
+}
--- a/test/KeyedChoice.cpp
+++ b/test/KeyedChoice.cpp
@@ -260,3 +260,32 @@
     CHECK(Parts[North] > 0.7);
   }
 }
+
+TEST_CASE("A paused upstream gets no calls until the pause has passed") {
+  SharedGroup G = group(2, North);
+  KeyedRequest Request = requestFor("17");
+  std::string First = chosenId(G, Request);
+  Time Later = Now + Duration::seconds(3);
+  byId(G, First).PausedUntil_ = Later;
+
+  SECTION("and its objects go to their next choice") {
+    CHECK(chosenId(G, Request) != First);
+    CHECK(chosenId(G, Request, Later) == First);
+    CHECK(usableFrom(G, Request, Now) == Now);
+  }
+  SECTION("and where all are paused, it is known when the first is usable") {
+    for (SharedUpstream &U : G.Upstreams_)
+      U.PausedUntil_ = Later + Duration::seconds(1);
+    byId(G, First).PausedUntil_ = Later;
+    CHECK(chosenId(G, Request).empty());
+    CHECK_FALSE(anyAvailable(G, Request, Now));
+    CHECK(usableFrom(G, Request, Now) == Later);
+    Request.Tried_ = {UpstreamId(First)};
+    CHECK(usableFrom(G, Request, Now) == Later + Duration::seconds(1));
+  }
+  SECTION("but one that has left can't be waited for") {
+    for (SharedUpstream &U : G.Upstreams_)
+      U.Available_ = false;
+    CHECK(usableFrom(G, Request, Now) == Now);
+  }
+}
