Search for an address's other upstreams only when one claims it

Change: the search is made when an upstream is new, was restarted or has moved; otherwise its claim was decided before, and a newer claim has retired it.

--- a/lagoonpoint/src/Fleet/UpstreamRegistry.cpp
+++ b/lagoonpoint/src/Fleet/UpstreamRegistry.cpp
@@ -104,15 +104,19 @@
   if (IsKnown && !isNewer(A, Found->second.Notice_))
     return false;
   bool Changed = !IsKnown || changesUpstream(A, Found->second, Now);
+  bool ClaimsAddress = !IsKnown ||
+                       A.StartedAtMs_ != Found->second.Notice_.StartedAtMs_ ||
+                       A.Address_ != Found->second.Notice_.Address_;
   KnownUpstream &Known = Registry.Upstreams_[A.Id_];
   Known.Notice_ = A;
   Known.HeardAt_ = Now - A.Age_;
   Known.WarmupEndsAt_ = Now + A.WarmupLeft_;
   Known.Silent_ = false;
-  if (hasNewerAtAddress(Registry, A))
+  if (ClaimsAddress && hasNewerAtAddress(Registry, A))
     Known.Notice_.Phase_ = NoticePhase::Gone;
   updateDigest(Registry, Known);
-  retireOlderAtAddress(Registry, A);
+  if (ClaimsAddress)
+    retireOlderAtAddress(Registry, A);
   return Changed;
 }
 
