--- a/test/FleetVms.cpp
+++ b/test/FleetVms.cpp
@@ -98,10 +98,10 @@
     return Reply;
   }
 
-  /// Sends one request to the entry VM.
+  /// Sends one request to an entry VM.
   /// \returns the whole response
-  std::string call(const std::string &Head) {
-    RawSocket Caller("127.0.21.4", 17580);
+  std::string call(const std::string &Head, int Vm = 4) {
+    RawSocket Caller("127.0.21." + std::to_string(Vm), 17580);
     Caller.send(Head + "Host: tags.example\r\nConnection: close\r\n\r\n");
     return Caller.readAll();
   }
@@ -413,6 +413,21 @@
     REQUIRE(Fleet.Cores_[0]->announce(Restarted) == AnnounceResult::Accepted);
     CHECK(eventually(IsServed));
   }
+  SECTION("because it is leaving, also of the region's other entry VMs") {
+    FleetSettings Other = settings(5, false, Fleet.Folder_);
+    EntryVm Second(Other, Dialect());
+    Second.start();
+    auto IsServedBySecond = [&] {
+      return Fleet.call(Get, 5).find("mine") != std::string::npos;
+    };
+    REQUIRE(eventually(IsServedBySecond));
+    Respond("HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\n");
+    CHECK(IsServed());
+    Respond("HTTP/1.1 200 OK\r\n");
+    CHECK(eventually([&] { return !IsServedBySecond(); }));
+    CHECK_FALSE(IsServedBySecond());
+    Second.stop();
+  }
   SECTION("for some time, because it is busy, and callers hear it at once") {
     SystemClock C;
     Respond("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 3\r\n");
