Send an update of items to an entry VM once

Cause: an entry VM that lacks items asks every 0.4 s, and each core VM that hears it sends all of them again, encoded anew, though an update is on its way; each later change carries them again until a heartbeat has reported them. Its link takes 250 kB/s. Class of fault: a repetition that knows neither the size of what it repeats nor that it is on its way.

Change: a core VM remembers what it has sent to each entry VM, pushes only what follows, and answers a request only if the entry VM can't apply what is on its way, or the time that its size needs has passed. Updates are encoded once for all entry VMs and leave out the operators' texts, which only core VMs read back. Entry VMs ask after 0.4, 0.8 and then 1.6 s.

--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -113,7 +113,14 @@
                                            const LogProof &Own, Time Now);
   void sendHeartbeats();
   void sendTo(const VmId &To, const FleetMessage &M);
+  /// An encoded ItemUpdate.
+  struct EncodedUpdate {
+    Revision To_;
+    std::shared_ptr<const std::string> Body_;
+  };
+  EncodedUpdate encodedItems(Revision Since);
   void sendItems(const std::vector<VmId> &To, Revision Since);
+  bool lacksItems(const VmId &Vm, Revision Reported);
   void pushItems();
   void publishNotice(const UpstreamNotice &Notice, bool Immediate);
   void forwardNotices();
@@ -144,8 +151,13 @@
   std::shared_ptr<const ItemsSnapshot> Items_ =
       std::make_shared<ItemsSnapshot>();
 
+  std::mutex EncodedLock_; ///< guards what follows
+  Revision EncodedTo_;
+  std::map<Revision, std::shared_ptr<const std::string>> Encoded_; ///< by start
+
   std::mutex Lock_; ///< guards what follows
   std::condition_variable Confirmed_;
+  std::map<VmId, ItemDelivery> Delivered_; ///< to entry VMs
   NodeRegistry NodeRegistry_;
   UpstreamRegistry Upstreams_;
   /// Upstreams that announced here since the last heartbeat.
@@ -236,16 +248,36 @@
   Peers_.send({Self_, To, Channel::Fleet, encodeMessage(M)});
 }
 
-void CoreVm::Impl::sendItems(const std::vector<VmId> &To, Revision Since) {
+/// \returns the update from a revision to the current one. It is the same for
+/// all entry VMs, which often need it at the same time.
+CoreVm::Impl::EncodedUpdate CoreVm::Impl::encodedItems(Revision Since) {
   auto Now = items();
-  ItemUpdate Update;
-  Update.FromRevision_ = Since;
-  Update.ToRevision_ = Now->Revision_;
-  Update.Items_ = itemsChangedAfter(Now->Items_, Since);
-  Update.Drains_ = Now->Drains_;
-  std::string Body = encodeMessage(Update);
+  std::lock_guard Guard(EncodedLock_);
+  if (EncodedTo_ != Now->Revision_)
+    Encoded_.clear();
+  EncodedTo_ = Now->Revision_;
+  std::shared_ptr<const std::string> &Body = Encoded_[Since];
+  if (!Body) {
+    ItemUpdate Update;
+    Update.FromRevision_ = Since;
+    Update.ToRevision_ = Now->Revision_;
+    Update.Items_ = itemsChangedAfter(Now->Items_, Since);
+    removeSourceTexts(Update.Items_);
+    Update.Drains_ = Now->Drains_;
+    Body = std::make_shared<const std::string>(encodeMessage(Update));
+  }
+  return {Now->Revision_, Body};
+}
+
+void CoreVm::Impl::sendItems(const std::vector<VmId> &To, Revision Since) {
+  EncodedUpdate Update = encodedItems(Since);
+  {
+    std::lock_guard Guard(Lock_);
+    for (const VmId &Vm : To)
+      Delivered_[Vm] = {Since, Update.To_, Clock_.now(), Update.Body_->size()};
+  }
   for (const VmId &Vm : To)
-    Peers_.send({Self_, Vm, Channel::Fleet, Body});
+    Peers_.send({Self_, Vm, Channel::Fleet, *Update.Body_});
 }
 
 /// Each core VM pushes to the entry VMs that it is responsible for, so that a
@@ -256,8 +288,11 @@
   std::map<Revision, std::vector<VmId>> To;
   {
     std::lock_guard Guard(Lock_);
-    for (const VmId &Vm : entryVmsToNotify(Clock_.now()))
-      To[NodeRegistry_.Nodes_[Vm].ItemsRevision_].push_back(Vm);
+    Time Now = Clock_.now();
+    for (const VmId &Vm : entryVmsToNotify(Now))
+      To[expectedRevision(Delivered_[Vm],
+                          NodeRegistry_.Nodes_[Vm].ItemsRevision_, Now)]
+          .push_back(Vm);
   }
   for (const auto &[Since, Vms] : To)
     sendItems(Vms, Since);
@@ -359,10 +394,17 @@
   HeartbeatReply Reply = makeReply(From, H, Now);
   Reply.KnowsSender_ = Status == HeartbeatResult::Accepted;
   sendTo(From, Reply);
-  if (H.WantsItems_ && H.ItemsRevision_ < items()->Revision_)
+  if (H.WantsItems_ && lacksItems(From, H.ItemsRevision_))
     sendItems({From}, H.ItemsRevision_);
 }
 
+/// \returns whether an entry VM needs an update that is not on its way.
+bool CoreVm::Impl::lacksItems(const VmId &Vm, Revision Reported) {
+  Revision Current = items()->Revision_;
+  std::lock_guard Guard(Lock_);
+  return !isOnItsWay(Delivered_[Vm], Reported, Current, Clock_.now());
+}
+
 void CoreVm::Impl::onHeartbeatReply(const VmId &From,
                                     const HeartbeatReply &Reply) {
   PeerRegistry_.addCoreVms(Reply.CoreVms_);
@@ -596,6 +638,9 @@
                  Settings_.AnnounceEvery_ * 3 + Duration::seconds(1),
                  UpstreamRetention, Now);
     removeSilent(NodeRegistry_, NodeRetention, Now);
+    std::erase_if(Delivered_, [&](const auto &Entry) {
+      return Now - Entry.second.SentAt_ > NodeRetention;
+    });
   }
   std::vector<VmId> Voters;
   for (const Voter &V : Host_.leaderView().VoterConfig_.Voters_)
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -23,7 +23,6 @@
 constexpr Duration TickInterval = Duration::millis(500);
 constexpr Duration HeartbeatInterval = Duration::seconds(1);
 constexpr Duration UpstreamRetention = Duration::seconds(120);
-constexpr Duration ItemRequestInterval = Duration::millis(400);
 /// Consecutive replies with a different digest of the announcements after which
 /// the announcements are synchronized.
 constexpr unsigned MismatchesBeforeSync = 2;
@@ -209,7 +208,7 @@
   ItemFreshness ItemFreshness_;
   std::vector<VmId> EntryVms_;
   CoreContacts Cores_{Settings_.Region_, {}};
-  Time NextItemRequest_;
+  ItemRequests ItemRequests_;
   bool LoggedKeysProven_ = false;
   std::map<std::string, RateMap> RegionRates_;
   Time RebalancedAt_;
@@ -283,9 +282,7 @@
       Request.Digests_ = bucketDigests(Upstreams_);
     }
     RequestItems =
-        OwnRevision < Reply.ItemsRevision_ && Now >= NextItemRequest_;
-    if (RequestItems)
-      NextItemRequest_ = Now + ItemRequestInterval;
+        OwnRevision < Reply.ItemsRevision_ && beginRequest(ItemRequests_, Now);
   }
   if (RequestItems)
     sendHeartbeats({From});
@@ -319,6 +316,7 @@
   Next->Table_ = RouteTable(Next->Items_);
   Next->DrainedZones_ = drainedZones(Update.Drains_);
   Next->Revision_ = ItemFreshness_.Revision_ = Update.ToRevision_;
+  ItemRequests_ = ItemRequests();
   log({.Step_ = "config.apply",
        .Message_ = "configuration applied",
        .Revision_ = Next->Revision_});
@@ -408,7 +406,7 @@
 /// asked for the fleet's rates, and team rates go only to the core VMs that
 /// grant tokens. \param Only if not empty, the heartbeats go only to these core
 /// VMs and request items from them; used for the first core VM that reports
-/// newer items in an ItemRequestInterval
+/// newer items when they may be requested
 void EntryVm::Impl::sendHeartbeats(const std::vector<VmId> &Only) {
   Heartbeat Common;
   Common.WantsItems_ = !Only.empty();
--- a/lagoonpoint/src/Items/ItemSet.cpp
+++ b/lagoonpoint/src/Items/ItemSet.cpp
@@ -48,6 +48,11 @@
       Out.emplace(Name, Each);
 }
 
+template <class Item> void clearSourceTexts(ItemMap<Item> &Items) {
+  for (auto &[Name, Each] : Items)
+    Each.SourceText_.clear();
+}
+
 } // namespace
 
 bool mergeItems(ItemSet &Target, const ItemSet &Updates, Revision At) {
@@ -74,4 +79,11 @@
   return Out;
 }
 
+void removeSourceTexts(ItemSet &Items) {
+  clearSourceTexts(Items.Routes_);
+  clearSourceTexts(Items.Teams_);
+  clearSourceTexts(Items.Services_);
+  clearSourceTexts(Items.Limits_);
+}
+
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Items/ItemSet.h
+++ b/lagoonpoint/src/Items/ItemSet.h
@@ -59,4 +59,8 @@
   return &Found->second.Value_;
 }
 
+/// Removes what only serves to read items back, which is most of their size.
+/// \ingroup Items
+void removeSourceTexts(ItemSet &Items);
+
 } // namespace lagoonpoint
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -707,3 +707,41 @@
     CHECK(Needed(Start + Duration::seconds(7)).empty());
   }
 }
+
+TEST_CASE("A large update of items is not sent again while it is on its way") {
+  ItemDelivery Last{Revision(4), Revision(7), Start, 100'000};
+  Time Soon = Start + Duration::millis(900);
+
+  SECTION("to an entry VM that can apply it") {
+    CHECK(isOnItsWay(Last, Revision(4), Revision(7), Soon));
+    CHECK(expectedRevision(Last, Revision(4), Soon) == Revision(7));
+    CHECK(expectedRevision(Last, Revision(9), Soon) == Revision(9));
+  }
+  SECTION("but it is to one that can't, for example after a restart") {
+    CHECK_FALSE(isOnItsWay(Last, Revision(3), Revision(7), Soon));
+    CHECK(expectedRevision(Last, Revision(), Soon) == Revision());
+  }
+  SECTION("but later changes follow it") {
+    CHECK_FALSE(isOnItsWay(Last, Revision(4), Revision(8), Soon));
+  }
+  SECTION("but it is when it must have been lost") {
+    Time Late = Start + Duration::millis(1300);
+    CHECK_FALSE(isOnItsWay(Last, Revision(4), Revision(7), Late));
+    CHECK(expectedRevision(Last, Revision(4), Late) == Revision(4));
+  }
+  SECTION("but a small one is, as it has arrived or is lost") {
+    Last.Bytes_ = 500;
+    CHECK(isOnItsWay(Last, Revision(4), Revision(7),
+                     Start + Duration::millis(100)));
+    CHECK_FALSE(isOnItsWay(Last, Revision(4), Revision(7), Soon));
+  }
+  SECTION("and entry VMs request it less and less often") {
+    ItemRequests R;
+    std::vector<std::int64_t> RequestedAt;
+    for (Time Now = Start; Now < Start + Duration::seconds(6);
+         Now = Now + Duration::millis(100))
+      if (beginRequest(R, Now))
+        RequestedAt.push_back((Now - Start).count());
+    CHECK(RequestedAt == std::vector<std::int64_t>{0, 400, 1200, 2800, 4400});
+  }
+}
