Test that a large update is sent once to an entry VM that repeats its request

This one plays an entry VM that asks a real core VM five times before 2,000 routes have arrived. No product code changes.

--- a/test/FleetVms.cpp
+++ b/test/FleetVms.cpp
@@ -1,5 +1,8 @@
 #include "fakes/ScriptedUpstream.h"
+#include "lagoonpoint/Fleet"
 #include "lagoonpoint/Gateway"
+#include "lagoonpoint/Peer"
+#include "lagoonpoint/src/Gateway/PeerRegistry.h"
 
 #include <catch2/catch.hpp>
 
@@ -462,3 +465,63 @@
     }
   }
 }
+
+TEST_CASE(
+    "A large update of items is sent once to an entry VM that repeats its "
+    "request") {
+  constexpr int Requests = 5;
+  TestFleet Fleet;
+  ItemSet Items = items(1, {"key-one"});
+  for (int N = 0; N < 2000; ++N) {
+    std::string Name = "route-" + std::to_string(N);
+    Items.Routes_[Name] = Items.Routes_["tags"];
+    Items.Routes_[Name].Value_.Prefix_ = "/" + Name + "/";
+    Items.Routes_[Name].SourceText_ = "the operator's text";
+  }
+  REQUIRE(Fleet.apply(Items).Verdict_ == ChangeVerdict::Accepted);
+  REQUIRE(eventually([&] { return Fleet.Entry_->ready(); }));
+
+  // An entry VM that asks again before the update has arrived.
+  const FleetSettings Own = settings(6, false, Fleet.Folder_);
+  const VmId Self(Own.Host_);
+  const VmId Core("127.0.21.1");
+  SystemClock C;
+  std::mutex Lock;
+  std::vector<ItemUpdate> Updates;
+  int Replies = 0;
+  PeerTransport Peers(
+      fleetPeerOptions(Own),
+      [&](Envelope Message) {
+        FleetMessage M = decodeFleetMessage(Message.Body_, Message.From_);
+        std::lock_guard Guard(Lock);
+        if (const auto *Update = std::get_if<ItemUpdate>(&M))
+          Updates.push_back(*Update);
+        Replies += std::holds_alternative<HeartbeatReply>(M);
+      },
+      C, [](const Error &) {});
+  PeerRegistry Registry(Own, Peers);
+  Peers.start();
+  auto Request = [&](bool WantsItems) {
+    Heartbeat H;
+    H.StartedAtMs_ = 7;
+    H.SentAt_ = C.now().count();
+    H.WantsItems_ = WantsItems;
+    H.Self_.push_back({.Vm_ = Self,
+                       .Zone_ = Own.Zone_,
+                       .Region_ = Own.Region_,
+                       .StartedAtMs_ = 7});
+    Peers.send({Self, Core, Channel::Fleet, encodeMessage(H)});
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  };
+  for (int N = 0; N < Requests; ++N)
+    Request(true);
+  Request(false); // replied to after the updates
+  REQUIRE(eventually([&] {
+    std::lock_guard Guard(Lock);
+    return Replies == Requests + 1;
+  }));
+  Peers.stop();
+  REQUIRE(Updates.size() == 1);
+  CHECK(Updates[0].Items_.Routes_.size() == 2001);
+  CHECK(Updates[0].Items_.Routes_["route-7"].SourceText_.empty());
+}
