--- a/review/standins.h
+++ b/review/standins.h
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <cstring>
+#include <deque>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
@@ -298,6 +299,7 @@
   std::string Ip_;
   std::string Zone_;
   bool Core_ = false;
+  bool Gone_ = false; ///< for good
   pid_t Process_ = 0;
 };
 
@@ -389,6 +391,24 @@
     M.Process_ = 0;
   }
 
+  /// Ends a machine for good.
+  void remove(Machine &M) {
+    Record_.line("machine " + M.Name_ + " is gone for good");
+    end(M);
+    M.Gone_ = true;
+  }
+
+  /// Starts an empty core machine in the zone of one that is gone.
+  void replace(const Machine &Old) {
+    Machine M;
+    M.Name_ = Old.Name_ + "-new";
+    M.Ip_ = nextIp();
+    M.Zone_ = Old.Zone_;
+    M.Core_ = true;
+    Machines_.push_back(M);
+    start(Machines_.back(), false);
+  }
+
   /// \returns the names of processes that have ended by themselves.
   std::vector<std::string> ended() {
     std::vector<std::string> Out;
@@ -407,6 +427,7 @@
   bool order(const std::string &Call, const std::string &Of,
              const std::string &Body, std::size_t First, int TimeoutMs) {
     std::vector<Machine *> Cores = cores();
+    std::erase_if(Cores, [](const Machine *M) { return M->Gone_; });
     std::int64_t Until = nowMs() + TimeoutMs;
     for (std::size_t Try = First; nowMs() < Until; ++Try) {
       Machine &To = *Cores[Try % Cores.size()];
@@ -478,7 +499,7 @@
     }
     std::string Seeds;
     for (Machine *Core : cores())
-      if (std::count(Seeds.begin(), Seeds.end(), ':') < 3)
+      if (!Core->Gone_ && std::count(Seeds.begin(), Seeds.end(), ':') < 3)
         Seeds += (Seeds.empty() ? "" : ",") + Core->Ip_ + ":" +
                  std::to_string(ControlPort);
     auto AddressAt = [&](bool Present, int Port) {
@@ -521,7 +542,7 @@
   std::string Block_;
   std::string Folder_;
   int LastHost_ = 1;
-  std::vector<Machine> Machines_;
+  std::deque<Machine> Machines_; ///< its elements don't move
 };
 
 /// One run of a request at an instance.
