--- a/review/standins.h
+++ b/review/standins.h
@@ -45,12 +45,34 @@
 inline constexpr int Broken = 1;
 inline constexpr int CouldNotRun = 2;
 
-inline constexpr int FrontendPort = 18388;
-inline constexpr int ReadinessPort = 18384;
-inline constexpr int ControlPort = 18381;
-inline constexpr int DirectoryPort = 18383;
-inline constexpr int PeerPort = 17560;
-inline constexpr int InstancePort = 18080;
+/// \returns a port that no address of this machine listens on, below the range
+/// from which the operating system takes ports of outgoing connections.
+inline int findFreePort() {
+  static std::set<int> Chosen;
+  static std::random_device Source;
+  for (int Try = 0; Try < 1000; ++Try) {
+    int Port = 10'000 + static_cast<int>(Source() % 20'000);
+    int Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in At{};
+    At.sin_family = AF_INET;
+    At.sin_port = htons(static_cast<std::uint16_t>(Port));
+    At.sin_addr.s_addr = htonl(INADDR_ANY);
+    int Result = ::bind(Fd, reinterpret_cast<sockaddr *>(&At), sizeof(At));
+    ::close(Fd);
+    if (Result == 0 && Chosen.insert(Port).second)
+      return Port;
+  }
+  throw std::runtime_error("no free port");
+}
+
+// The same on all machines of a run, as on the platform.
+inline const int FrontendPort = findFreePort();
+inline const int ReadinessPort = findFreePort();
+inline const int ControlPort = findFreePort();
+inline const int DirectoryPort = findFreePort();
+inline const int PeerPort = findFreePort();
+inline const int MetricsPort = findFreePort();
+inline const int InstancePort = findFreePort();
 
 using Millis = std::chrono::milliseconds;
 
@@ -521,6 +543,8 @@
     replace(Text, "{{listen.control}}", AddressAt(M.Core_, ControlPort));
     replace(Text, "{{listen.directory}}", AddressAt(M.Core_, DirectoryPort));
     replace(Text, "{{internalPorts.0}}", std::to_string(PeerPort));
+    replace(Text, "metrics_port = 9100",
+            "metrics_port = " + std::to_string(MetricsPort));
     replace(Text, "{{seeds}}", Seeds);
     replace(Text, "{{#zones}}{{@}}:{{.}}{{,}}{{/zones}}", ZoneList);
     replace(Text, "{{heartbeat}}", "1500ms");
