Remove replaced voters once their successors are live

Cause: the leader added each successor as a further voter at once and removed a silent voter only after 12 s, three times the time after which a replaced VM may count as whole again. Two dead voters beside two successors made eight voters with a quorum of five; two more losses left four.

Change: a silent voter is removed as soon as a live core VM of its zone has taken its place, and after 12 s otherwise. Until it is removed, its successor stays a learner. Silence is counted also for voters that the leader never heard; before, these stayed for good. A dead learner no longer keeps others from being promoted.

Why it works: removing a silent voter never lowers the number of further losses that the voters bear, and it now happens before the platform counts a replaced VM as whole.

test/Fleet.cpp passes silent voters with the time of their silence; it also checks the bound now.

--- a/lagoonpoint/src/Fleet/NodeRegistry.h
+++ b/lagoonpoint/src/Fleet/NodeRegistry.h
@@ -6,6 +6,10 @@
 
 namespace lagoonpoint {
 
+/// Silence after which a VM counts as not live. Tolerates the loss of two
+/// heartbeats in a row, which are sent once a second.
+inline constexpr Duration LivenessTimeout = Duration::millis(2700);
+
 /// What a core VM knows of a VM from its heartbeats.
 struct KnownNode {
   NodeRecord Record_;
--- a/lagoonpoint/src/Fleet/TeamDemand.cpp
+++ b/lagoonpoint/src/Fleet/TeamDemand.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 /// Tolerates the loss of two heartbeats in a row, which are sent once a second.
-constexpr Duration LivenessTimeout = Duration::millis(2700);
 /// Core VMs of a region that learn a team's demand.
 constexpr std::size_t RankedHolders = 2;
 
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -21,8 +21,6 @@
 constexpr Duration TickInterval = Duration::millis(250);
 constexpr Duration IdleTickInterval = Duration::seconds(60);
 constexpr Duration HeartbeatInterval = Duration::seconds(1);
-/// Tolerates the loss of two heartbeats in a row, which are sent once a second.
-constexpr Duration LivenessTimeout = Duration::millis(2700);
 /// Look-ups list an entry VM for the same time after its last heartbeat.
 constexpr Duration LookupLivenessTimeout = LivenessTimeout;
 constexpr Duration NodeRetention = Duration::seconds(60);
@@ -41,7 +39,6 @@
 /// then replicated as widely as later ones.
 constexpr Duration BootstrapTimeout = Duration::seconds(5);
 constexpr std::size_t MinVoters = 3;
-constexpr Duration VoterTimeout = Duration::seconds(12);
 constexpr Duration ReadPollInterval = Duration::millis(10);
 /// Consecutive replies with a different digest of the announcements after which
 /// the announcements are synchronized.
@@ -607,17 +604,22 @@
   if (!View.IsLeader_)
     return;
   std::vector<NodeRecord> Live{selfRecord()};
-  std::set<VmId> Silent;
+  std::vector<SilentMember> Silent;
+  std::set<VmId> Held;
   {
     std::lock_guard Guard(Lock_);
     Time Now = Clock_.now();
     for (const KnownNode *Node :
          liveCoreVms(NodeRegistry_, LivenessTimeout, Now))
       Live.push_back(Node->Record_);
-    for (const auto &[Vm, Node] : NodeRegistry_.Nodes_)
-      if (Node.Record_.Core_ && Now - Node.HeardAt_ > VoterTimeout)
-        Silent.insert(Vm);
+    auto SilentFor = [&](Duration Min) {
+      return silentMembers(View.VoterConfig_, View.Contact_, NodeRegistry_,
+                           Self_, Min, Now);
+    };
+    Held = heldLearners(View.VoterConfig_, Live, SilentFor(HoldTimeout));
+    Silent = SilentFor(LivenessTimeout);
   }
+  Host_.holdLearners(std::move(Held));
   auto Step = nextVoterRepairStep(View.VoterConfig_, Live, Silent);
   if (!Step)
     return;
--- a/lagoonpoint/src/Node/ReplicaHost.cpp
+++ b/lagoonpoint/src/Node/ReplicaHost.cpp
@@ -98,6 +98,10 @@
   });
 }
 
+void ReplicaHost::holdLearners(std::set<VmId> Vms) {
+  Worker_.post([this, Vms = std::move(Vms)] { HeldLearners_ = Vms; });
+}
+
 LeaderView ReplicaHost::leaderView() const {
   std::lock_guard Guard(ViewLock_);
   return View_;
@@ -109,22 +113,11 @@
 
 void ReplicaHost::tick() {
   Replica_->tick(Clock_.now());
-  promoteLearners();
+  // Learners are only added to become voters.
+  Replica_->promoteLearner(HeldLearners_, Clock_.now());
   processOutputs();
 }
 
-/// Proposes to make the first learner a voter. Learners are only added to
-/// become voters; the replica refuses the promotion until the learner has the
-/// log.
-void ReplicaHost::promoteLearners() {
-  if (!Replica_->isLeader())
-    return;
-  ReplicaStatus Status = Replica_->status(Clock_.now());
-  if (Status.ChangeInProgress_ || Status.Config_.Learners_.empty())
-    return;
-  Replica_->promote(Status.Config_.Learners_.front(), Clock_.now());
-}
-
 void ReplicaHost::processOutputs() {
   // The view is published before messages are sent, so that it is at least as
   // recent as any message of this VM.
@@ -214,6 +207,7 @@
   View_.VoterConfigIndex_ = Replica_->state().Log_.configIndex();
   View_.VoterConfig_ = Status.Config_;
   View_.Disk_ = Status.Disk_;
+  View_.Contact_ = memberContact(Replica_->state());
   View_.LeadershipUntil_ = leaseEnd(Replica_->state(), Now).value_or(Time());
 }
 
--- a/lagoonpoint/src/Node/ReplicaHost.h
+++ b/lagoonpoint/src/Node/ReplicaHost.h
@@ -35,6 +35,7 @@
   LogIndex VoterConfigIndex_;
   VoterConfig VoterConfig_;
   DiskId Disk_;
+  MemberContact Contact_; ///< valid if IsLeader_
 };
 
 /// \class ReplicaHost
@@ -66,6 +67,8 @@
   /// \returns why it is refused, empty if it started
   std::string addVoter(const VmId &Vm);
   std::string removeVoter(const VmId &Vm);
+  /// Sets the learners that don't become voters for now.
+  void holdLearners(std::set<VmId> Vms);
 
   /// Calls \p F with the catalog on the replica's thread and waits for it.
   template <class Function> auto read(Function F) {
@@ -85,7 +88,6 @@
   void processOutputs();
   void applyCommitted(const CommittedItem &Item);
   void completeSubmits();
-  void promoteLearners();
   void publishView();
   const std::vector<std::string> &unappliedTeams();
   std::string voterChangeResult(const ProposeResult &Result);
@@ -112,6 +114,7 @@
   mutable std::mutex ViewLock_;
   LeaderView View_;
   std::string LoggedFault_;
+  std::set<VmId> HeldLearners_; ///< used on the replica's thread
   Worker Worker_;
 };
 
--- a/lagoonpoint/src/Replication/Replica.cpp
+++ b/lagoonpoint/src/Replication/Replica.cpp
@@ -67,6 +67,15 @@
   });
 }
 
+void Replica::promoteLearner(const std::set<VmId> &Held, Time Now) {
+  if (!isLeader() || State_.Log_.configIndex() > State_.Commit_)
+    return;
+  // A copy, as a promotion changes the configuration.
+  for (const VmId &Vm : std::vector<VmId>(State_.Log_.config().Learners_))
+    if (!Held.count(Vm) && promote(Vm, Now).accepted())
+      return;
+}
+
 std::vector<Envelope> Replica::takeOutbox() {
   return std::exchange(Outbox_, {});
 }
--- a/lagoonpoint/src/Replication/Replica.h
+++ b/lagoonpoint/src/Replication/Replica.h
@@ -63,6 +63,9 @@
   ProposeResult addLearner(const VmId &Vm, Time Now);
   ProposeResult promote(const VmId &Vm, Time Now);
   ProposeResult remove(const VmId &Vm, Time Now);
+  /// Promotes the first learner that can become a voter, if this VM leads.
+  /// \param Held learners that stay learners for now
+  void promoteLearner(const std::set<VmId> &Held, Time Now);
 
   /// \returns the messages to send, and removes them from the outbox.
   std::vector<Envelope> takeOutbox();
--- a/lagoonpoint/src/Replication/Step.cpp
+++ b/lagoonpoint/src/Replication/Step.cpp
@@ -122,6 +122,17 @@
   return End && Now < *End;
 }
 
+MemberContact memberContact(const ReplicaState &S) {
+  MemberContact Out;
+  if (S.Role_ != ReplicaRole::Leader)
+    return Out;
+  Out.LeaderSince_ = S.BecameLeader_;
+  for (const auto &[Vm, Progress] : S.Peers_)
+    if (Progress.AckedAt_)
+      Out.AnsweredAt_[Vm] = *Progress.AckedAt_;
+  return Out;
+}
+
 bool survivesOneLoss(const ReplicaState &S, Time Now) {
   const VoterConfig &Config = S.Log_.config();
   constexpr std::size_t MinVoters = 3;
--- a/lagoonpoint/src/Replication/Step.h
+++ b/lagoonpoint/src/Replication/Step.h
@@ -56,6 +56,19 @@
 /// \ingroup Replication
 bool leaseValid(const ReplicaState &S, Time Now);
 
+/// When a leader last heard the voters and learners.
+struct MemberContact {
+  Time LeaderSince_;
+  /// Send time of the newest answered message, without those that never
+  /// answered.
+  std::map<VmId, Time> AnsweredAt_;
+};
+
+/// \returns the contact of this replica with the members; empty if it doesn't
+/// lead.
+/// \ingroup Replication
+MemberContact memberContact(const ReplicaState &S);
+
 /// \returns true if the loss of any one voter loses no data. This holds if this
 /// replica leads at least three voters, all are in contact, and the last change
 /// of the voters is committed and durable at each of them.
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -304,7 +304,10 @@
     CHECK(Step->Add_);
   }
   SECTION("a voter that was silent for long is removed") {
-    auto Step = nextVoterRepairStep(Config, Live, {VmId("c3")});
+    SilentMember C3{VmId("c3"), ZoneId(), VoterTimeout};
+    CHECK_FALSE(nextVoterRepairStep(Config, Live, {C3}));
+    C3.For_ = VoterTimeout + Duration::millis(1);
+    auto Step = nextVoterRepairStep(Config, Live, {C3});
     REQUIRE(Step);
     CHECK_FALSE(Step->Add_);
     CHECK(Step->Vm_ == VmId("c3"));
