Open a replica again after its disk was full

Cause: a replica stops for good at the first refused write. Its process runs on, so that neither the platform starts it again nor the leader replaces the voter, whose heartbeats still come.

Change: ReplicaHost opens the folder again twice a second until it succeeds, as after a restart, and logs replica.resume. The catalog is kept meanwhile, so that no reader sees an earlier revision. A violated invariant no longer stops a replica for good either.

Why it works: opening writes the log anew, so it fails while the disk refuses writes and succeeds once it has room; what the refused write left behind is discarded as after a crash.

--- a/lagoonpoint/src/Fleet/VoterRepair.cpp
+++ b/lagoonpoint/src/Fleet/VoterRepair.cpp
@@ -6,15 +6,19 @@
 
 namespace {
 
-Time lastHeard(const VmId &Vm, const MemberContact &Contact,
+/// A voter whose replica has stopped still sends heartbeats, so these count
+/// only where the replica could not have answered yet: from a learner, and from
+/// a voter that fell silent before this VM led.
+Time lastHeard(const VmId &Vm, bool IsVoter, const MemberContact &Contact,
                const NodeRegistry &Nodes) {
   auto Answered = Contact.AnsweredAt_.find(Vm);
+  if (Answered != Contact.AnsweredAt_.end())
+    return Answered->second;
   auto Known = Nodes.Nodes_.find(Vm);
-  bool IsKnown = Known != Nodes.Nodes_.end();
-  if (Answered == Contact.AnsweredAt_.end())
-    return IsKnown ? Known->second.HeardAt_ : Contact.LeaderSince_;
-  return IsKnown ? std::max(Answered->second, Known->second.HeardAt_)
-                 : Answered->second;
+  if (Known == Nodes.Nodes_.end())
+    return Contact.LeaderSince_;
+  return IsVoter ? std::min(Known->second.HeardAt_, Contact.LeaderSince_)
+                 : Known->second.HeardAt_;
 }
 
 /// \returns whether a VM may take a silent one's place: there is one core VM a
@@ -39,7 +43,8 @@
                                         Time Now) {
   std::vector<SilentMember> Out;
   for (const VmId &Vm : Config.peersOf(Self)) {
-    Duration Silence = Now - lastHeard(Vm, Contact, Nodes);
+    bool IsVoter = Config.findVoter(Vm) != nullptr;
+    Duration Silence = Now - lastHeard(Vm, IsVoter, Contact, Nodes);
     if (Silence <= MinSilence)
       continue;
     auto Known = Nodes.Nodes_.find(Vm);
--- a/lagoonpoint/src/Fleet/VoterRepair.h
+++ b/lagoonpoint/src/Fleet/VoterRepair.h
@@ -20,9 +20,9 @@
   Duration For_;
 };
 
-/// \returns the voters and learners that have neither answered the leader's
-/// replica nor sent a heartbeat for longer than \p MinSilence, the longest
-/// silent first. One that was never heard is silent since the leader leads.
+/// \returns the voters and learners whose replica has not answered the leader
+/// for longer than \p MinSilence, the longest silent first. One that never
+/// answered is silent since the leader leads, or since its last heartbeat.
 /// \ingroup Fleet
 std::vector<SilentMember> silentMembers(const VoterConfig &Config,
                                         const MemberContact &Contact,
--- a/lagoonpoint/src/Node/ReplicaHost.cpp
+++ b/lagoonpoint/src/Node/ReplicaHost.cpp
@@ -2,7 +2,9 @@
 
 #include "lagoonpoint/Log"
 
+#include <algorithm>
 #include <set>
+#include <utility>
 
 namespace lagoonpoint {
 
@@ -10,6 +12,9 @@
 
 constexpr Duration TickInterval = Duration::millis(25);
 constexpr const char *VoterFolder = "/voter";
+/// Opening the folder writes the log anew, so that it fails while the disk
+/// refuses writes.
+constexpr Duration ReopenInterval = Duration::millis(500);
 
 ReplicaOptions optionsOf(const Settings &S) {
   ReplicaOptions Options;
@@ -23,15 +28,26 @@
 
 ReplicaHost::ReplicaHost(const Settings &S, const Clock &C, Transport &T,
                          Observer O)
-    : Clock_(C), Transport_(T), Observer_(std::move(O)),
-      Files_(S.DataFolder_ + VoterFolder), Storage_(Files_, randomDiskId()),
-      Replica_(std::make_unique<Replica>(optionsOf(S), Storage_, C.now())),
+    : ReplicaHost(S, C, T, std::move(O),
+                  std::make_unique<PosixFiles>(S.DataFolder_ + VoterFolder)) {}
+
+ReplicaHost::ReplicaHost(const Settings &S, const Clock &C, Transport &T,
+                         Observer O, std::unique_ptr<Files> Folder)
+    : Options_(optionsOf(S)), Clock_(C), Transport_(T), Observer_(std::move(O)),
+      Files_(std::move(Folder)),
       Worker_("replica.run", TickInterval, [this] { tick(); }) {
+  open();
+  processOutputs();
+}
+
+void ReplicaHost::open() {
+  auto Storage = std::make_unique<DiskStorage>(*Files_, randomDiskId());
+  Replica_ = std::make_unique<Replica>(Options_, *Storage, Clock_.now());
+  Storage_ = std::move(Storage);
   for (const std::string &Line : Replica_->recoveryMessages())
     log({.Level_ = LogLevel::Warning,
          .Step_ = "replica.recover",
          .Message_ = Line});
-  processOutputs();
 }
 
 ReplicaHost::~ReplicaHost() { stop(); }
@@ -112,12 +128,38 @@
 }
 
 void ReplicaHost::tick() {
+  reopenIfStopped();
   Replica_->tick(Clock_.now());
   // Learners are only added to become voters.
   Replica_->promoteLearner(HeldLearners_, Clock_.now());
   processOutputs();
 }
 
+/// What stopped the replica may pass: a full disk, a failed write, or a state
+/// that the log on disk does not have.
+void ReplicaHost::reopenIfStopped() {
+  if (Replica_->fault().empty())
+    return;
+  if (!ReopenAt_) {
+    ReopenAt_ = Clock_.now() + ReopenInterval;
+    // Whether these are committed is unknown to this replica from now on.
+    for (auto &[Index, Pending] : std::exchange(PendingSubmits_, {}))
+      Pending.Done_({});
+  }
+  if (Clock_.now() < *ReopenAt_)
+    return;
+  try {
+    open();
+    ReopenAt_.reset();
+    ReopenError_.clear();
+  } catch (const Error &E) {
+    ReopenAt_ = Clock_.now() + ReopenInterval;
+    if (ReopenError_ != E.what())
+      logError(E, LogLevel::Warning);
+    ReopenError_ = E.what();
+  }
+}
+
 void ReplicaHost::processOutputs() {
   // The view is published before messages are sent, so that it is at least as
   // recent as any message of this VM.
@@ -126,14 +168,17 @@
     Transport_.send(std::move(Message));
   for (const CommittedItem &Item : Replica_->takeCommitted())
     applyCommitted(Item);
-  DeliveredIndex_ = Replica_->state().Commit_;
+  DeliveredIndex_ = std::max(DeliveredIndex_, Replica_->state().Commit_);
   completeSubmits();
-  if (Replica_->wantsSnapshot())
+  // A replica that was opened again may lag behind the catalog.
+  if (Replica_->state().Commit_ == DeliveredIndex_ && Replica_->wantsSnapshot())
     Replica_->snapshot(encode(Catalog_), Clock_.now());
   publishView();
 }
 
 void ReplicaHost::applyCommitted(const CommittedItem &Item) {
+  if (Item.Index_ <= DeliveredIndex_)
+    return; // replayed by a replica that was opened again
   AppliedIndex_ = Item.Index_;
   if (Item.IsSnapshot_) {
     Catalog_ = decode<Catalog>(Item.Bytes_, "replica.snapshot", "");
@@ -187,10 +232,12 @@
   Time Now = Clock_.now();
   ReplicaStatus Status = Replica_->status(Now);
   if (Status.Fault_ != LoggedFault_) {
+    bool Runs = Status.Fault_.empty();
+    log({.Level_ = Runs ? LogLevel::Info : LogLevel::Error,
+         .Step_ = Runs ? "replica.resume" : "replica.stop",
+         .Message_ =
+             Runs ? "runs again after: " + LoggedFault_ : Status.Fault_});
     LoggedFault_ = Status.Fault_;
-    log({.Level_ = LogLevel::Error,
-         .Step_ = "replica.stop",
-         .Message_ = Status.Fault_});
   }
   const std::vector<std::string> &Teams = unappliedTeams();
   std::lock_guard Guard(ViewLock_);
--- a/lagoonpoint/src/Node/ReplicaHost.h
+++ b/lagoonpoint/src/Node/ReplicaHost.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 
 namespace lagoonpoint {
@@ -42,6 +43,10 @@
 /// \ingroup Node
 /// \brief Runs this VM's replica and its catalog on their own thread, so that
 /// no other thread waits for the disk.
+///
+/// A replica that stops, for example because its disk is full, is opened again
+/// from the folder until that succeeds. The catalog is kept meanwhile and never
+/// goes back to an earlier revision.
 class ReplicaHost {
 public:
   /// Called on the replica's thread with each new state of the catalog and the
@@ -52,6 +57,9 @@
   /// Opens the data folder.
   /// \throws CorruptError, DiskError
   ReplicaHost(const Settings &S, const Clock &C, Transport &T, Observer O);
+  /// The same with another folder.
+  ReplicaHost(const Settings &S, const Clock &C, Transport &T, Observer O,
+              std::unique_ptr<Files> Folder);
   ~ReplicaHost();
 
   void start();
@@ -85,6 +93,8 @@
   };
 
   void tick();
+  void open();
+  void reopenIfStopped();
   void processOutputs();
   void applyCommitted(const CommittedItem &Item);
   void completeSubmits();
@@ -92,12 +102,15 @@
   const std::vector<std::string> &unappliedTeams();
   std::string voterChangeResult(const ProposeResult &Result);
 
+  const ReplicaOptions Options_;
   const Clock &Clock_;
   Transport &Transport_;
   Observer Observer_;
-  PosixFiles Files_;
-  DiskStorage Storage_;
+  std::unique_ptr<Files> Files_;
+  std::unique_ptr<DiskStorage> Storage_;
   std::unique_ptr<Replica> Replica_;
+  std::optional<Time> ReopenAt_; ///< empty while the replica runs
+  std::string ReopenError_;      ///< of the last attempt, logged once
   Catalog Catalog_;
   LogIndex AppliedIndex_;   ///< of the last item applied to the catalog
   LogIndex DeliveredIndex_; ///< the catalog includes all entries up to here
--- a/test/VoterRepair.cpp
+++ b/test/VoterRepair.cpp
@@ -249,6 +249,39 @@
   CHECK(C.violations() == "");
 }
 
+TEST_CASE("A voter whose replica has stopped is silent though its process "
+          "sends heartbeats") {
+  VoterConfig Config;
+  Config.Voters_ = {{VmId("a"), DiskId(1)}, {VmId("b"), DiskId(2)}};
+  MemberContact Contact{Time(10'000), {}};
+  NodeRegistry Nodes;
+  Nodes.Nodes_[VmId("b")].HeardAt_ = Time(20'000);
+  auto SilenceAt = [&](Time Now) {
+    auto Silent =
+        silentMembers(Config, Contact, Nodes, VmId("a"), LivenessTimeout, Now);
+    return Silent.empty() ? Duration() : Silent.front().For_;
+  };
+  SECTION("since its last answer") {
+    Contact.AnsweredAt_[VmId("b")] = Time(12'000);
+    CHECK(SilenceAt(Time(14'000)) == Duration());
+    CHECK(SilenceAt(Time(20'000)) == Duration::seconds(8));
+  }
+  SECTION("since the leader leads, if it never answered") {
+    CHECK(SilenceAt(Time(20'000)) == Duration::seconds(10));
+    Nodes.Nodes_.clear();
+    CHECK(SilenceAt(Time(20'000)) == Duration::seconds(10));
+  }
+  SECTION("since its last heartbeat, if that was before the leader led") {
+    Nodes.Nodes_[VmId("b")].HeardAt_ = Time(9'000);
+    CHECK(SilenceAt(Time(20'000)) == Duration::seconds(11));
+  }
+  SECTION("but not a learner that has yet to answer") {
+    Config.Learners_ = {VmId("b")};
+    Config.Voters_.pop_back();
+    CHECK(SilenceAt(Time(20'000)) == Duration());
+  }
+}
+
 TEST_CASE("A voter that is silent without a successor stays for a while") {
   RepairedCluster C(6, 1, 1);
   REQUIRE(C.answersChanges());
