Find the receiver before its message is moved

A test's transport named the receiver of a message and moved the message in one expression. No behaviour of the product is concerned, and the checks are the same.

--- a/test/ReplicaHost.cpp
+++ b/test/ReplicaHost.cpp
@@ -132,7 +132,8 @@
   public:
     explicit Link(Cluster &Of) : Cluster_(Of) {}
     void send(Envelope Message) override {
-      Cluster_.Nodes_.at(Message.To_).Host_->receive(std::move(Message));
+      ReplicaHost &To = *Cluster_.Nodes_.at(Message.To_).Host_;
+      To.receive(std::move(Message));
     }
 
   private:
