Drop orders whose sender has given them up

Cause: a JSON service handled each request that it read, however long it had waited in the socket and whether or not its client was still there, and nothing told an older order of a drain from a newer one.

Change: a request whose client has closed the connection is dropped and logged (http.abandoned). An order of a drain carries the revision in force where it was received, and loses against an order of the same drain that was accepted since. Where the client still waits, the core VM brings its replica up to date and submits the order again, so that no proper order is refused.

Why it works: a client that goes on to another VM closes its connection first, and the end of the connection is in the socket behind the order.

--- a/lagoonpoint/src/Catalog/Catalog.cpp
+++ b/lagoonpoint/src/Catalog/Catalog.cpp
@@ -96,15 +96,26 @@
   return accept(State);
 }
 
+/// An order that was received before the last accepted order of the same drain
+/// is refused, however late it arrives. A conditional order makes a revision
+/// also if it changes nothing, so that earlier orders lose against it.
 ChangeReply setDrain(Catalog &State, const Change &C) {
+  bool Conditional = C.Base_ > Revision();
+  auto Last = State.DrainRevisions_.find(C.Drain_);
+  if (Conditional && Last != State.DrainRevisions_.end() &&
+      C.Base_ < Last->second)
+    return conflict(State, "a later order was accepted at revision " +
+                               std::to_string(Last->second.value()));
   bool Present = State.Drains_.count(C.Drain_) > 0;
-  if (Present == C.Drained_)
+  if (Present == C.Drained_ && !Conditional)
     return {ChangeVerdict::Accepted, State.Revision_, "already so"};
   if (C.Drained_)
     State.Drains_.insert(C.Drain_);
   else
     State.Drains_.erase(C.Drain_);
-  return accept(State);
+  ChangeReply Reply = accept(State);
+  State.DrainRevisions_[C.Drain_] = Reply.Revision_;
+  return Reply;
 }
 
 ChangeReply setView(Catalog &State, const Change &C) {
--- a/lagoonpoint/src/Catalog/Catalog.h
+++ b/lagoonpoint/src/Catalog/Catalog.h
@@ -30,6 +30,7 @@
   std::map<KeyId, KeyGrant> GrantedKeys_;
   std::set<KeyId> WithdrawnKeys_;
   std::set<Drain> Drains_;
+  std::map<Drain, Revision> DrainRevisions_; ///< of the last order of each
   std::map<ZoneId, ZoneView> Views_;
   ItemSet Items_;
   std::map<ChangeId, ChangeReply> Replies_;
@@ -38,7 +39,8 @@
   /// avoids parsing a large text again; not part of the state.
   std::shared_ptr<const Declarations> ParsedText_;
   MSGPACK_DEFINE(Revision_, DeclarationsRevision_, Text_, GrantedKeys_,
-                 WithdrawnKeys_, Drains_, Views_, Replies_, ReplyOrder_, Items_)
+                 WithdrawnKeys_, Drains_, Views_, Replies_, ReplyOrder_, Items_,
+                 DrainRevisions_)
 };
 
 /// Validates a change and applies it if it is accepted.
--- a/lagoonpoint/src/Catalog/Change.h
+++ b/lagoonpoint/src/Catalog/Change.h
@@ -74,7 +74,9 @@
 struct Change {
   ChangeId Id_; ///< chosen by the proposer; the same in a resend
   ChangeKind Kind_ = ChangeKind::Declare;
-  Revision Base_;        ///< Declare: the revision the operator edited
+  /// Declare: the revision the operator edited. SetDrain: the revision in force
+  /// where the order was received, 0 if it is unconditional.
+  Revision Base_;
   std::string Text_;     ///< Declare: the file, or the middle part of a splice
   Splice Splice_;        ///< Declare: made by the leader
   KeyGrant Key_;         ///< GrantKey; WithdrawKey uses its id only
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -131,6 +131,8 @@
   void logLeaderChange();
   bool isBootstrapped();
   std::shared_ptr<const ItemsSnapshot> items() const;
+  std::shared_ptr<const ItemsSnapshot> awaitRevision(Revision Upto,
+                                                     Time Deadline) const;
 
   const FleetSettings &Settings_;
   const Settings ReplicaSettings_;
@@ -230,6 +232,19 @@
   return Items_;
 }
 
+/// \throws UnavailableError if this replica has not applied a revision in time
+std::shared_ptr<const ItemsSnapshot>
+CoreVm::Impl::awaitRevision(Revision Upto, Time Deadline) const {
+  while (Clock_.now() < Deadline) {
+    auto Now = items();
+    if (Now->Revision_ >= Upto)
+      return Now;
+    sleepFor(ReadPollInterval);
+  }
+  throw UnavailableError("core.read", "",
+                         "this replica lags behind the leader");
+}
+
 NodeRecord CoreVm::Impl::selfRecord() {
   NodeRecord Out;
   Out.Vm_ = Self_;
@@ -742,6 +757,24 @@
   return Reply;
 }
 
+ChangeReply CoreVm::setDrain(const ZoneId &Zone, bool Drained, Duration Wait,
+                             const std::function<bool()> &SenderLeft) {
+  Change C;
+  C.Kind_ = ChangeKind::SetDrain;
+  C.Drain_ = {DrainScope::Zone, Zone.str()};
+  C.Drained_ = Drained;
+  C.Base_ = Impl_->items()->Revision_;
+  Time Deadline = Impl_->Clock_.now() + Wait;
+  for (;;) {
+    ChangeReply Reply = submit(C, Deadline - Impl_->Clock_.now());
+    // A sender that still waits may have sent its order after the later one,
+    // which this replica had not applied yet.
+    if (Reply.Verdict_ != ChangeVerdict::Conflict || SenderLeft())
+      return Reply;
+    C.Base_ = Impl_->awaitRevision(Reply.Revision_, Deadline)->Revision_;
+  }
+}
+
 AnnounceResult CoreVm::announce(const UpstreamNotice &Notice) {
   bool IsNew = false;
   bool RestartsWarmup = false;
@@ -803,14 +836,7 @@
   Change Barrier;
   Barrier.Kind_ = ChangeKind::PatchItems;
   Revision Upto = submit(Barrier, Wait).Revision_;
-  while (Impl_->Clock_.now() < Deadline) {
-    auto Now = Impl_->items();
-    if (Now->Revision_ >= Upto)
-      return Now->Items_;
-    sleepFor(ReadPollInterval);
-  }
-  throw UnavailableError("core.read", "",
-                         "this replica lags behind the leader");
+  return Impl_->awaitRevision(Upto, Deadline)->Items_;
 }
 
 bool CoreVm::acceptsService(const ServiceId &Service) const {
--- a/lagoonpoint/src/Gateway/CoreVm.h
+++ b/lagoonpoint/src/Gateway/CoreVm.h
@@ -5,6 +5,7 @@
 #include "lagoonpoint/Fleet"
 #include "lagoonpoint/Metrics"
 
+#include <functional>
 #include <memory>
 
 namespace lagoonpoint {
@@ -34,6 +35,12 @@
   /// Submits a change to the leader.
   /// \throws UnavailableError if its outcome is unknown after \p Wait
   ChangeReply submit(const Change &C, Duration Wait);
+  /// Drains a zone or ends its drain, unless a later order of the same zone has
+  /// been accepted since this one was received.
+  /// \param SenderLeft whether the sender has given the order up
+  /// \throws UnavailableError as submit()
+  ChangeReply setDrain(const ZoneId &Zone, bool Drained, Duration Wait,
+                       const std::function<bool()> &SenderLeft);
   /// Processes an upstream's announcement. If the upstream is leaving, waits
   /// until all entry VMs in contact have confirmed it or the confirmation times
   /// out.
--- a/lagoonpoint/src/Http/util/JsonService.cpp
+++ b/lagoonpoint/src/Http/util/JsonService.cpp
@@ -112,6 +112,15 @@
   try {
     Request.Body_ = readBody(C, Head);
     Request.Key_ = readKey(Head.Request_);
+    Request.ClientLeft_ = [&C] { return C.Socket_.peerClosed(); };
+    if (Request.ClientLeft_()) {
+      log({.Level_ = LogLevel::Warning,
+           .Step_ = "http.abandoned",
+           .Message_ = "client left before its request was handled: " +
+                       Request.Method_ + " " + Target,
+           .Peer_ = C.ClientAddress_});
+      return false;
+    }
     Out = handle(Request);
   } catch (const Refusal &R) {
     Out = refusalResponse(R, Request.Id_);
--- a/lagoonpoint/src/Http/util/JsonService.h
+++ b/lagoonpoint/src/Http/util/JsonService.h
@@ -16,6 +16,9 @@
   std::string Body_;
   std::string Key_; ///< as sent, empty if none was
   RequestId Id_;
+  /// Whether the client has closed the connection. Nobody is then told the
+  /// outcome, and the client may have sent other requests elsewhere since.
+  std::function<bool()> ClientLeft_;
 };
 
 /// Reads the key of a request: `Authorization: Bearer KEY` or `X-Api-Key`.
@@ -34,6 +37,9 @@
 /// \class JsonService
 /// \ingroup Http
 /// \brief A listener that reads each request completely and sends one response.
+///
+/// A request whose client has closed the connection is dropped: it may have
+/// waited in the socket while this process was suspended.
 class JsonService {
 public:
   using Handler = std::function<HttpResponse(const BufferedRequest &)>;
--- a/test/Catalog.cpp
+++ b/test/Catalog.cpp
@@ -83,6 +83,47 @@
     CHECK_FALSE(
         effectiveDeclarations(State).Zones_[ZoneId("north-a")].Drained_);
   }
+  // Guards against an order that its sender has given up and that ends a drain
+  // ordered after it.
+  SECTION("an order that was received before the last one of its drain loses") {
+    int Number = 0;
+    auto Order = [&](bool Drained, Revision Received,
+                     const char *Zone = "north-a") {
+      return applyChange(State,
+                         {.Id_ = ChangeId("d" + std::to_string(++Number)),
+                          .Kind_ = ChangeKind::SetDrain,
+                          .Base_ = Received,
+                          .Drain_ = {DrainScope::Zone, Zone},
+                          .Drained_ = Drained})
+          .Verdict_;
+    };
+    auto IsDrained = [&] {
+      return effectiveDeclarations(State).Zones_[ZoneId("north-a")].Drained_;
+    };
+    Revision Received = State.Revision_;
+    REQUIRE(Order(true, Received) == ChangeVerdict::Accepted);
+    CHECK(Order(false, Received) == ChangeVerdict::Conflict);
+    CHECK(IsDrained());
+    SECTION("also against one that changed nothing") {
+      Received = State.Revision_;
+      REQUIRE(Order(true, Received) == ChangeVerdict::Accepted);
+      CHECK(Order(false, Received) == ChangeVerdict::Conflict);
+      CHECK(IsDrained());
+    }
+    SECTION("but one that was received after it is carried out") {
+      CHECK(Order(false, State.Revision_) == ChangeVerdict::Accepted);
+      CHECK_FALSE(IsDrained());
+    }
+    SECTION("and other zones and changes don't matter") {
+      Received = State.Revision_;
+      REQUIRE(Order(true, Received, "south-a") == ChangeVerdict::Accepted);
+      CHECK(Order(false, Received) == ChangeVerdict::Accepted);
+    }
+    SECTION("also in a snapshot of the state") {
+      State = decode<Catalog>(encode(State), "test", "");
+      CHECK(Order(false, Received) == ChangeVerdict::Conflict);
+    }
+  }
   SECTION("the number of stored replies is bounded") {
     for (std::size_t I = 0; I < Catalog::MaxReplies; ++I)
       applyChange(State, declaration(std::to_string(I).c_str(), 0, Text));
--- a/test/FleetVms.cpp
+++ b/test/FleetVms.cpp
@@ -255,6 +255,28 @@
     CHECK(eventually(
         [&] { return Fleet.call(Get).find("mine") != std::string::npos; }));
   }
+  SECTION("an order loses only against one that was received after it") {
+    ZoneId Zone("north-a");
+    bool Left = false;
+    auto Order = [&](std::size_t Core, bool On) {
+      return Fleet.Cores_[Core]
+          ->setDrain(Zone, On, SubmitTimeout, [&] { return Left; })
+          .Verdict_;
+    };
+    // The other replicas have yet to apply each order when the next one comes.
+    for (int Round = 0; Round < 3; ++Round)
+      for (std::size_t Core = 0; Core < Fleet.Cores_.size(); ++Core) {
+        CHECK(Order(Core, true) == ChangeVerdict::Accepted);
+        CHECK(Order(Core, false) == ChangeVerdict::Accepted);
+      }
+    Change Late;
+    Late.Kind_ = ChangeKind::SetDrain;
+    Late.Drain_ = {DrainScope::Zone, Zone.str()};
+    Late.Drained_ = true;
+    Late.Base_ = Revision(1);
+    CHECK(Fleet.Cores_[1]->submit(Late, SubmitTimeout).Verdict_ ==
+          ChangeVerdict::Conflict);
+  }
   SECTION("a planned stop cuts no call, whenever it arrives") {
     UpstreamNotice SlowNotice =
         notice(Slow.address().Port_, NoticePhase::Serving, 1);
