Consume the end of a long request body

Cause: bufferBody() stops once more than 64 KiB are buffered. BodyReader takes the bytes that it has returned out of the connection's buffer at its next call.

Change: a body is complete only once its bytes are consumed, and connections are kept by that alone. bufferBody() reads on at the end of a body, so that the call can still be tried again at another upstream.

--- a/lagoonpoint/src/Http/util/BodyReader.h
+++ b/lagoonpoint/src/Http/util/BodyReader.h
@@ -38,9 +38,13 @@
   /// \param[out] Data valid until the next call
   BodyStatus next(std::string_view &Data, const Deadline &Limit,
                   Watch Watched = {});
-  /// \returns true if the end of a framed body was reached, or there is no
-  /// body.
-  bool complete() const { return State_ == State::Done; }
+  /// \returns true if next() has returned Complete for a framed body, or there
+  /// is no body. Exactly the body's bytes are then consumed, so that the
+  /// connection may be read further.
+  bool complete() const { return atEnd() && ReturnedBytes_ == 0; }
+  /// \returns whether all bytes of the body were returned. The next call of
+  /// next() then doesn't wait.
+  bool atEnd() const { return State_ == State::Done; }
 
 private:
   enum class State { Data, ChunkSize, ChunkEnd, Trailer, UntilClose, Done };
--- a/lagoonpoint/src/Http/util/ProxyCall.cpp
+++ b/lagoonpoint/src/Http/util/ProxyCall.cpp
@@ -92,13 +92,14 @@
     writeToCaller("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
-// Reads until the body is complete or more than MaxBytes are buffered.
+// Reads until the body is complete, or more than MaxBytes are buffered and more
+// are to come.
 void ProxyCall::bufferBody(std::size_t MaxBytes) {
   Deadline BodyDeadline = Deadline(
       Context_.Clock_, Caller_.ArrivedAt_ + Context_.Settings_.BodyTimeout_);
   if (Handle_)
     BodyDeadline = BodyDeadline.min(Handle_->deadline());
-  while (BufferedBody_.size() <= MaxBytes) {
+  while (BufferedBody_.size() <= MaxBytes || Body_.atEnd()) {
     std::string_view Data;
     BodyStatus Status = Body_.next(Data, BodyDeadline);
     if (Status == BodyStatus::Complete)
--- a/test/CallerServer.cpp
+++ b/test/CallerServer.cpp
@@ -1,5 +1,6 @@
 #include "fakes/FakeCallerPort.h"
 #include "fakes/ScriptedUpstream.h"
+#include "lagoonpoint/src/Http/util/BodyReader.h"
 
 #include <catch2/catch.hpp>
 
@@ -213,6 +214,46 @@
   CHECK(Fixture.Port_.calls().empty());
 }
 
+// Guards against the end of a long body that is read as the connection's next
+// request: it ran, and the caller's next request got its answer.
+TEST_CASE("A request behind a long body is read as it was sent") {
+  ScriptedUpstream Upstream([](RawSocket &S) {
+    for (;;) {
+      std::string Message = S.readMessage();
+      if (Message.empty())
+        return;
+      if (Message.find("chunked") != std::string::npos)
+        S.readUntil("\r\n0\r\n\r\n");
+      S.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    }
+  });
+  fakes::CallerServerFixture Fixture;
+  RawSocket Caller(Fixture.start(Upstream.address()));
+  std::size_t First = GENERATE(60'000U, 65'535U, 65'536U, 65'537U);
+  std::size_t Rest = GENERATE(1U, 2U, 9'142U, 40'000U);
+  bool Chunked = GENERATE(false, true);
+  INFO(First << " and " << Rest << " bytes, chunked " << Chunked);
+  std::string Inner = "POST /tags/9 HTTP/1.1\r\nHost: vm\r\n"
+                      "Content-Length: 0\r\n\r\n";
+  std::string End = Inner.substr(0, Rest);
+  End.resize(Rest, 'q');
+  std::string Head = "POST /tags/7 HTTP/1.1\r\nHost: vm\r\n";
+  if (Chunked)
+    Caller.send(Head + "Transfer-Encoding: chunked\r\n\r\n" +
+                internal::encodeChunk(std::string(First, 'p')));
+  else
+    Caller.send(Head + "Content-Length: " + std::to_string(First + Rest) +
+                "\r\n\r\n" + std::string(First, 'p'));
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  std::string Next = "GET /tags/8 HTTP/1.1\r\nHost: vm\r\n\r\n";
+  Caller.send((Chunked ? internal::encodeChunk(End) + "0\r\n\r\n" : End) +
+              Next);
+  CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 200 "));
+  CHECK_THAT(Caller.readMessage(), StartsWith("HTTP/1.1 200 "));
+  CHECK(Fixture.Port_.calls().size() == 2);
+  CHECK(Fixture.Port_.calls().back().Path_ == "/tags/8");
+}
+
 TEST_CASE("Limits of the callers' listener") {
   fakes::CallerServerFixture Fixture;
   Fixture.Settings_.MaxBodyBytes_ = 1000;
