Decide a call by one configuration

Callers may see, on real processes: a request runs with a key that was withdrawn long before, or a new route is answered 404. The users' runs show one such request; it was not reproduced, and that this is its cause is suspected.

Cause: an entry VM took the configuration in force, looked up route and key in it, and then checked the proof that keys are current. That proof is about the items in force when it is read.

Change: evaluateInForce() evaluates again if another configuration came into force meanwhile, for the permission and for the route of a call. The service comes from the same configuration as the permission.

--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -4,6 +4,7 @@
 #include "lagoonpoint/Peer"
 #include "lagoonpoint/src/Gateway/ControlLoad.h"
 #include "lagoonpoint/src/Gateway/FleetCall.h"
+#include "lagoonpoint/src/Gateway/InForce.h"
 #include "lagoonpoint/src/Gateway/PeerRegistry.h"
 #include "lagoonpoint/src/Gateway/StopPlan.h"
 #include "lagoonpoint/src/Gateway/TeamTokens.h"
@@ -92,6 +93,13 @@
   return Out;
 }
 
+/// A route and a team that a configuration allows for a call.
+struct Permission {
+  std::shared_ptr<const Configuration> Configuration_; ///< owns Route_
+  const TableRoute *Route_ = nullptr;
+  TeamId Team_; ///< empty if the route is open
+};
+
 /// Chooses a service of the route's traffic split by the hash of the request
 /// id.
 const ServiceId &chooseService(const RouteItem &Route,
@@ -109,6 +117,19 @@
   return Route.Split_.back().Service_;
 }
 
+RouteDecl declarationOf(const TableRoute &Found, const Call &C) {
+  RouteDecl Out;
+  Out.Name_ = Found.Name_;
+  Out.Prefix_ = Found.Item_.Prefix_;
+  Out.Service_ = chooseService(Found.Item_, C.Request_);
+  Out.Open_ = Found.Item_.Open_;
+  Out.Kind_ =
+      Found.Item_.Idempotent_ ? RouteKind::Repeatable : RouteKind::Plain;
+  Out.Deadline_ = Found.Item_.Timeout_;
+  Out.MaxDeadline_ = Found.Item_.Timeout_;
+  return Out;
+}
+
 std::string pathOf(const std::string &Target) {
   return Target.substr(0, Target.find('?'));
 }
@@ -174,6 +195,7 @@
   std::shared_ptr<const Configuration> current() const;
   const TableRoute &findTableRoute(const Configuration &C,
                                    const Call &Request) const;
+  Permission permissionOf(const Call &Request);
   TeamId authenticateTeam(const Configuration &C, const RouteItem &Route,
                           const Call &Request);
   std::optional<Time> keysProvenAt(const TeamId &Team) const;
@@ -547,19 +569,11 @@
 }
 
 RouteDecl EntryVm::Impl::routeOf(const Call &C) {
-  auto Now = current();
   try {
-    const TableRoute &Found = findTableRoute(*Now, C);
-    RouteDecl Out;
-    Out.Name_ = Found.Name_;
-    Out.Prefix_ = Found.Item_.Prefix_;
-    Out.Service_ = chooseService(Found.Item_, C.Request_);
-    Out.Open_ = Found.Item_.Open_;
-    Out.Kind_ =
-        Found.Item_.Idempotent_ ? RouteKind::Repeatable : RouteKind::Plain;
-    Out.Deadline_ = Found.Item_.Timeout_;
-    Out.MaxDeadline_ = Found.Item_.Timeout_;
-    return Out;
+    return evaluateInForce([this] { return current(); },
+                           [&](const auto &Now) {
+                             return declarationOf(findTableRoute(*Now, C), C);
+                           });
   } catch (const Refusal &R) {
     countRefusal(Metrics_, TeamId(), R.reason(), R.ran());
     throw;
@@ -581,17 +595,28 @@
   return Team;
 }
 
+Permission EntryVm::Impl::permissionOf(const Call &Request) {
+  return evaluateInForce(
+      [this] { return current(); },
+      [&](const auto &Now) {
+        const TableRoute &Found = findTableRoute(*Now, Request);
+        return Permission{Now, &Found,
+                          authenticateTeam(*Now, Found.Item_, Request)};
+      });
+}
+
 std::unique_ptr<CallHandle> EntryVm::Impl::admit(const Call &C) {
-  auto Now = current();
   FleetCallAdmission A;
   try {
-    const RouteItem &Route = findTableRoute(*Now, C).Item_;
-    A.Route_ = routeOf(C);
     A.Request_ = C.Request_;
-    TeamTokens_.countService(A.Route_.Service_);
-    A.Team_ = authenticateTeam(*Now, Route, C);
+    TeamTokens_.countService(routeOf(C).Service_);
+    Permission Granted = permissionOf(C);
+    const RouteItem &Route = Granted.Route_->Item_;
+    A.Route_ = declarationOf(*Granted.Route_, C);
+    A.Team_ = Granted.Team_;
     A.Authenticated_ = !A.Team_.empty();
-    const TeamItem *Team = findItem(Now->Items_.Teams_, A.Team_.str());
+    const TeamItem *Team =
+        findItem(Granted.Configuration_->Items_.Teams_, A.Team_.str());
     A.Object_ = Route.SessionAffinity_ ? C.Object_ : "";
     A.Regions_ = intersection(Route.Regions_,
                               Team ? Team->Regions_ : std::vector<RegionId>());
@@ -613,7 +638,7 @@
          .Message_ = std::string(toString(R.reason())) + ": " + R.message(),
          .Team_ = A.Team_,
          .Request_ = C.Request_,
-         .Revision_ = Now->Revision_});
+         .Revision_ = current()->Revision_});
     throw;
   }
   return std::make_unique<FleetCall>(Services_, std::move(A));
