Refuse calls for good only by items proven lately

Cause: a 404 or 401 was given if the items were proven complete within the last 4.6 s, the time for which a withdrawn key may work.

Change: a final refusal takes a proof that is at most half as old as the bound on withdrawn keys. With an older one the caller gets 503 and may come back. Calls that are let through keep the old bound.

--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -200,6 +200,11 @@
                           const Call &Request);
   std::optional<Time> keysProvenAt(const TeamId &Team) const;
   void checkKeys(const TeamId &Team) const;
+  void checkItems(Duration MaxAge, const TeamId &Team) const;
+  /// Called before a call is refused for good by the items.
+  void checkItemsToRefuse() const {
+    checkItems(Settings_.Revoke_ / 2, TeamId());
+  }
   RetryBudgetLimits retryLimits() const;
   void checkStopping(Time CallDeadline) const;
   void startDraining();
@@ -526,10 +531,13 @@
 }
 
 void EntryVm::Impl::checkKeys(const TeamId &Team) const {
-  if (!Settings_.StrictRevocation_)
-    return;
+  if (Settings_.StrictRevocation_)
+    checkItems(Settings_.Revoke_ - RevocationMargin, Team);
+}
+
+void EntryVm::Impl::checkItems(Duration MaxAge, const TeamId &Team) const {
   auto At = keysProvenAt(Team);
-  if (At && Clock_.now() - *At < Settings_.Revoke_ - RevocationMargin)
+  if (At && Clock_.now() - *At < MaxAge)
     return;
   throw Refusal(RefusalReason::KeysNotCurrent, Ran::No, Step,
                 At ? "keys were last proven to be current " +
@@ -563,7 +571,7 @@
       C.Table_.find(hostOf(Request.Host_), pathOf(Request.Path_));
   if (Route)
     return *Route;
-  checkKeys(TeamId()); // an outdated configuration may lack the route
+  checkItemsToRefuse(); // an outdated configuration may lack the route
   throw Refusal(RefusalReason::NoSuchRoute, Ran::No, Step,
                 "no route matches this host and path");
 }
@@ -586,7 +594,10 @@
   if (Route.Open_ || !C.Table_.hasTeams())
     return TeamId();
   TeamId Team = C.Table_.teamOf(Request.Key_);
-  checkKeys(Team);
+  if (Team.empty())
+    checkItemsToRefuse();
+  else
+    checkKeys(Team);
   if (Request.Key_.empty())
     throw Refusal(RefusalReason::KeyMissing, Ran::No, Step,
                   "this route needs a key");
--- a/test/FleetVms.cpp
+++ b/test/FleetVms.cpp
@@ -255,6 +255,22 @@
     CHECK(eventually(
         [&] { return Fleet.call(Get).find("mine") != std::string::npos; }));
   }
+  // Guards against a final refusal by items that are about to be replaced.
+  SECTION(
+      "without core VMs, a route or key is soon no longer refused for good") {
+    std::string Unknown = "GET /nowhere/7 HTTP/1.1\r\n";
+    std::string NoTeam = "GET /tags/7 HTTP/1.1\r\nX-Api-Key: nobody\r\n";
+    CHECK_THAT(Fleet.call(Unknown), StartsWith("HTTP/1.1 404 "));
+    CHECK_THAT(Fleet.call(NoTeam), StartsWith("HTTP/1.1 401 "));
+    for (auto &Core : Fleet.Cores_)
+      Core->stop();
+    // Half of the time for which keys are accepted without a core VM.
+    constexpr int HalfRevokeMs = 2500;
+    std::this_thread::sleep_for(std::chrono::milliseconds(HalfRevokeMs));
+    CHECK_THAT(Fleet.call(Unknown), StartsWith("HTTP/1.1 503 "));
+    CHECK_THAT(Fleet.call(NoTeam), StartsWith("HTTP/1.1 503 "));
+    CHECK_THAT(Fleet.call(Get), Contains("mine"));
+  }
   SECTION("an order loses only against one that was received after it") {
     ZoneId Zone("north-a");
     bool Left = false;
