--- a/lagoonpoint/src/Fleet/TeamDemand.cpp
+++ b/lagoonpoint/src/Fleet/TeamDemand.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-/// Tolerates the loss of two heartbeats in a row, which are sent once a second.
 /// Core VMs of a region that learn a team's demand.
 constexpr std::size_t RankedHolders = 2;
 
