Let region shares follow at once until there are calls

Callers saw most of their calls late at the start of a fleet where their region has few upstreams: with 18 of 188 upstreams in a region with 44 % of the calls, 50 % of these stayed there in the first second and 31 % after 13 s, though the target was 28 % from the start. The upstreams of that region ran with 14 to 17 calls for 4 slots.

Cause, from a log of the shares: upstreams become known one by one. The first shares follow from the first few, which are those of the own zone, and after that shares move by 3.75 % of the calls a second only, also when there is no call yet that would change region. The pools' flows stayed as they were while there were no calls, with the same result.

Until this VM or the fleet has had calls of a service, the shares are now set to their target. Ruled out: calls bound to a region (none there), the hash of the objects (a second one gives the same).

--- a/lagoonpoint/src/Gateway/SharedDispatcher.cpp
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.cpp
@@ -289,12 +289,20 @@
       if (Found != Rates.end())
         DemandRates[RegionId(Region)] += Found->second;
     }
+    bool HasCalls =
+        std::any_of(DemandRates.begin(), DemandRates.end(),
+                    [](const auto &Entry) { return Entry.second > 0; });
     std::lock_guard Guard(S->Lock_);
+    S->HasCalls_ = S->HasCalls_ || HasCalls;
     smoothDemand(S->Demand_, DemandRates, Elapsed);
     RegionShares Target =
         targetShares(Settings_.Region_, slotsOf(S->Group_), S->Demand_);
-    if (!Target.empty() && !S->SharesAreSet_)
-      S->Shares_ = stepTowards(S->Shares_, Target, MaxMoved);
+    if (Target.empty() || S->SharesAreSet_)
+      continue;
+    // Upstreams become known one by one. Until there are calls, whose objects
+    // would change region, the shares follow at once.
+    S->Shares_ =
+        S->HasCalls_ ? stepTowards(S->Shares_, Target, MaxMoved) : Target;
   }
 }
 
@@ -321,6 +329,7 @@
   if (!S)
     throw noUpstreamAvailable(false);
   std::unique_lock Guard(S->Lock_);
+  S->HasCalls_ = true;
   KeyedRequest Keyed = makeKeyedRequest(*S, Request);
   bool IsWaiting = false;
   auto StopWaiting = [&] {
--- a/lagoonpoint/src/Gateway/SharedDispatcher.h
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.h
@@ -62,7 +62,7 @@
   void update(const FleetSnapshot &Fleet,
               const std::vector<UpstreamId> &Changed);
   /// Moves the regions' shares towards the targets that follow from demand and
-  /// slots.
+  /// slots; at once while a service has not had calls.
   /// \param RegionRates requests per second by region and service
   /// \param Elapsed time since the last call
   void rebalance(const std::map<std::string, RateMap> &RegionRates,
@@ -98,7 +98,8 @@
     std::condition_variable Changed_;
     SharedGroup Group_;
     RegionShares Shares_;
-    bool SharesAreSet_ = false;            ///< by setShares()
+    bool SharesAreSet_ = false; ///< by setShares()
+    bool HasCalls_ = false;     ///< the fleet, or this VM, has had calls
     std::map<RegionId, double> Demand_;    ///< smoothed fractions of all demand
     std::map<unsigned, unsigned> Waiting_; ///< calls by priority
   };
--- a/lagoonpoint/src/Placement/PoolMap.cpp
+++ b/lagoonpoint/src/Placement/PoolMap.cpp
@@ -270,8 +270,6 @@
   double Total = 0;
   for (const auto &[Region, Rate] : Rates)
     Total += Rate;
-  if (Total <= 0 && !S.Flows_.empty())
-    return;
   smoothFractions(S.Demand_, Rates, Elapsed, SlowDemandHalfLife);
   smoothFractions(S.FastDemand_, Rates, Elapsed, FastDemandHalfLife);
   std::map<RegionId, double> Lendable;
@@ -295,6 +293,10 @@
     if (Target.empty())
       continue;
     RegionShares &Flow = S.Flows_[Region];
+    // Upstreams become known one by one. Until there are calls, whose objects
+    // would change region, the shares follow at once.
+    if (Total <= 0)
+      Flow.clear();
     if (Relieve && !Flow.empty())
       Target = relievingTarget(Flow, Target, Use);
     Flow = stepTowards(Flow, Target, MaxMoved);
--- a/lagoonpoint/src/Placement/PoolMap.h
+++ b/lagoonpoint/src/Placement/PoolMap.h
@@ -38,7 +38,7 @@
 /// \param Slots usable slots by region
 /// \param Rates calls per second by region of the callers. A region without a
 /// rate serves its own callers and no others. While there are no calls at all,
-/// the state stays as it is.
+/// the shares become what the slots require at once.
 /// \param MaxRegionShift fraction of a region's calls that may change region
 /// within two seconds
 void stepFlows(FlowState &S, const std::map<RegionId, double> &Slots,
