Let entry VMs tell each other of full and free upstreams

Cause, from a log of all tries: a machine that works 2.5 times as slow for 600 ms collects a queue of 12 to 17 calls in half a second. The queue stays for seconds, as calls in it time out while they run and are sent again. The upstream states it in each response, but one of 108 entry VMs hears of a given upstream once in some seconds. Ruled out by trials (see docs/measurements/shared-placement.md): uneven hashing (weights by load change nothing), a longer memory of the last response, refusing a part of the calls.

An entry VM now tells the others of its region, through one core VM, when a response shows an upstream full or free that it expected otherwise (docs/design/0016). [placement] load_sharing, default off; automatic on the platform, where it starts once an upstream states its pace.

--- a/lagoonpoint/src/Config/FleetSettings.cpp
+++ b/lagoonpoint/src/Config/FleetSettings.cpp
@@ -157,6 +157,10 @@
                                    {{"off", PlacementMode::Off},
                                     {"auto", PlacementMode::Auto},
                                     {"on", PlacementMode::On}}),
+       choiceKey<S, PlacementMode>("load_sharing", "off", &S::LoadSharing_,
+                                   {{"off", PlacementMode::Off},
+                                    {"auto", PlacementMode::Auto},
+                                    {"on", PlacementMode::On}}),
        rangedKey("pool_slots", "48", CountUnit, &S::PoolSlots_, "1", "4096")}};
   return Spec;
 }
--- a/lagoonpoint/src/Config/FleetSettings.h
+++ b/lagoonpoint/src/Config/FleetSettings.h
@@ -54,6 +54,7 @@
   double MaxRegionShift_ = 0.15; ///< share of requests that may change region
   std::string LogLevel_ = "info";
   PlacementMode Placement_ = PlacementMode::Off;
+  PlacementMode LoadSharing_ = PlacementMode::Off;
   unsigned PoolSlots_ = 48; ///< slots that one VM grants as one pool
 };
 
--- a/lagoonpoint/src/Fleet/FleetMessage.h
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -231,11 +231,26 @@
                  Pace_, Held_)
 };
 
+/// Load that an upstream stated in its last response to one VM.
+struct LoadNotice {
+  UpstreamId Id_;
+  unsigned Calls_ = 0;       ///< running and waiting
+  unsigned PacePercent_ = 0; ///< see ReportedLoad; 0 if it doesn't say
+  MSGPACK_DEFINE(Id_, Calls_, PacePercent_)
+};
+
+/// Loads that the other entry VMs of a region don't know of. Sent by entry VMs
+/// to a core VM, which relays them.
+struct LoadNotices {
+  std::vector<LoadNotice> Notices_;
+  MSGPACK_DEFINE(Notices_)
+};
+
 /// Every message of Channel::Fleet. The order is part of the wire protocol.
 using FleetMessage =
     std::variant<Heartbeat, HeartbeatReply, ItemUpdate, NoticeBatch, NoticeAck,
                  NoticeSyncRequest, NoticeSyncReply, TokenRequest, TokenGrant,
-                 SlotRequest, SlotReply, SlotRelease>;
+                 SlotRequest, SlotReply, SlotRelease, LoadNotices>;
 
 /// \ingroup Fleet
 std::string encodeMessage(const FleetMessage &M);
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -3,6 +3,7 @@
 #include "lagoonpoint/Log"
 #include "lagoonpoint/Peer"
 #include "lagoonpoint/src/Gateway/ControlLoad.h"
+#include "lagoonpoint/src/Gateway/LoadRelay.h"
 #include "lagoonpoint/src/Gateway/PeerRegistry.h"
 #include "lagoonpoint/src/Gateway/QuotaHolder.h"
 #include "lagoonpoint/src/Node/ChangeRouter.h"
@@ -86,6 +87,7 @@
         Host_(ReplicaSettings_, Clock_, Peers_,
               [this](const Catalog &C, const Change *) { onCatalogChange(C); }),
         Router_(Self_, seedVms(S), &Host_, Clock_, Peers_),
+        LoadRelay_([this](const LoadNotices &M) { forwardLoads(M); }),
         Ticker_("core.tick", TickInterval, [this] {
           ControlLoad_.measure("tick", [this] { tick(); });
           ControlLoad_.report();
@@ -128,6 +130,7 @@
   bool quorumInContact(Time Now);
   bool confirmNotice(const UpstreamNotice &Notice);
   void repairVoters();
+  void forwardLoads(const LoadNotices &M);
   void logLeaderChange();
   bool isBootstrapped();
   std::shared_ptr<const ItemsSnapshot> items() const;
@@ -181,6 +184,7 @@
                       ///< catalog
   ReplicaHost Host_;
   ChangeRouter Router_;
+  LoadRelay LoadRelay_;
   Worker Ticker_;
 };
 
@@ -208,6 +212,8 @@
   else if (const auto *SyncReply = std::get_if<NoticeSyncReply>(&M))
     ControlLoad_.measure("notice_sync",
                          [&] { onNoticeSyncReply(From, *SyncReply); });
+  else if (const auto *Loads = std::get_if<LoadNotices>(&M))
+    ControlLoad_.measure("loads", [&] { LoadRelay_.receive(*Loads); });
   else if (const auto *Request = std::get_if<TokenRequest>(&M))
     ControlLoad_.measure("token_request",
                          [&] { onTokenRequest(From, *Request); });
@@ -647,6 +653,20 @@
        .Peer_ = Step->Vm_.str()});
 }
 
+void CoreVm::Impl::forwardLoads(const LoadNotices &M) {
+  std::vector<VmId> To;
+  {
+    std::lock_guard Guard(Lock_);
+    for (const KnownNode *Node :
+         liveEntryVms(NodeRegistry_, LivenessTimeout, Clock_.now()))
+      if (Node->Record_.Region_ == Settings_.Region_)
+        To.push_back(Node->Record_.Vm_);
+  }
+  std::string Body = encodeMessage(M);
+  for (const VmId &Vm : To)
+    Peers_.send({Self_, Vm, Channel::Fleet, Body});
+}
+
 void CoreVm::Impl::tick() {
   Time Now = Clock_.now();
   {
@@ -722,12 +742,14 @@
   Impl_->Peers_.start();
   Impl_->Host_.start();
   Impl_->PushWorker_.start();
+  Impl_->LoadRelay_.start();
   Impl_->Ticker_.start();
   log({.Step_ = "core.start", .Message_ = "running"});
 }
 
 void CoreVm::stop() {
   Impl_->Ticker_.stop();
+  Impl_->LoadRelay_.stop();
   Impl_->Host_.stop();
   Impl_->PushWorker_.stop();
   Impl_->Peers_.stop();
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -152,6 +152,9 @@
         Placement_(
             S, StartedAtMs_, Clock_, Metrics_, Dispatcher_,
             [this](const VmId &To, const FleetMessage &M) { sendTo(To, M); }),
+        Loads_(
+            S, Metrics_, Dispatcher_,
+            [this](const VmId &To, const FleetMessage &M) { sendTo(To, M); }),
         TeamTokens_(Clock_,
                     [this](const VmId &To, const TokenRequest &Request) {
                       sendTo(To, Request);
@@ -159,6 +162,7 @@
         Services_{Clock_,
                   Dispatcher_,
                   Placement_,
+                  Loads_,
                   Retries_,
                   Metrics_,
                   [this](const TeamId &T) { checkKeys(T); },
@@ -226,6 +230,7 @@
   PeerRegistry PeerRegistry_;
   SharedDispatcher Dispatcher_;
   SlotPlacement Placement_;
+  LoadSharing Loads_;
   RetryBudgets Retries_;
   TeamTokens TeamTokens_;
   FleetCallServices Services_;
@@ -280,6 +285,8 @@
   else if (const auto *Grant = std::get_if<TokenGrant>(&M))
     ControlLoad_.measure("token_grant",
                          [&] { TeamTokens_.onGrant(From, *Grant); });
+  else if (const auto *Loads = std::get_if<LoadNotices>(&M))
+    ControlLoad_.measure("loads", [&] { Loads_.receive(*Loads); });
   else if (std::holds_alternative<SlotRequest>(M) ||
            std::holds_alternative<SlotReply>(M) ||
            std::holds_alternative<SlotRelease>(M))
@@ -543,6 +550,7 @@
   markSilent(Now);
   logCoreContact(Now);
   logKeyProof();
+  Loads_.setCores(coreVmsByDistance(Cores_, true, Now));
   TeamTokens_.setHolders(coreVmsByDistance(Cores_, true, Now),
                          remoteCoreVms(Cores_, Now));
   updateDispatcher();
@@ -708,6 +716,7 @@
 void EntryVm::start() {
   Impl_->Peers_.start();
   Impl_->Placement_.start();
+  Impl_->Loads_.start();
   Impl_->Ticker_.start();
   Impl_->Server_.start();
   log({.Step_ = "entry.start", .Message_ = "running"});
@@ -726,6 +735,7 @@
       Impl_->Draining_ ? Impl_->StopPlan_->CallsEndBy_ : Now + UndrainedStop;
   Impl_->Server_.stop(std::max(CallsEndBy - Now, Duration()));
   Impl_->Placement_.stop();
+  Impl_->Loads_.stop();
   Impl_->Ticker_.stop();
   Impl_->Peers_.stop();
 }
--- a/lagoonpoint/src/Gateway/FleetCall.cpp
+++ b/lagoonpoint/src/Gateway/FleetCall.cpp
@@ -201,7 +201,9 @@
 
 void FleetCall::releaseSlot(const TryReport &Report) {
   HoldsSlot_ = false;
-  Services_.Dispatcher_.release(Admission_.Route_.Service_, Slot_, Report);
+  Services_.Loads_.recordTry(
+      Report,
+      Services_.Dispatcher_.release(Admission_.Route_.Service_, Slot_, Report));
   if (Granted_)
     Services_.Placement_.client().release(*Granted_,
                                           runReportOf(Report, Held_));
--- a/lagoonpoint/src/Gateway/FleetCall.h
+++ b/lagoonpoint/src/Gateway/FleetCall.h
@@ -3,6 +3,7 @@
 #include "lagoonpoint/Http"
 #include "lagoonpoint/Metrics"
 #include "lagoonpoint/Retry"
+#include "lagoonpoint/src/Gateway/LoadSharing.h"
 #include "lagoonpoint/src/Gateway/SharedDispatcher.h"
 #include "lagoonpoint/src/Gateway/SlotPlacement.h"
 #include "lagoonpoint/src/Node/RetryBudgets.h"
@@ -16,6 +17,7 @@
   const Clock &Clock_;
   SharedDispatcher &Dispatcher_;
   SlotPlacement &Placement_;
+  LoadSharing &Loads_;
   RetryBudgets &Retries_;
   MetricRegistry &Metrics_;
   /// Throws a Refusal if this VM's copy of the team's keys may be out of date.
--- /dev/null
+++ b/lagoonpoint/src/Gateway/LoadSharing.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "lagoonpoint/Config"
+#include "lagoonpoint/src/Gateway/SharedDispatcher.h"
+#include "lagoonpoint/src/Node/Worker.h"
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+
+namespace lagoonpoint {
+
+/// \class LoadSharing
+/// \ingroup Gateway
+/// \brief Tells the entry VMs of the region which upstreams this VM has found
+/// full or free again, and learns the same from them. Thread-safe.
+///
+/// The notices go to a core VM of the region, which relays them. None is
+/// repeated: a VM that misses one finds out by its own calls.
+class LoadSharing {
+public:
+  using Sender = std::function<void(const VmId &, const FleetMessage &)>;
+
+  /// \param S outlives this object
+  LoadSharing(const FleetSettings &S, MetricRegistry &Metrics,
+              SharedDispatcher &D, Sender Send);
+
+  void start();
+  void stop();
+
+  /// Records what a try learned of its upstream.
+  /// \param Changed the load, if others don't know of it
+  void recordTry(const TryReport &Report,
+                 const std::optional<LoadNotice> &Changed);
+  void receive(const LoadNotices &M);
+  /// \param Cores core VMs of the region that are in contact
+  void setCores(std::vector<VmId> Cores);
+
+private:
+  void send();
+
+  MetricRegistry &Metrics_;
+  SharedDispatcher &Dispatcher_;
+  const Sender Send_;
+  const PlacementMode Mode_;
+  std::atomic<bool> Active_;
+  std::mutex Lock_; ///< guards what follows
+  VmId Relay_;
+  std::map<UpstreamId, LoadNotice> Pending_;
+  Worker Worker_;
+};
+
+} // namespace lagoonpoint
--- a/lagoonpoint/src/Gateway/SharedDispatcher.cpp
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.cpp
@@ -119,6 +119,12 @@
   U.PausedUntil_ = Now + Pause;
 }
 
+/// \returns a stated pace as a factor. Absurd values count as absent.
+double paceOf(unsigned Percent) {
+  constexpr unsigned MaxPercent = 10'000;
+  return Percent == 0 || Percent > MaxPercent ? 1 : Percent / 100.0;
+}
+
 SharedOutcome sharedOutcomeOf(const TryReport &Report) {
   SharedOutcome Outcome;
   Outcome.Answered_ = Report.Result_ == TryResult::Answered ||
@@ -129,9 +135,11 @@
   if (Report.Result_ == TryResult::Answered ||
       Report.Result_ == TryResult::TimedOut)
     Outcome.Seconds_ = static_cast<double>(Report.Micros_) / 1e6;
-  if (Report.Load_)
+  if (Report.Load_) {
     Outcome.ReportedInFlight_ =
         double(Report.Load_->Running_) + Report.Load_->Waiting_;
+    Outcome.Pace_ = paceOf(Report.Load_->PacePercent_.value_or(0));
+  }
   return Outcome;
 }
 
@@ -141,6 +149,12 @@
                                    MetricRegistry &Metrics)
     : Settings_(S), Self_(S.Host_), Clock_(C), Metrics_(Metrics) {}
 
+KeyedChoiceOptions SharedDispatcher::options() const {
+  KeyedChoiceOptions Out;
+  Out.LoadsAreShared_ = LoadsAreShared_;
+  return Out;
+}
+
 std::vector<std::pair<ServiceId, SharedDispatcher::Shard *>>
 SharedDispatcher::shards() {
   std::vector<std::pair<ServiceId, Shard *>> Out;
@@ -342,9 +356,9 @@
     bool IsNext =
         S->Waiting_.empty() || S->Waiting_.begin()->first >= Request.Priority_;
     SharedUpstream *U =
-        IsNext ? chooseShared(S->Group_, Keyed, Options_, Now) : nullptr;
+        IsNext ? chooseShared(S->Group_, Keyed, options(), Now) : nullptr;
     if (U) {
-      double InFlight = estimatedInFlight(*U, Options_, Now);
+      double InFlight = estimatedInFlight(*U, options(), Now);
       reserve(*U, Now);
       StopWaiting();
       return {{U->Id_, {}, U->Address_}, InFlight, Now, U->StartedAtMs_};
@@ -384,7 +398,7 @@
   if (!IsSameProcess || !U->Available_ || Now < U->BackOffUntil_ ||
       Now < U->PausedUntil_ || (U->Limit_ && !hasToken(*U->Limit_, Now)))
     return {};
-  double InFlight = estimatedInFlight(*U, Options_, Now);
+  double InFlight = estimatedInFlight(*U, options(), Now);
   if (Now < U->WarmupEndsAt_)
     U->LastColdSendAt_ = Now;
   reserve(*U, Now);
@@ -446,23 +460,45 @@
     logLimit(*At);
 }
 
-void SharedDispatcher::release(const ServiceId &Service, const SharedSlot &Slot,
-                               const TryReport &Report) {
+std::optional<LoadNotice> SharedDispatcher::release(const ServiceId &Service,
+                                                    const SharedSlot &Slot,
+                                                    const TryReport &Report) {
   Shard *S = findShard(Service);
   if (!S)
-    return;
+    return {};
   std::lock_guard Guard(S->Lock_);
-  for (SharedUpstream &U : S->Group_.Upstreams_) {
-    if (U.Id_ != Slot.Target_.Upstream_)
-      continue;
+  std::optional<LoadNotice> Changed;
+  auto U = findPosition(S->Group_.Upstreams_, Slot.Target_.Upstream_);
+  if (U != S->Group_.Upstreams_.end() && U->Id_ == Slot.Target_.Upstream_) {
     SharedOutcome Outcome = sharedOutcomeOf(Report);
     Outcome.InFlightAtSend_ = Slot.InFlightAtSend_;
-    lagoonpoint::release(U, Outcome, Options_, Clock_.now());
+    Time Now = Clock_.now();
+    if (Outcome.ReportedInFlight_ &&
+        changesChoice(*U, *Outcome.ReportedInFlight_, options(), Now))
+      Changed =
+          LoadNotice{U->Id_, Report.Load_->Running_ + Report.Load_->Waiting_,
+                     Report.Load_->PacePercent_.value_or(0)};
+    lagoonpoint::release(*U, Outcome, options(), Now);
     if (Report.Misdirected_)
-      U.Available_ = false;
+      U->Available_ = false;
   }
   if (!S->Waiting_.empty())
     S->Changed_.notify_all();
+  return Changed;
+}
+
+void SharedDispatcher::recordLoads(const std::vector<LoadNotice> &Notices) {
+  Time Now = Clock_.now();
+  for (const auto &[Service, S] : shards()) {
+    std::lock_guard Guard(S->Lock_);
+    for (const LoadNotice &N : Notices) {
+      auto U = findPosition(S->Group_.Upstreams_, N.Id_);
+      if (U != S->Group_.Upstreams_.end() && U->Id_ == N.Id_)
+        recordLoad(*U, N.Calls_, paceOf(N.PacePercent_), Now);
+    }
+    if (!S->Waiting_.empty())
+      S->Changed_.notify_all();
+  }
 }
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Gateway/SharedDispatcher.h
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.h
@@ -8,6 +8,7 @@
 #include "lagoonpoint/src/Gateway/PlacedService.h"
 #include "lagoonpoint/src/Gateway/VmRanking.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <memory>
@@ -82,8 +83,14 @@
   void recordStatement(const ServiceId &Service, const SharedSlot &Slot,
                        const UpstreamStatement &Statement);
   /// Releases the slot of a try and records its outcome.
-  void release(const ServiceId &Service, const SharedSlot &Slot,
-               const TryReport &Report);
+  /// \returns the load that the upstream stated, if others should know of it
+  std::optional<LoadNotice> release(const ServiceId &Service,
+                                    const SharedSlot &Slot,
+                                    const TryReport &Report);
+  /// Records loads that upstreams stated to other VMs.
+  void recordLoads(const std::vector<LoadNotice> &Notices);
+  /// Sets whether other VMs share the loads that they find.
+  void setLoadSharing(bool On) { LoadsAreShared_ = On; }
 
   /// \returns what the pools of all services follow from.
   /// \param RegionRates requests per second by region and service
@@ -104,6 +111,7 @@
     std::map<unsigned, unsigned> Waiting_; ///< calls by priority
   };
 
+  KeyedChoiceOptions options() const;
   std::vector<std::pair<ServiceId, Shard *>> shards();
   Shard *findShard(const ServiceId &Service);
   Shard &findOrCreateShard(const ServiceId &Service);
@@ -122,7 +130,7 @@
   const VmId Self_;
   const Clock &Clock_;
   MetricRegistry &Metrics_;
-  const KeyedChoiceOptions Options_;
+  std::atomic<bool> LoadsAreShared_{false};
   std::mutex Lock_; ///< guards what follows, but not the shards themselves
   std::map<ServiceId, std::unique_ptr<Shard>> Shards_;
   std::shared_ptr<const VmRanking> Ranking_ =
--- a/lagoonpoint/src/Metrics/MetricTable.h
+++ b/lagoonpoint/src/Metrics/MetricTable.h
@@ -20,6 +20,7 @@
   ControlSeconds,
   UpstreamUpdates,
   UpstreamsHeld,
+  LoadNotices,
   SlotReplies,
   SlotFallbacks,
   SlotWaitSeconds,
--- a/lagoonpoint/src/Steering/KeyedChoice.cpp
+++ b/lagoonpoint/src/Steering/KeyedChoice.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+/// A load is told to others if it exceeds what was known by this factor, so
+/// that a long queue is told again and not each call more.
+constexpr double NewsFactor = 1.5;
+
 bool isCold(const SharedUpstream &U, Time Now) { return Now < U.WarmupEndsAt_; }
 
 bool maySendCold(const SharedGroup &G, const SharedUpstream &U, Time Now) {
@@ -73,6 +77,11 @@
   return 1 + std::max(0.0, Load + 1 - U.Slots_) / U.Slots_;
 }
 
+double firstChoiceQueue(const KeyedChoiceOptions &Options) {
+  return Options.LoadsAreShared_ ? Options.SharedFirstChoiceQueue_
+                                 : Options.FirstChoiceQueue_;
+}
+
 /// \returns whether a call may be sent. A call that would queue is sent only if
 /// it is expected to complete in time, as its run would be wasted otherwise.
 bool hasRoom(const SharedUpstream &U, double Queued, Duration Left,
@@ -101,7 +110,8 @@
 double estimatedInFlight(const SharedUpstream &U,
                          const KeyedChoiceOptions &Options, Time Now) {
   double Age = (Now - U.OthersReportedAt_).inSeconds();
-  double Decay = std::exp2(-Age / Options.ReportHalfLife_.inSeconds());
+  double Decay =
+      std::exp2(-Age / (Options.ReportHalfLife_.inSeconds() * U.Pace_));
   return U.InFlight_ + U.OthersInFlight_ * Decay;
 }
 
@@ -114,7 +124,7 @@
       if (!Request.Object_.empty() && Seen == Options.MaxChoices_)
         return nullptr;
       double Queued =
-          Seen == 0 ? Options.FirstChoiceQueue_ : Options.OtherChoiceQueue_;
+          Seen == 0 ? firstChoiceQueue(Options) : Options.OtherChoiceQueue_;
       ++Seen;
       if (U->Limit_ && !hasToken(*U->Limit_, Now))
         continue; // as a full one: a further choice would be another cold run
@@ -143,6 +153,20 @@
   return std::max(First.value_or(Now), Now);
 }
 
+bool changesChoice(const SharedUpstream &U, double Stated,
+                   const KeyedChoiceOptions &Options, Time Now) {
+  double Full = U.Slots_ + 1;
+  double Known = estimatedInFlight(U, Options, Now);
+  return Known < Full ? Stated >= Full && Stated >= Known * NewsFactor
+                      : Stated <= U.Slots_;
+}
+
+void recordLoad(SharedUpstream &U, double Calls, double Pace, Time Now) {
+  U.OthersInFlight_ = std::max(0.0, Calls - U.InFlight_);
+  U.OthersReportedAt_ = Now;
+  U.Pace_ = Pace;
+}
+
 void reserve(SharedUpstream &U, Time Now) {
   ++U.InFlight_;
   if (U.Limit_)
@@ -154,10 +178,8 @@
 void release(SharedUpstream &U, const SharedOutcome &Outcome,
              const KeyedChoiceOptions &Options, Time Now) {
   U.InFlight_ -= U.InFlight_ > 0 ? 1 : 0;
-  if (Outcome.ReportedInFlight_) {
-    U.OthersInFlight_ = std::max(0.0, *Outcome.ReportedInFlight_ - U.InFlight_);
-    U.OthersReportedAt_ = Now;
-  }
+  if (Outcome.ReportedInFlight_)
+    recordLoad(U, *Outcome.ReportedInFlight_, Outcome.Pace_, Now);
   if (Outcome.NotConnected_ && U.Limit_)
     returnToken(*U.Limit_, Now);
   if (Outcome.Answered_) {
--- a/lagoonpoint/src/Steering/KeyedChoice.h
+++ b/lagoonpoint/src/Steering/KeyedChoice.h
@@ -34,8 +34,9 @@
   unsigned InFlight_ = 0;     ///< calls of this VM in progress
   double OthersInFlight_ = 0; ///< calls of other VMs, as last reported
   Time OthersReportedAt_;     ///< when OthersInFlight_ was reported
-  Time UnansweredSince_;      ///< last response, or first call sent after it
-  Time BackOffUntil_;         ///< not used until then, after failures
+  double Pace_ = 1; ///< stated with it: 2 means that work takes twice as long
+  Time UnansweredSince_; ///< last response, or first call sent after it
+  Time BackOffUntil_;    ///< not used until then, after failures
   unsigned ConsecutiveFailures_ = 0; ///< reset by any response
   Time LastColdSendAt_;              ///< last call sent while it was cold
   std::optional<StatedLimit> Limit_; ///< on the rate of calls, if it states one
@@ -48,6 +49,11 @@
   /// before a call goes to the next one. A warm run there is shorter than a
   /// cold run elsewhere.
   double FirstChoiceQueue_ = 5;
+  /// The same while VMs share the loads that they find. What a VM knows of a
+  /// load is then fresh, and a shorter queue does not keep calls away from free
+  /// slots.
+  double SharedFirstChoiceQueue_ = 3;
+  bool LoadsAreShared_ = false;
   /// Fraction of the time left that the expected queueing and service time may
   /// take.
   double MaxTimeFraction_ = 0.9;
@@ -130,10 +136,23 @@
   bool Failed_ = false; ///< connection broken, response truncated or malformed
   bool TimedOut_ = false;
   std::optional<double> ReportedInFlight_; ///< all calls there, by its response
+  double Pace_ = 1;           ///< stated with it; 1 if it doesn't say
   double InFlightAtSend_ = 0; ///< estimatedInFlight() before it was sent
   double Seconds_ = 0; ///< from sending to end of the response; 0 if unknown
 };
 
+/// \returns whether a load that an upstream stated is worth telling others: by
+/// what was known of it, calls would be sent that have to wait, or kept away
+/// from free slots.
+/// \ingroup Steering
+/// \param Stated running and waiting calls
+bool changesChoice(const SharedUpstream &U, double Stated,
+                   const KeyedChoiceOptions &Options, Time Now);
+
+/// Records a load that an upstream stated to another VM.
+/// \ingroup Steering
+void recordLoad(SharedUpstream &U, double Calls, double Pace, Time Now);
+
 /// Counts a call as in flight. To be called when it is sent.
 /// \ingroup Steering
 void reserve(SharedUpstream &U, Time Now);
