--- a/lagoonpoint/src/Fleet/FleetMessage.h
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -231,12 +231,14 @@
                  Pace_, Held_)
 };
 
-/// Load that an upstream stated in its last response to one VM.
+/// Load that an upstream stated in a response to one VM.
 struct LoadNotice {
   UpstreamId Id_;
-  unsigned Calls_ = 0;       ///< running and waiting
-  unsigned PacePercent_ = 0; ///< see ReportedLoad; 0 if it doesn't say
-  MSGPACK_DEFINE(Id_, Calls_, PacePercent_)
+  std::uint64_t StartedAtMs_ = 0; ///< of the upstream's process
+  Duration Age_;                  ///< since the response
+  unsigned Calls_ = 0;            ///< running and waiting
+  unsigned PacePercent_ = 0;      ///< see ReportedLoad; 0 if it doesn't say
+  MSGPACK_DEFINE(Id_, StartedAtMs_, Age_, Calls_, PacePercent_)
 };
 
 /// Loads that the other entry VMs of a region don't know of. Sent by entry VMs
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -87,7 +87,7 @@
         Host_(ReplicaSettings_, Clock_, Peers_,
               [this](const Catalog &C, const Change *) { onCatalogChange(C); }),
         Router_(Self_, seedVms(S), &Host_, Clock_, Peers_),
-        LoadRelay_([this](const LoadNotices &M) { forwardLoads(M); }),
+        LoadRelay_(Clock_, [this](const LoadNotices &M) { forwardLoads(M); }),
         Ticker_("core.tick", TickInterval, [this] {
           ControlLoad_.measure("tick", [this] { tick(); });
           ControlLoad_.report();
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -152,8 +152,8 @@
         Placement_(
             S, StartedAtMs_, Clock_, Metrics_, Dispatcher_,
             [this](const VmId &To, const FleetMessage &M) { sendTo(To, M); }),
-        Loads_(
-            S, Metrics_, Dispatcher_,
+        LoadSharing_(
+            S, Clock_, Metrics_, Dispatcher_,
             [this](const VmId &To, const FleetMessage &M) { sendTo(To, M); }),
         TeamTokens_(Clock_,
                     [this](const VmId &To, const TokenRequest &Request) {
@@ -162,7 +162,7 @@
         Services_{Clock_,
                   Dispatcher_,
                   Placement_,
-                  Loads_,
+                  LoadSharing_,
                   Retries_,
                   Metrics_,
                   [this](const TeamId &T) { checkKeys(T); },
@@ -230,7 +230,7 @@
   PeerRegistry PeerRegistry_;
   SharedDispatcher Dispatcher_;
   SlotPlacement Placement_;
-  LoadSharing Loads_;
+  LoadSharing LoadSharing_;
   RetryBudgets Retries_;
   TeamTokens TeamTokens_;
   FleetCallServices Services_;
@@ -286,7 +286,7 @@
     ControlLoad_.measure("token_grant",
                          [&] { TeamTokens_.onGrant(From, *Grant); });
   else if (const auto *Loads = std::get_if<LoadNotices>(&M))
-    ControlLoad_.measure("loads", [&] { Loads_.receive(*Loads); });
+    ControlLoad_.measure("loads", [&] { LoadSharing_.receive(*Loads); });
   else if (std::holds_alternative<SlotRequest>(M) ||
            std::holds_alternative<SlotReply>(M) ||
            std::holds_alternative<SlotRelease>(M))
@@ -550,7 +550,7 @@
   markSilent(Now);
   logCoreContact(Now);
   logKeyProof();
-  Loads_.setCores(coreVmsByDistance(Cores_, true, Now));
+  LoadSharing_.setRelayCandidates(coreVmsByDistance(Cores_, true, Now));
   TeamTokens_.setHolders(coreVmsByDistance(Cores_, true, Now),
                          remoteCoreVms(Cores_, Now));
   updateDispatcher();
@@ -716,7 +716,7 @@
 void EntryVm::start() {
   Impl_->Peers_.start();
   Impl_->Placement_.start();
-  Impl_->Loads_.start();
+  Impl_->LoadSharing_.start();
   Impl_->Ticker_.start();
   Impl_->Server_.start();
   log({.Step_ = "entry.start", .Message_ = "running"});
@@ -735,7 +735,7 @@
       Impl_->Draining_ ? Impl_->StopPlan_->CallsEndBy_ : Now + UndrainedStop;
   Impl_->Server_.stop(std::max(CallsEndBy - Now, Duration()));
   Impl_->Placement_.stop();
-  Impl_->Loads_.stop();
+  Impl_->LoadSharing_.stop();
   Impl_->Ticker_.stop();
   Impl_->Peers_.stop();
 }
--- a/lagoonpoint/src/Gateway/FleetCall.cpp
+++ b/lagoonpoint/src/Gateway/FleetCall.cpp
@@ -201,7 +201,7 @@
 
 void FleetCall::releaseSlot(const TryReport &Report) {
   HoldsSlot_ = false;
-  Services_.Loads_.recordTry(
+  Services_.LoadSharing_.recordTry(
       Report,
       Services_.Dispatcher_.release(Admission_.Route_.Service_, Slot_, Report));
   if (Granted_)
--- a/lagoonpoint/src/Gateway/FleetCall.h
+++ b/lagoonpoint/src/Gateway/FleetCall.h
@@ -17,7 +17,7 @@
   const Clock &Clock_;
   SharedDispatcher &Dispatcher_;
   SlotPlacement &Placement_;
-  LoadSharing &Loads_;
+  LoadSharing &LoadSharing_;
   RetryBudgets &Retries_;
   MetricRegistry &Metrics_;
   /// Throws a Refusal if this VM's copy of the team's keys may be out of date.
--- a/lagoonpoint/src/Gateway/LoadRelay.cpp
+++ b/lagoonpoint/src/Gateway/LoadRelay.cpp
@@ -5,29 +5,37 @@
 namespace {
 
 constexpr Duration ForwardInterval = Duration::millis(100);
-/// Notices in one message. Later ones are dropped: their senders' calls find
-/// the same again.
-constexpr std::size_t MaxNotices = 64;
 
 } // namespace
 
-LoadRelay::LoadRelay(std::function<void(const LoadNotices &)> Forward)
-    : Forward_(std::move(Forward)),
+LoadRelay::LoadRelay(const Clock &C,
+                     std::function<void(const LoadNotices &)> Forward)
+    : Clock_(C), Forward_(std::move(Forward)),
       Worker_("loads.relay", ForwardInterval, [this] { forward(); }) {}
 
 void LoadRelay::receive(const LoadNotices &M) {
   std::lock_guard Guard(Lock_);
-  for (const LoadNotice &N : M.Notices_)
-    if (Pending_.size() < MaxNotices || Pending_.count(N.Id_))
-      Pending_[N.Id_] = N;
+  Time Now = Clock_.now();
+  for (const LoadNotice &N : M.Notices_) {
+    auto Known = Pending_.find(N.Id_);
+    bool IsKnown = Known != Pending_.end();
+    // Notices of several VMs need not arrive in the order of the responses.
+    bool IsOlder = IsKnown && Now - N.Age_ < Known->second.ReceivedAt_ -
+                                                 Known->second.Notice_.Age_;
+    if (!IsOlder && (IsKnown || Pending_.size() < MaxLoadNotices))
+      Pending_[N.Id_] = {N, Now};
+  }
 }
 
 void LoadRelay::forward() {
   LoadNotices Out;
   {
     std::lock_guard Guard(Lock_);
-    for (auto &[Id, N] : Pending_)
-      Out.Notices_.push_back(std::move(N));
+    Time Now = Clock_.now();
+    for (auto &[Id, H] : Pending_) {
+      H.Notice_.Age_ = H.Notice_.Age_ + (Now - H.ReceivedAt_);
+      Out.Notices_.push_back(std::move(H.Notice_));
+    }
     Pending_.clear();
   }
   if (!Out.Notices_.empty())
--- a/lagoonpoint/src/Gateway/LoadRelay.h
+++ b/lagoonpoint/src/Gateway/LoadRelay.h
@@ -9,6 +9,10 @@
 
 namespace lagoonpoint {
 
+/// Most notices in one message. Further ones are dropped; other VMs find out by
+/// their own calls.
+inline constexpr std::size_t MaxLoadNotices = 64;
+
 /// \class LoadRelay
 /// \ingroup Gateway
 /// \brief Passes the load notices of a region's entry VMs on to all of them.
@@ -17,18 +21,23 @@
 class LoadRelay {
 public:
   /// \param Forward sends to all entry VMs of the region
-  explicit LoadRelay(std::function<void(const LoadNotices &)> Forward);
+  LoadRelay(const Clock &C, std::function<void(const LoadNotices &)> Forward);
 
   void start() { Worker_.start(); }
   void stop() { Worker_.stop(); }
   void receive(const LoadNotices &M);
 
 private:
+  struct Held {
+    LoadNotice Notice_;
+    Time ReceivedAt_;
+  };
   void forward();
 
+  const Clock &Clock_;
   const std::function<void(const LoadNotices &)> Forward_;
   std::mutex Lock_; ///< guards what follows
-  std::map<UpstreamId, LoadNotice> Pending_;
+  std::map<UpstreamId, Held> Pending_;
   Worker Worker_;
 };
 
--- a/lagoonpoint/src/Gateway/LoadSharing.cpp
+++ b/lagoonpoint/src/Gateway/LoadSharing.cpp
@@ -1,6 +1,7 @@
 #include "lagoonpoint/src/Gateway/LoadSharing.h"
 
 #include "lagoonpoint/Log"
+#include "lagoonpoint/src/Gateway/LoadRelay.h"
 
 namespace lagoonpoint {
 
@@ -14,13 +15,12 @@
 
 } // namespace
 
-LoadSharing::LoadSharing(const FleetSettings &S, MetricRegistry &Metrics,
-                         SharedDispatcher &D, Sender Send)
-    : Metrics_(Metrics), Dispatcher_(D), Send_(std::move(Send)),
+LoadSharing::LoadSharing(const FleetSettings &S, const Clock &C,
+                         MetricRegistry &Metrics, SharedDispatcher &D,
+                         Sender Send)
+    : Clock_(C), Metrics_(Metrics), Dispatcher_(D), Send_(std::move(Send)),
       Mode_(S.LoadSharing_), Active_(S.LoadSharing_ == PlacementMode::On),
-      Worker_("loads.send", SendInterval, [this] { send(); }) {
-  Dispatcher_.setLoadSharing(Active_);
-}
+      Worker_("loads.send", SendInterval, [this] { send(); }) {}
 
 void LoadSharing::start() {
   if (Mode_ != PlacementMode::Off)
@@ -29,32 +29,39 @@
 
 void LoadSharing::stop() { Worker_.stop(); }
 
-void LoadSharing::recordTry(const TryReport &Report,
-                            const std::optional<LoadNotice> &Changed) {
-  bool StatesPace = Report.Load_ && Report.Load_->PacePercent_;
-  if (Mode_ == PlacementMode::Auto && StatesPace && !Active_.exchange(true)) {
-    Dispatcher_.setLoadSharing(true);
+void LoadSharing::activate() {
+  if (Mode_ == PlacementMode::Auto && !Active_.exchange(true))
     log({.Step_ = "loads.active",
          .Message_ = "loads of upstreams are shared: one states its pace"});
-  }
+}
+
+void LoadSharing::recordTry(const TryReport &Report,
+                            const std::optional<LoadNotice> &Changed) {
+  if (Report.Load_ && Report.Load_->PacePercent_)
+    activate();
   if (!Active_ || !Changed)
     return;
   std::lock_guard Guard(Lock_);
-  Pending_[Changed->Id_] = *Changed;
+  if (!Relay_.empty())
+    Pending_[Changed->Id_] = {*Changed, Clock_.now()};
 }
 
 void LoadSharing::receive(const LoadNotices &M) {
-  if (Mode_ == PlacementMode::Off)
+  if (Mode_ == PlacementMode::Off || M.Notices_.size() > MaxLoadNotices)
     return;
+  for (const LoadNotice &N : M.Notices_)
+    if (N.PacePercent_ > 0)
+      activate();
   Metrics_.add(Metric::LoadNotices, {"received"},
                static_cast<double>(M.Notices_.size()));
   Dispatcher_.recordLoads(M.Notices_);
 }
 
-void LoadSharing::setCores(std::vector<VmId> Cores) {
+void LoadSharing::setRelayCandidates(std::vector<VmId> Cores) {
   VmId Relay;
   if (!Cores.empty())
     Relay = rankHolders(RelayRole, std::move(Cores)).front();
+  Dispatcher_.setLoadSharing(Active_ && !Relay.empty());
   std::lock_guard Guard(Lock_);
   Relay_ = Relay;
 }
@@ -64,8 +71,13 @@
   VmId To;
   {
     std::lock_guard Guard(Lock_);
-    for (auto &[Id, Notice] : Pending_)
-      Out.Notices_.push_back(std::move(Notice));
+    Time Now = Clock_.now();
+    for (auto &[Id, F] : Pending_) {
+      if (Out.Notices_.size() == MaxLoadNotices)
+        break;
+      F.Notice_.Age_ = Now - F.At_;
+      Out.Notices_.push_back(std::move(F.Notice_));
+    }
     Pending_.clear();
     To = Relay_;
   }
--- a/lagoonpoint/src/Gateway/LoadSharing.h
+++ b/lagoonpoint/src/Gateway/LoadSharing.h
@@ -21,24 +21,31 @@
 public:
   using Sender = std::function<void(const VmId &, const FleetMessage &)>;
 
-  /// \param S outlives this object
-  LoadSharing(const FleetSettings &S, MetricRegistry &Metrics,
+  /// \param C, Metrics, D and what \p Send refers to outlive this object
+  LoadSharing(const FleetSettings &S, const Clock &C, MetricRegistry &Metrics,
               SharedDispatcher &D, Sender Send);
 
   void start();
   void stop();
 
   /// Records what a try learned of its upstream.
-  /// \param Changed the load, if others don't know of it
+  /// \param Changed the load, if this VM did not expect it
   void recordTry(const TryReport &Report,
                  const std::optional<LoadNotice> &Changed);
   void receive(const LoadNotices &M);
-  /// \param Cores core VMs of the region that are in contact
-  void setCores(std::vector<VmId> Cores);
+  /// \param Cores core VMs of the region that are in contact. While there are
+  /// none, this VM chooses upstreams as without notices.
+  void setRelayCandidates(std::vector<VmId> Cores);
 
 private:
+  struct Found {
+    LoadNotice Notice_;
+    Time At_;
+  };
+  void activate();
   void send();
 
+  const Clock &Clock_;
   MetricRegistry &Metrics_;
   SharedDispatcher &Dispatcher_;
   const Sender Send_;
@@ -46,7 +53,7 @@
   std::atomic<bool> Active_;
   std::mutex Lock_; ///< guards what follows
   VmId Relay_;
-  std::map<UpstreamId, LoadNotice> Pending_;
+  std::map<UpstreamId, Found> Pending_;
   Worker Worker_;
 };
 
--- a/lagoonpoint/src/Gateway/SharedDispatcher.cpp
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.cpp
@@ -42,6 +42,7 @@
   New.InFlight_ = Old.InFlight_;
   New.OthersInFlight_ = Old.OthersInFlight_;
   New.OthersReportedAt_ = Old.OthersReportedAt_;
+  New.Pace_ = Old.Pace_;
   New.UnansweredSince_ = Old.UnansweredSince_;
   New.BackOffUntil_ = Old.BackOffUntil_;
   New.ConsecutiveFailures_ = Old.ConsecutiveFailures_;
@@ -119,10 +120,20 @@
   U.PausedUntil_ = Now + Pause;
 }
 
-/// \returns a stated pace as a factor. Absurd values count as absent.
+/// \returns a stated pace as a factor. Values over 10,000 % count as absent.
+/// Others are limited, because a load fades by the pace and must not keep calls
+/// away for long.
 double paceOf(unsigned Percent) {
   constexpr unsigned MaxPercent = 10'000;
-  return Percent == 0 || Percent > MaxPercent ? 1 : Percent / 100.0;
+  if (Percent == 0 || Percent > MaxPercent)
+    return 1;
+  return std::clamp(Percent / 100.0, 0.25, 4.0);
+}
+
+/// \returns a load as it is told to others, limited like the pace.
+unsigned callsToTell(double Stated, const SharedUpstream &U) {
+  constexpr double MaxCallsPerSlot = 8;
+  return static_cast<unsigned>(std::min(Stated, MaxCallsPerSlot * U.Slots_));
 }
 
 SharedOutcome sharedOutcomeOf(const TryReport &Report) {
@@ -307,7 +318,7 @@
         std::any_of(DemandRates.begin(), DemandRates.end(),
                     [](const auto &Entry) { return Entry.second > 0; });
     std::lock_guard Guard(S->Lock_);
-    S->HasCalls_ = S->HasCalls_ || HasCalls;
+    S->HadCalls_ = S->HadCalls_ || HasCalls;
     smoothDemand(S->Demand_, DemandRates, Elapsed);
     RegionShares Target =
         targetShares(Settings_.Region_, slotsOf(S->Group_), S->Demand_);
@@ -316,7 +327,7 @@
     // Upstreams become known one by one. Until there are calls, whose objects
     // would change region, the shares follow at once.
     S->Shares_ =
-        S->HasCalls_ ? stepTowards(S->Shares_, Target, MaxMoved) : Target;
+        S->HadCalls_ ? stepTowards(S->Shares_, Target, MaxMoved) : Target;
   }
 }
 
@@ -343,7 +354,7 @@
   if (!S)
     throw noUpstreamAvailable(false);
   std::unique_lock Guard(S->Lock_);
-  S->HasCalls_ = true;
+  S->HadCalls_ = true;
   KeyedRequest Keyed = makeKeyedRequest(*S, Request);
   bool IsWaiting = false;
   auto StopWaiting = [&] {
@@ -473,11 +484,14 @@
     SharedOutcome Outcome = sharedOutcomeOf(Report);
     Outcome.InFlightAtSend_ = Slot.InFlightAtSend_;
     Time Now = Clock_.now();
-    if (Outcome.ReportedInFlight_ &&
+    // A misdirected response, or one of an earlier process, is another
+    // upstream's.
+    bool IsOwn = !Report.Misdirected_ && U->StartedAtMs_ == Slot.StartedAtMs_;
+    if (IsOwn && Outcome.ReportedInFlight_ &&
         changesChoice(*U, *Outcome.ReportedInFlight_, options(), Now))
-      Changed =
-          LoadNotice{U->Id_, Report.Load_->Running_ + Report.Load_->Waiting_,
-                     Report.Load_->PacePercent_.value_or(0)};
+      Changed = LoadNotice{U->Id_, U->StartedAtMs_, Duration(),
+                           callsToTell(*Outcome.ReportedInFlight_, *U),
+                           Report.Load_->PacePercent_.value_or(0)};
     lagoonpoint::release(*U, Outcome, options(), Now);
     if (Report.Misdirected_)
       U->Available_ = false;
@@ -491,12 +505,20 @@
   Time Now = Clock_.now();
   for (const auto &[Service, S] : shards()) {
     std::lock_guard Guard(S->Lock_);
+    bool Changed = false;
     for (const LoadNotice &N : Notices) {
       auto U = findPosition(S->Group_.Upstreams_, N.Id_);
-      if (U != S->Group_.Upstreams_.end() && U->Id_ == N.Id_)
-        recordLoad(*U, N.Calls_, paceOf(N.PacePercent_), Now);
+      bool IsSameProcess = U != S->Group_.Upstreams_.end() && U->Id_ == N.Id_ &&
+                           U->StartedAtMs_ == N.StartedAtMs_;
+      // This VM may have learned a later load meanwhile.
+      Time StatedAt = Now - std::max(N.Age_, Duration());
+      if (!IsSameProcess || StatedAt <= U->OthersReportedAt_)
+        continue;
+      recordLoad(*U, callsToTell(N.Calls_, *U), paceOf(N.PacePercent_),
+                 StatedAt);
+      Changed = true;
     }
-    if (!S->Waiting_.empty())
+    if (Changed && !S->Waiting_.empty())
       S->Changed_.notify_all();
   }
 }
--- a/lagoonpoint/src/Gateway/SharedDispatcher.h
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.h
@@ -106,7 +106,7 @@
     SharedGroup Group_;
     RegionShares Shares_;
     bool SharesAreSet_ = false; ///< by setShares()
-    bool HasCalls_ = false;     ///< the fleet, or this VM, has had calls
+    bool HadCalls_ = false;     ///< the fleet, or this VM, has had calls
     std::map<RegionId, double> Demand_;    ///< smoothed fractions of all demand
     std::map<unsigned, unsigned> Waiting_; ///< calls by priority
   };
--- a/lagoonpoint/src/Placement/PoolMap.cpp
+++ b/lagoonpoint/src/Placement/PoolMap.cpp
@@ -270,6 +270,14 @@
   double Total = 0;
   for (const auto &[Region, Rate] : Rates)
     Total += Rate;
+  // A core VM that has just started reports no calls either.
+  if (Total <= 0 && S.HadCalls_)
+    return;
+  S.HadCalls_ = S.HadCalls_ || Total > 0;
+  // Upstreams and regions become known one by one. Until there are calls, whose
+  // objects would change region, the shares follow at once.
+  if (Total <= 0)
+    S = FlowState();
   smoothFractions(S.Demand_, Rates, Elapsed, SlowDemandHalfLife);
   smoothFractions(S.FastDemand_, Rates, Elapsed, FastDemandHalfLife);
   std::map<RegionId, double> Lendable;
@@ -293,10 +301,6 @@
     if (Target.empty())
       continue;
     RegionShares &Flow = S.Flows_[Region];
-    // Upstreams become known one by one. Until there are calls, whose objects
-    // would change region, the shares follow at once.
-    if (Total <= 0)
-      Flow.clear();
     if (Relieve && !Flow.empty())
       Target = relievingTarget(Flow, Target, Use);
     Flow = stepTowards(Flow, Target, MaxMoved);
--- a/lagoonpoint/src/Placement/PoolMap.h
+++ b/lagoonpoint/src/Placement/PoolMap.h
@@ -31,14 +31,16 @@
   std::map<RegionId, double> Demand_;
   std::map<RegionId, double> FastDemand_; ///< smoothed over a shorter time
   RegionFlows Flows_;
+  bool HadCalls_ = false;
 };
 
 /// Moves the shares of all regions towards what demand and slots require.
 /// \ingroup Placement
 /// \param Slots usable slots by region
 /// \param Rates calls per second by region of the callers. A region without a
-/// rate serves its own callers and no others. While there are no calls at all,
-/// the shares become what the slots require at once.
+/// rate serves its own callers and no others. Until there are calls, the shares
+/// become what the slots require at once; later, the state stays as it is while
+/// there are none.
 /// \param MaxRegionShift fraction of a region's calls that may change region
 /// within two seconds
 void stepFlows(FlowState &S, const std::map<RegionId, double> &Slots,
--- a/lagoonpoint/src/Steering/KeyedChoice.cpp
+++ b/lagoonpoint/src/Steering/KeyedChoice.cpp
@@ -11,7 +11,7 @@
 
 /// A load is told to others if it exceeds what was known by this factor, so
 /// that a long queue is told again and not each call more.
-constexpr double NewsFactor = 1.5;
+constexpr double MinIncreaseFactor = 1.5;
 
 bool isCold(const SharedUpstream &U, Time Now) { return Now < U.WarmupEndsAt_; }
 
@@ -78,7 +78,7 @@
 }
 
 double firstChoiceQueue(const KeyedChoiceOptions &Options) {
-  return Options.LoadsAreShared_ ? Options.SharedFirstChoiceQueue_
+  return Options.LoadsAreShared_ ? Options.FirstChoiceQueueWithNotices_
                                  : Options.FirstChoiceQueue_;
 }
 
@@ -110,8 +110,8 @@
 double estimatedInFlight(const SharedUpstream &U,
                          const KeyedChoiceOptions &Options, Time Now) {
   double Age = (Now - U.OthersReportedAt_).inSeconds();
-  double Decay =
-      std::exp2(-Age / (Options.ReportHalfLife_.inSeconds() * U.Pace_));
+  double Pace = Options.LoadsAreShared_ ? U.Pace_ : 1;
+  double Decay = std::exp2(-Age / (Options.ReportHalfLife_.inSeconds() * Pace));
   return U.InFlight_ + U.OthersInFlight_ * Decay;
 }
 
@@ -157,8 +157,9 @@
                    const KeyedChoiceOptions &Options, Time Now) {
   double Full = U.Slots_ + 1;
   double Known = estimatedInFlight(U, Options, Now);
-  return Known < Full ? Stated >= Full && Stated >= Known * NewsFactor
-                      : Stated <= U.Slots_;
+  bool IsFuller = Stated >= Full && Stated >= Known * MinIncreaseFactor;
+  bool IsFreeAgain = Known >= Full && Stated <= U.Slots_;
+  return IsFuller || IsFreeAgain;
 }
 
 void recordLoad(SharedUpstream &U, double Calls, double Pace, Time Now) {
--- a/lagoonpoint/src/Steering/KeyedChoice.h
+++ b/lagoonpoint/src/Steering/KeyedChoice.h
@@ -52,7 +52,7 @@
   /// The same while VMs share the loads that they find. What a VM knows of a
   /// load is then fresh, and a shorter queue does not keep calls away from free
   /// slots.
-  double SharedFirstChoiceQueue_ = 3;
+  double FirstChoiceQueueWithNotices_ = 3;
   bool LoadsAreShared_ = false;
   /// Fraction of the time left that the expected queueing and service time may
   /// take.
@@ -149,7 +149,7 @@
 bool changesChoice(const SharedUpstream &U, double Stated,
                    const KeyedChoiceOptions &Options, Time Now);
 
-/// Records a load that an upstream stated to another VM.
+/// Records a load that an upstream stated, to this VM or to another one.
 /// \ingroup Steering
 void recordLoad(SharedUpstream &U, double Calls, double Pace, Time Now);
 
--- a/test/LoadSharing.cpp
+++ b/test/LoadSharing.cpp
@@ -164,7 +164,7 @@
 }
 
 LoadNotices notices(const std::string &Id, unsigned Calls) {
-  return {{{UpstreamId(Id), Calls, 100}}};
+  return {{{UpstreamId(Id), 1, Duration(), Calls, 100}}};
 }
 
 } // namespace
@@ -183,8 +183,10 @@
   CHECK(Shared > Alone);
 }
 
+// Notices of what is known already would hide the others.
 TEST_CASE("A stated load is told to others") {
   KeyedChoiceOptions Options;
+  Options.LoadsAreShared_ = true;
   SharedUpstream U;
   U.Slots_ = Slots;
   Time Now(1'000'000);
@@ -212,7 +214,85 @@
   }
 }
 
+// Loads of another process, older ones, or absurd ones would keep calls away
+// from free slots.
+TEST_CASE("A dispatcher takes notices of others") {
+  fakes::FakeClock Clock;
+  Clock.set(Time(1'000'000));
+  MetricRegistry Metrics;
+  FleetSettings Settings;
+  Settings.Host_ = "10.0.0.1";
+  Settings.Region_ = RegionId("north");
+  Settings.Zones_ = {{ZoneId("n"), RegionId("north")}};
+  SharedDispatcher Dispatcher(Settings, Clock, Metrics);
+  Dispatcher.setLoadSharing(true);
+  UpstreamRegistry Registry;
+  UpstreamNotice U;
+  U.Id_ = UpstreamId("u1");
+  U.StartedAtMs_ = 7;
+  U.Sequence_ = 1;
+  U.Service_ = Service;
+  U.Address_ = "10.0.1.1:80";
+  U.Zone_ = ZoneId("n");
+  U.Slots_ = Slots;
+  applyNotice(Registry, U, Clock.now());
+  auto Update = [&] { Dispatcher.update({Registry, {}, {}, {}, Clock.now()}); };
+  Update();
+  auto HasRoom = [&] {
+    SharedDispatchRequest Call{Service,
+                               "object",
+                               {},
+                               {},
+                               0,
+                               Clock.now(),
+                               Clock.now() + Duration::seconds(1)};
+    try {
+      Dispatcher.release(Service, Dispatcher.acquire(Call), TryReport());
+      return true;
+    } catch (const Refusal &) {
+      return false;
+    }
+  };
+  LoadNotice Full{UpstreamId("u1"), 7, Duration(), 12, 250};
+  auto Advance = [&](int Millis) {
+    Clock.set(Clock.now() + Duration::millis(Millis));
+  };
+  REQUIRE(HasRoom());
+  Advance(10);
+  SECTION("and keeps calls away from a full upstream, longer if it is slow") {
+    Dispatcher.recordLoads({Full});
+    CHECK_FALSE(HasRoom());
+    Advance(700);
+    Update(); // the state of upstreams is replaced with each announcement
+    CHECK_FALSE(HasRoom());
+    Advance(700);
+    CHECK(HasRoom());
+  }
+  SECTION("but not by a notice of an earlier process of it") {
+    Full.StartedAtMs_ = 6;
+    Dispatcher.recordLoads({Full});
+    CHECK(HasRoom());
+  }
+  SECTION("or by one that is older than what it knows") {
+    Dispatcher.recordLoads({{UpstreamId("u1"), 7, Duration(), 2, 100}});
+    Advance(50);
+    Full.Age_ = Duration::millis(90);
+    Dispatcher.recordLoads({Full});
+    CHECK(HasRoom());
+  }
+  SECTION("and no more than some seconds by an absurd one") {
+    Full.Calls_ = 4'000'000'000;
+    Full.PacePercent_ = 9'999;
+    Dispatcher.recordLoads({Full});
+    CHECK_FALSE(HasRoom());
+    Advance(4'000);
+    CHECK(HasRoom());
+  }
+}
+
+// A message for each notice and VM would take more of the links than calls do.
 TEST_CASE("Notices go through one core VM") {
+  fakes::FakeClock Clock;
   std::mutex Lock;
   std::vector<LoadNotices> Out;
   auto Count = [&] {
@@ -221,13 +301,17 @@
   };
   SECTION("which sends those of an interval together, the last of each "
           "upstream") {
-    LoadRelay Relay([&](const LoadNotices &M) {
+    LoadRelay Relay(Clock, [&](const LoadNotices &M) {
       std::lock_guard Guard(Lock);
       Out.push_back(M);
     });
     Relay.receive(notices("u1", 9));
     Relay.receive(notices("u2", 7));
+    Clock.set(Clock.now() + Duration::millis(30));
     Relay.receive(notices("u1", 4));
+    LoadNotices Late = notices("u1", 12);
+    Late.Notices_[0].Age_ = Duration::millis(50);
+    Relay.receive(Late);
     Relay.start();
     REQUIRE(eventually([&] { return Count() == 1; }));
     Relay.stop();
@@ -235,7 +319,7 @@
     CHECK(Out[0].Notices_[0].Calls_ == 4);
   }
   SECTION("and no more than 64 of them, so that a message stays small") {
-    LoadRelay Relay([&](const LoadNotices &M) {
+    LoadRelay Relay(Clock, [&](const LoadNotices &M) {
       std::lock_guard Guard(Lock);
       Out.push_back(M);
     });
@@ -247,7 +331,6 @@
     CHECK(Out[0].Notices_.size() == 64);
   }
   SECTION("from an entry VM") {
-    fakes::FakeClock Clock;
     MetricRegistry Metrics;
     FleetSettings Settings;
     Settings.Host_ = "10.0.0.1";
@@ -260,11 +343,11 @@
     };
     TryReport Answered;
     Answered.Load_ = ReportedLoad{4, 5, 4, {}};
-    LoadNotice Full{UpstreamId("u1"), 9, 0};
+    LoadNotice Full{UpstreamId("u1"), 1, Duration(), 9, 0};
     SECTION("where the settings say so") {
       Settings.LoadSharing_ = PlacementMode::On;
-      LoadSharing Sharing(Settings, Metrics, Dispatcher, Send);
-      Sharing.setCores({VmId("10.0.0.9")});
+      LoadSharing Sharing(Settings, Clock, Metrics, Dispatcher, Send);
+      Sharing.setRelayCandidates({VmId("10.0.0.9")});
       Sharing.start();
       Sharing.recordTry(Answered, Full);
       REQUIRE(eventually([&] { return Count() == 1; }));
@@ -274,13 +357,14 @@
     }
     SECTION("or, if automatic, once an upstream states its pace") {
       Settings.LoadSharing_ = PlacementMode::Auto;
-      LoadSharing Sharing(Settings, Metrics, Dispatcher, Send);
-      Sharing.setCores({VmId("10.0.0.9")});
+      LoadSharing Sharing(Settings, Clock, Metrics, Dispatcher, Send);
+      Sharing.setRelayCandidates({VmId("10.0.0.9")});
       Sharing.recordTry(Answered, Full); // not kept
       Answered.Load_->PacePercent_ = 100;
       Sharing.recordTry(Answered, {});
       Sharing.start();
-      Sharing.recordTry(Answered, LoadNotice{UpstreamId("u2"), 9, 100});
+      Sharing.recordTry(Answered,
+                        LoadNotice{UpstreamId("u2"), 1, Duration(), 9, 100});
       REQUIRE(eventually([&] { return Count() == 1; }));
       Sharing.stop();
       REQUIRE(Out[0].Notices_.size() == 1);
@@ -288,13 +372,13 @@
     }
     SECTION("and are dropped while no core VM of the region answers") {
       Settings.LoadSharing_ = PlacementMode::On;
-      LoadSharing Sharing(Settings, Metrics, Dispatcher, Send);
-      Sharing.setCores({});
+      LoadSharing Sharing(Settings, Clock, Metrics, Dispatcher, Send);
+      Sharing.setRelayCandidates({});
       Sharing.recordTry(Answered, Full);
       Sharing.start();
-      std::this_thread::sleep_for(std::chrono::milliseconds(300));
-      Sharing.setCores({VmId("10.0.0.9")});
-      Sharing.recordTry(Answered, LoadNotice{UpstreamId("u2"), 9, 0});
+      Sharing.setRelayCandidates({VmId("10.0.0.9")});
+      Sharing.recordTry(Answered,
+                        LoadNotice{UpstreamId("u2"), 1, Duration(), 9, 0});
       REQUIRE(eventually([&] { return Count() == 1; }));
       Sharing.stop();
       CHECK(Out[0].Notices_.size() == 1);
--- a/test/PoolMap.cpp
+++ b/test/PoolMap.cpp
@@ -177,6 +177,12 @@
       CHECK(S.Flows_[North][South] == 0);
       CHECK(S.Flows_[West][South] == 0);
     }
+    SECTION("when a core VM that has just started reports no calls") {
+      for (int N = 0; N < 20; ++N) {
+        step(S, N % 5 == 4 ? Amounts{{North, 0}} : Even);
+        Check();
+      }
+    }
     SECTION("or on a VM that was suspended for a minute") {
       step(S, Even);
       RegionFlows Before = S.Flows_;
--- a/test/SlotClient.cpp
+++ b/test/SlotClient.cpp
@@ -39,7 +39,7 @@
   MetricRegistry Metrics_;
   SharedDispatcher Dispatcher_;
   SlotPlacement Placement_;
-  LoadSharing Loads_;
+  LoadSharing LoadSharing_;
   RetryBudgets Retries_;
   FleetCallServices Services_;
 };
@@ -159,12 +159,12 @@
                  [this](const VmId &To, const FleetMessage &M) {
                    Fleet_.deliver(VmId(Settings_.Host_), To, M);
                  }),
-      Loads_(Settings_, Metrics_, Dispatcher_,
-             [](const VmId &, const FleetMessage &) {}),
+      LoadSharing_(Settings_, Fleet.Clock_, Metrics_, Dispatcher_,
+                   [](const VmId &, const FleetMessage &) {}),
       Services_{Fleet.Clock_,
                 Dispatcher_,
                 Placement_,
-                Loads_,
+                LoadSharing_,
                 Retries_,
                 Metrics_,
                 [](const TeamId &) {},
