--- a/lagoonpoint/src/Gateway/SlotClient.cpp
+++ b/lagoonpoint/src/Gateway/SlotClient.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// A holder of the region answers within a few milliseconds. Behind responses on
-/// a slow link, messages wait for 100 ms each way.
+/// A holder of the region answers within a few milliseconds. Behind responses
+/// on a slow link, messages wait for 100 ms each way.
 constexpr Duration ReplyTimeout = Duration::millis(350);
 /// A holder that did not answer is not asked for this long.
 constexpr Duration SuspicionPeriod = Duration::seconds(1);
