Close connections whose peer keeps sending

Cause: limits on an incomplete head and on the time after the last response were checked only for connections in the poll set.

Change: a worker checks the limit before it returns such a connection.

Measured: the new cases in test_Listener fail without the check (still open after 4 s, limits 1 s) and pass with it.

--- a/lagoonpoint/src/Http/util/Listener.cpp
+++ b/lagoonpoint/src/Http/util/Listener.cpp
@@ -282,7 +282,7 @@
     std::lock_guard Lock(QueueLock_);
     Serving_.erase(C.get());
   }
-  if (Step == NextStep::Poll)
+  if (Step == NextStep::Poll && !closeIfOverdue(*C))
     return addToPoll(std::move(C));
   if (Step == NextStep::Requeue)
     return enqueue(std::move(C));
@@ -373,6 +373,22 @@
   return Now - C.WaitingSince_ >= Options_.IdleTimeout_;
 }
 
+// The sweep misses a connection whose peer keeps sending: its input is read as
+// soon as it is back in the poll set. Such a connection is checked here.
+bool Listener::closeIfOverdue(Connection &C) {
+  bool HasLimit = C.Closing_ || C.HeadStartedAt_;
+  if (!HasLimit || !expired(C, Clock_.now()))
+    return false;
+  rejectLateHead(C);
+  return true;
+}
+
+void Listener::rejectLateHead(Connection &C) {
+  if (C.HeadStartedAt_ && !C.Closing_)
+    Reject_(C, Refusal(RefusalReason::BadRequest, Ran::No, "http.head",
+                       "request head was not received within the time-out"));
+}
+
 void Listener::sweep() {
   Time Now = Clock_.now();
   std::vector<ConnectionPtr> Expired;
@@ -390,9 +406,7 @@
     }
   }
   for (ConnectionPtr &C : Expired) {
-    if (C->HeadStartedAt_ && !C->Closing_)
-      Reject_(*C, Refusal(RefusalReason::BadRequest, Ran::No, "http.head",
-                          "request head was not received within the time-out"));
+    rejectLateHead(*C);
     --OpenConnections_;
   }
 }
--- a/lagoonpoint/src/Http/util/Listener.h
+++ b/lagoonpoint/src/Http/util/Listener.h
@@ -103,6 +103,8 @@
   NextStep discardInput(Connection &C);
   bool serveBuffered(Connection &C, std::size_t Length);
   void startLingeringClose(Connection &C);
+  bool closeIfOverdue(Connection &C);
+  void rejectLateHead(Connection &C);
   void sweep();
   bool expired(const Connection &C, Time Now) const;
   void waitForInFlight(Duration DrainLimit);
--- a/test/Listener.cpp
+++ b/test/Listener.cpp
@@ -62,6 +62,50 @@
   L.stop();
 }
 
+// Fails if only connections found in the poll set are checked against their
+// limit: one whose peer keeps sending is hardly ever there, and held its thread
+// and its buffers for as long as the peer liked.
+TEST_CASE("A peer that keeps sending does not keep its connection open") {
+  SystemClock Clock;
+  internal::ListenerOptions Options;
+  Options.Listen_ = {"127.0.0.1", 0};
+  Options.MaxHeadBytes_ = 1 << 20;
+  Options.HeadTimeout_ = Duration::seconds(1);
+  Options.IdleTimeout_ = Duration::seconds(60);
+  Options.DrainLimit_ = Duration::seconds(10);
+  Options.Name_ = "test";
+  std::atomic<unsigned> Rejected{0};
+  internal::Listener L(
+      Options, Clock,
+      [](internal::Connection &, internal::RequestHead &) { return false; },
+      [&](internal::Connection &, const Refusal &) { ++Rejected; });
+  L.start();
+  RawSocket Peer("127.0.0.1", L.port());
+  // The limits are one second each; a response that was cut short is given one
+  // more to be read.
+  constexpr Duration ClosedWithin = Duration::seconds(4);
+  auto SendUntilClosed = [&] {
+    Time Start = Clock.now();
+    while (Peer.send("x")) {
+      if (Clock.now() - Start > ClosedWithin)
+        return false;
+      std::this_thread::sleep_for(std::chrono::microseconds(200));
+    }
+    return true;
+  };
+  SECTION("while a request head is incomplete") {
+    Peer.send("GET / HTTP/1.1\r\nX-Name: ");
+    CHECK(SendUntilClosed());
+    CHECK(Rejected == 1);
+  }
+  SECTION("after the last response") {
+    Peer.send("GET / HTTP/1.1\r\nHost: vm\r\n\r\n");
+    CHECK(SendUntilClosed());
+    CHECK(Rejected == 0);
+  }
+  L.stop();
+}
+
 TEST_CASE("Requests that wait for confirmation do not block others") {
   // Number of upstreams that leave at once when a release replaces them.
   constexpr unsigned Departures = 40;
