Keep a team's rate during cuts and while core VMs answer late

Cause: with the core VMs cut into two halves, each side let its share of a surge grow; standbys granted on top of a core VM that was only slow to answer, or that they alone could not hear; tokens used without an answer were counted nowhere.

Change: a share does not grow while a region that may grant tokens is silent; standby grants are charged to the core VMs ranked before it; a standby that does not hear one that its entry VMs hear grants nothing; requests report the tokens used without a grant; late grants are used, as they were counted.

--- a/lagoonpoint/src/Fleet/FleetMessage.h
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -166,7 +166,12 @@
   TeamId Team_;
   unsigned Waiting_ = 0;  ///< requests that wait for a token
   unsigned Prefetch_ = 0; ///< tokens for requests expected soon
-  MSGPACK_DEFINE(Number_, Team_, Waiting_, Prefetch_)
+  unsigned Used_ = 0;     ///< tokens used since the last answer without a grant
+  /// The sender is in contact with a core VM that is ranked before the receiver
+  /// and did not answer in time.
+  bool PrecedingInContact_ = false;
+  MSGPACK_DEFINE(Number_, Team_, Waiting_, Prefetch_, Used_,
+                 PrecedingInContact_)
 };
 
 /// Answers TokenRequest.
@@ -179,6 +184,14 @@
   MSGPACK_DEFINE(Number_, Team_, Count_, RetryAfter_, IsHolder_)
 };
 
+/// Tokens that a core VM granted in place of the receiver, which is ranked
+/// before it.
+struct TokenCharge {
+  TeamId Team_;
+  unsigned Count_ = 0;
+  MSGPACK_DEFINE(Team_, Count_)
+};
+
 /// Requests a slot at an upstream from the entry VM that holds its pool.
 struct SlotRequest {
   std::uint64_t Number_ = 0; ///< unique among all processes of the sender
@@ -252,7 +265,7 @@
 using FleetMessage =
     std::variant<Heartbeat, HeartbeatReply, ItemUpdate, NoticeBatch, NoticeAck,
                  NoticeSyncRequest, NoticeSyncReply, TokenRequest, TokenGrant,
-                 SlotRequest, SlotReply, SlotRelease, LoadNotices>;
+                 SlotRequest, SlotReply, SlotRelease, LoadNotices, TokenCharge>;
 
 /// \ingroup Fleet
 std::string encodeMessage(const FleetMessage &M);
--- a/lagoonpoint/src/Fleet/TeamDemand.cpp
+++ b/lagoonpoint/src/Fleet/TeamDemand.cpp
@@ -12,6 +12,8 @@
 
 /// Core VMs of a region that learn a team's demand.
 constexpr std::size_t RankedHolders = 2;
+/// Core VMs report each second.
+constexpr Duration ReportTimeout = Duration::millis(1600);
 
 void addRates(RateMap &Sum, const RateMap &Rates) {
   for (const auto &[Team, Rate] : Rates)
@@ -25,9 +27,23 @@
     Max[Team] = std::max(Max[Team], Rate);
 }
 
+/// \returns for each region, the time since one of its core VMs was heard
+std::map<RegionId, Duration> regionAges(const NodeRegistry &R, Time Now) {
+  std::map<RegionId, Duration> Out;
+  for (const auto &[Vm, Node] : R.Nodes_) {
+    if (!Node.Record_.Core_)
+      continue;
+    Duration Age = Now - Node.HeardAt_;
+    auto [Found, New] = Out.emplace(Node.Record_.Region_, Age);
+    Found->second = std::min(Found->second, Age);
+  }
+  return Out;
+}
+
 } // namespace
 
-TeamDemand teamDemand(const NodeRegistry &R, const RegionId &Own, Time Now) {
+TeamDemand teamDemand(const NodeRegistry &R, const RegionId &Own,
+                      const std::set<RegionId> &Regions, Time Now) {
   std::vector<Duration> Ages{Duration()}; // this VM
   for (const auto &[Vm, Node] : R.Nodes_)
     if (Node.Record_.Core_)
@@ -36,6 +52,17 @@
   bool MajorityLive = Ages[Ages.size() / 2] <= LivenessTimeout;
   TeamDemand Out;
   Out.ContactAge_ = Ages[(Ages.size() + 1) / 2 - 1];
+  std::map<RegionId, Duration> RegionAges = regionAges(R, Now);
+  for (const RegionId &Region : Regions) {
+    if (Region == Own)
+      continue;
+    auto Known = RegionAges.find(Region);
+    bool Heard = Known != RegionAges.end() && Known->second <= ReportTimeout;
+    bool Expired = MajorityLive && (Known == RegionAges.end() ||
+                                    Known->second > ShareExpiresAfter);
+    if (!Heard && !Expired)
+      Out.IsComplete_ = false;
+  }
   Out.RatesByRegion_[Own];
   for (const auto &[Vm, Node] : R.Nodes_) {
     Duration Age = Now - Node.DirectlyHeardAt_;
@@ -100,17 +127,18 @@
   return Out;
 }
 
-HolderRank rankOf(const NodeRegistry &R, const NodeRecord &Self,
-                  const TeamId &Team, Time Now) {
-  std::vector<VmId> Cores{Self.Vm_};
+HolderRank rankOf(const NodeRegistry &R, const VmId &Self,
+                  const RegionId &Region, const TeamId &Team, Time Now) {
+  std::vector<VmId> Cores{Self};
   for (const auto &[Vm, Node] : R.Nodes_)
-    if (Node.Record_.Core_ && Node.Record_.Region_ == Self.Region_)
+    if (Node.Record_.Core_ && Node.Record_.Region_ == Region)
       Cores.push_back(Vm);
   HolderRank Out;
   for (const VmId &Vm : rankHolders(Team.str(), Cores)) {
-    if (Vm == Self.Vm_)
+    if (Vm == Self)
       break;
     Out.First_ = false;
+    Out.Preceding_.push_back(Vm);
     Out.PrecedingLive_ |= Now - R.Nodes_.at(Vm).HeardAt_ <= LivenessTimeout;
   }
   return Out;
--- a/lagoonpoint/src/Fleet/TeamDemand.h
+++ b/lagoonpoint/src/Fleet/TeamDemand.h
@@ -2,6 +2,8 @@
 
 #include "lagoonpoint/src/Fleet/NodeRegistry.h"
 
+#include <set>
+
 namespace lagoonpoint {
 
 /// \class TeamDemand
@@ -12,13 +14,17 @@
   std::map<RegionId, RateMap> RatesByRegion_;
   /// Time since this VM last heard from half of the core VMs, itself included.
   Duration ContactAge_;
+  /// Every region that may grant tokens has reported its demand lately.
+  bool IsComplete_ = true;
 };
 
 /// Sums up the demand reported by entry VMs and by other regions' core VMs. A
 /// silent region keeps its last demand unless this VM hears from more than half
 /// of the core VMs, because that region may still grant tokens for it.
 /// \ingroup Fleet
-TeamDemand teamDemand(const NodeRegistry &R, const RegionId &Own, Time Now);
+/// \param Regions all regions of the deployment
+TeamDemand teamDemand(const NodeRegistry &R, const RegionId &Own,
+                      const std::set<RegionId> &Regions, Time Now);
 
 /// Orders core VMs of a region by rendezvous hashing: the first one is
 /// responsible for a name, for example grants a team's tokens or notifies an
@@ -49,10 +55,11 @@
 struct HolderRank {
   bool First_ = true;          ///< no core VM of the region precedes it
   bool PrecedingLive_ = false; ///< else: one that precedes it is live
+  std::vector<VmId> Preceding_;
 };
 
 /// \ingroup Fleet
-HolderRank rankOf(const NodeRegistry &R, const NodeRecord &Self,
-                  const TeamId &Team, Time Now);
+HolderRank rankOf(const NodeRegistry &R, const VmId &Self,
+                  const RegionId &Region, const TeamId &Team, Time Now);
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -217,6 +217,9 @@
   else if (const auto *Request = std::get_if<TokenRequest>(&M))
     ControlLoad_.measure("token_request",
                          [&] { onTokenRequest(From, *Request); });
+  else if (const auto *Charge = std::get_if<TokenCharge>(&M))
+    Quotas_.charge(*Charge,
+                   findItem(items()->Items_.Teams_, Charge->Team_.str()));
 }
 
 void CoreVm::Impl::onCatalogChange(const Catalog &C) {
@@ -327,7 +330,8 @@
   Out.KnowsVoters_ = true;
   std::lock_guard Guard(Lock_);
   Time Now = Clock_.now();
-  TeamDemand Demand = teamDemand(NodeRegistry_, Settings_.Region_, Now);
+  TeamDemand Demand =
+      teamDemand(NodeRegistry_, Settings_.Region_, Quotas_.regions(), Now);
   Quotas_.updateDemand(Demand);
   std::vector<VmId> RegionCores{Self_};
   for (const KnownNode *Core : liveCoreVms(NodeRegistry_, LivenessTimeout, Now))
@@ -493,15 +497,17 @@
                                   const TokenRequest &Request) {
   auto Now = items();
   HolderRank Rank;
-  NodeRecord Own;
-  Own.Vm_ = Self_;
-  Own.Region_ = Settings_.Region_;
   {
     std::lock_guard Guard(Lock_);
-    Rank = rankOf(NodeRegistry_, Own, Request.Team_, Clock_.now());
+    Rank = rankOf(NodeRegistry_, Self_, Settings_.Region_, Request.Team_,
+                  Clock_.now());
   }
   const TeamItem *Team = findItem(Now->Items_.Teams_, Request.Team_.str());
-  sendTo(From, Quotas_.grant(Request, Team, Rank));
+  TokenGrant Grant = Quotas_.grant(Request, Team, Rank);
+  sendTo(From, Grant);
+  if (Grant.Count_ > 0)
+    for (const VmId &Vm : Rank.Preceding_)
+      sendTo(Vm, TokenCharge{Request.Team_, Grant.Count_});
 }
 
 std::set<VmId> CoreVm::Impl::entryVmsInContact(Time Now) {
--- a/lagoonpoint/src/Gateway/QuotaHolder.cpp
+++ b/lagoonpoint/src/Gateway/QuotaHolder.cpp
@@ -1,7 +1,6 @@
 #include "lagoonpoint/src/Gateway/QuotaHolder.h"
 
 #include <algorithm>
-#include <set>
 
 namespace lagoonpoint {
 
@@ -15,18 +14,22 @@
 
 } // namespace
 
-std::size_t QuotaHolder::regionCount() const {
-  std::set<RegionId> Regions;
+std::set<RegionId> QuotaHolder::regions() const {
+  std::set<RegionId> Out;
   for (const auto &[Zone, Region] : Settings_.Zones_)
-    Regions.insert(Region);
-  return std::max<std::size_t>(Regions.size(), 1);
+    Out.insert(Region);
+  return Out;
+}
+
+std::size_t QuotaHolder::regionCount() const {
+  return std::max<std::size_t>(regions().size(), 1);
 }
 
 QuotaHolder::TeamQuota &QuotaHolder::quotaOf(const TeamId &Team) {
   auto [Found, New] = Quotas_.emplace(Team, TeamQuota());
   RateShare &Share = Found->second.RateShare_;
   if (New)
-    Share.Share_ = Share.DemandFraction_ =
+    Share.Share_ = Share.DemandFraction_ = Share.FractionLimit_ =
         1.0 / static_cast<double>(regionCount());
   return Found->second;
 }
@@ -45,24 +48,50 @@
     auto Here = Own.find(Team.str());
     auto Sum = Total.find(Team.str());
     updateShare(Quota.RateShare_, Here == Own.end() ? 0 : Here->second,
-                Sum == Total.end() ? 0 : Sum->second, regionCount());
+                Sum == Total.end() ? 0 : Sum->second, regionCount(),
+                Demand.IsComplete_);
   }
 }
 
-double QuotaHolder::usableFraction(const HolderRank &Rank) const {
+double QuotaHolder::usableFraction(const TeamQuota &Quota,
+                                   const HolderRank &Rank) const {
   double Fraction = shareFactor(Clock_.now() - ContactAt_);
-  return Rank.PrecedingLive_ ? Fraction * StandbyFraction : Fraction;
+  if (Rank.First_)
+    return Fraction;
+  if (Rank.PrecedingLive_)
+    return Fraction * StandbyFraction;
+  // Only the link between the two is down, so that nothing can be charged.
+  bool PrecedingSeen = Quota.PrecedingSeenAt_ != Time() &&
+                       Clock_.now() - Quota.PrecedingSeenAt_ <= LivenessTimeout;
+  return PrecedingSeen ? 0 : Fraction;
+}
+
+GlobalRate QuotaHolder::rateOf(const TeamItem &Team) const {
+  return {Team.Rate_, Team.Burst_, Settings_.QuotaWindow_,
+          Settings_.QuotaOverage_, Settings_.QuotaSlack_};
+}
+
+void QuotaHolder::charge(const TokenCharge &Charge, const TeamItem *Team) {
+  if (!Team)
+    return;
+  std::lock_guard Guard(Lock_);
+  lagoonpoint::charge(quotaOf(Charge.Team_).RateShare_, rateOf(*Team),
+                      Charge.Count_);
 }
 
 TokenGrant QuotaHolder::grant(const TokenRequest &Request, const TeamItem *Team,
-                              HolderRank Rank) {
+                              const HolderRank &Rank) {
   std::lock_guard Guard(Lock_);
   Time Now = Clock_.now();
-  double Usable = usableFraction(Rank);
   TokenGrant Out{Request.Number_, Request.Team_, 0, {}, false};
-  if (!Team || Usable < MinUsableFraction)
+  if (!Team)
     return Out;
   TeamQuota &Quota = quotaOf(Request.Team_);
+  if (Request.PrecedingInContact_)
+    Quota.PrecedingSeenAt_ = Now;
+  double Usable = usableFraction(Quota, Rank);
+  if (Usable < MinUsableFraction)
+    return Out;
   Duration Window = Settings_.QuotaWindow_;
   // Another core VM, or this one before a restart, may have granted the whole
   // burst in this window.
@@ -74,8 +103,8 @@
     Quota.RateShare_.RefilledAt_ = Now;
   }
   Quota.LastRequestAt_ = Now;
-  GlobalRate TeamRate{Team->Rate_, Team->Burst_, Window,
-                      Settings_.QuotaOverage_, Settings_.QuotaSlack_};
+  GlobalRate TeamRate = rateOf(*Team);
+  lagoonpoint::charge(Quota.RateShare_, TeamRate, Request.Used_);
   TakenTokens Taken = take(Quota.RateShare_, TeamRate, regionCount(), Usable,
                            Request.Waiting_, Request.Prefetch_, Now);
   Out.Count_ = Taken.Count_;
--- a/lagoonpoint/src/Gateway/QuotaHolder.h
+++ b/lagoonpoint/src/Gateway/QuotaHolder.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <mutex>
+#include <set>
 
 namespace lagoonpoint {
 
@@ -17,27 +18,36 @@
 ///
 /// A team's rate is divided among the regions by demand. In each region one
 /// core VM grants the team's tokens. If it fails, the next one takes over with
-/// an empty bucket.
+/// an empty bucket. What that one grants is charged to the first, which may
+/// only have been slow or frozen.
 class QuotaHolder {
 public:
   QuotaHolder(const FleetSettings &S, const Clock &C)
       : Settings_(S), Clock_(C), StartedAt_(C.now()) {}
 
+  /// \returns all regions of the deployment
+  std::set<RegionId> regions() const;
   /// Updates the demand of all regions. Called once per heartbeat interval.
   void updateDemand(const TeamDemand &Demand);
   /// \param Team null if this VM does not know the team
   TokenGrant grant(const TokenRequest &Request, const TeamItem *Team,
-                   HolderRank Rank);
+                   const HolderRank &Rank);
+  /// Takes tokens that another core VM of the region granted.
+  /// \param Team null if this VM does not know the team
+  void charge(const TokenCharge &Charge, const TeamItem *Team);
 
 private:
   struct TeamQuota {
     RateShare RateShare_;
     Time LastRequestAt_;
+    /// Last request that said that a preceding core VM is in contact.
+    Time PrecedingSeenAt_;
   };
 
   std::size_t regionCount() const;
   TeamQuota &quotaOf(const TeamId &Team);
-  double usableFraction(const HolderRank &Rank) const;
+  double usableFraction(const TeamQuota &Quota, const HolderRank &Rank) const;
+  GlobalRate rateOf(const TeamItem &Team) const;
 
   const FleetSettings &Settings_;
   const Clock &Clock_;
--- a/lagoonpoint/src/Gateway/TeamTokens.cpp
+++ b/lagoonpoint/src/Gateway/TeamTokens.cpp
@@ -59,6 +59,7 @@
   if (State.FallbackTokens_ < 1)
     return false;
   State.FallbackTokens_ -= 1;
+  ++State.Uncounted_;
   return true;
 }
 
@@ -79,8 +80,13 @@
 bool TeamTokens::requestTokens(const TeamId &Team, TeamState &State, Time Now) {
   if (State.RequestNumber_ != 0 && Now - State.SentAt_ < ReplyTimeout)
     return true;
-  if (State.RequestNumber_ != 0)
+  if (State.RequestNumber_ != 0) {
     SuspectedUntil_[State.RequestedFrom_] = Now + SuspicionPeriod;
+    State.Overdue_[State.RequestNumber_] = State.SentAt_;
+  }
+  std::erase_if(State.Overdue_, [&](const auto &Sent) {
+    return Now - Sent.second > TokenLifetime;
+  });
   State.RequestNumber_ = 0;
   State.RequestedFrom_ = holderOf(Team, Now);
   if (State.RequestedFrom_.empty())
@@ -90,8 +96,10 @@
       static_cast<unsigned>(State.Demand_.Rate_ * PrefetchWindow.inSeconds());
   State.RequestNumber_ = NextRequestNumber_++;
   State.SentAt_ = Now;
+  State.Told_ = State.Uncounted_;
   Send_(State.RequestedFrom_, {State.RequestNumber_, Team, State.Waiting_,
-                               std::min(Prefetch, MaxPrefetch)});
+                               std::min(Prefetch, MaxPrefetch), State.Told_,
+                               isStandby(Team, State.RequestedFrom_)});
   return true;
 }
 
@@ -132,25 +140,57 @@
   Found->second.Changed_.notify_one();
 }
 
+/// \returns whether another core VM of this region in contact is ranked before
+/// \p Vm
+bool TeamTokens::isStandby(const TeamId &Team, const VmId &Vm) const {
+  bool IsLocal = std::find(LocalHolders_.begin(), LocalHolders_.end(), Vm) !=
+                 LocalHolders_.end();
+  return IsLocal && rankHolders(Team.str(), LocalHolders_).front() != Vm;
+}
+
+void TeamTokens::addTokens(TeamState &State, unsigned Count, Time Now) const {
+  if (Now - State.ReceivedAt_ > TokenLifetime)
+    State.Tokens_ = 0;
+  State.Tokens_ += Count;
+  State.ReceivedAt_ = State.LastGrantAt_ = Now;
+  recordEvents(State.Granted_, Count);
+  updateRate(State.Granted_, Now);
+}
+
+/// Uses the tokens of a grant that came after another core VM was asked,
+/// because the sender has counted them. Too old ones would exceed the limit of
+/// a window.
+void TeamTokens::acceptLateGrant(TeamState &State, const TokenGrant &G,
+                                 Time Now) const {
+  auto Sent = State.Overdue_.find(G.Number_);
+  if (Sent == State.Overdue_.end())
+    return;
+  if (G.IsHolder_ && Now - Sent->second <= TokenLifetime) {
+    addTokens(State, G.Count_, Now);
+    State.Changed_.notify_all();
+  }
+  State.Overdue_.erase(Sent);
+}
+
 void TeamTokens::onGrant(const VmId &From, const TokenGrant &G) {
   std::lock_guard Guard(Lock_);
   Time Now = Clock_.now();
   auto Found = Teams_.find(G.Team_);
-  if (Found == Teams_.end() || Found->second.RequestNumber_ != G.Number_)
-    return; // late answer: another core VM has been asked since
+  if (Found == Teams_.end())
+    return;
   TeamState &State = Found->second;
+  if (State.RequestNumber_ != G.Number_) {
+    acceptLateGrant(State, G, Now);
+    return;
+  }
   State.RequestNumber_ = 0;
   if (!G.IsHolder_) {
     SuspectedUntil_[From] = Now + SuspicionPeriod;
   } else {
-    if (Now - State.ReceivedAt_ > TokenLifetime)
-      State.Tokens_ = 0;
-    State.Tokens_ += G.Count_;
-    State.ReceivedAt_ = State.LastGrantAt_ = Now;
+    addTokens(State, G.Count_, Now);
     State.FallbackTokens_ = 0;
+    State.Uncounted_ -= State.Told_;
     State.OverRateUntil_ = Now + G.RetryAfter_;
-    recordEvents(State.Granted_, G.Count_);
-    updateRate(State.Granted_, Now);
   }
   State.Changed_.notify_all();
 }
--- a/lagoonpoint/src/Gateway/TeamTokens.h
+++ b/lagoonpoint/src/Gateway/TeamTokens.h
@@ -54,15 +54,23 @@
     std::uint64_t RequestNumber_ = 0; ///< of the outstanding request; 0: none
     VmId RequestedFrom_;              ///< receiver of the outstanding request
     Time SentAt_;
+    /// Requests that were not answered in time and still may be, and when they
+    /// were sent.
+    std::map<std::uint64_t, Time> Overdue_;
     Time OverRateUntil_; ///< the team is over its rate until then
     Time LastGrantAt_;
     double FallbackTokens_ = 0; ///< tokens to use while no core VM answers
     Time FallbackUpdatedAt_;
+    unsigned Uncounted_ = 0; ///< fallback tokens used, not yet told a core VM
+    unsigned Told_ = 0;      ///< of these, those in the outstanding request
     std::condition_variable Changed_;
   };
 
   bool takeCachedToken(TeamState &State, Time Now) const;
   bool takeFallbackToken(TeamState &State, Time Now) const;
+  void addTokens(TeamState &State, unsigned Count, Time Now) const;
+  void acceptLateGrant(TeamState &State, const TokenGrant &G, Time Now) const;
+  bool isStandby(const TeamId &Team, const VmId &Vm) const;
   bool requestTokens(const TeamId &Team, TeamState &State, Time Now);
   VmId holderOf(const TeamId &Team, Time Now) const;
 
--- a/lagoonpoint/src/Limits/DemandShare.cpp
+++ b/lagoonpoint/src/Limits/DemandShare.cpp
@@ -35,7 +35,7 @@
 }
 
 void updateShare(RateShare &B, double OwnDemand, double TotalDemand,
-                 std::size_t Holders) {
+                 std::size_t Holders, bool IsComplete) {
   B.PreviousDemand_ = B.ReportedDemand_;
   B.ReportedDemand_ = OwnDemand;
   auto Count = static_cast<double>(std::max<std::size_t>(Holders, 1));
@@ -47,8 +47,12 @@
   double KnownDemand = std::min(
       OwnDemand, Surge ? B.PreviousDemand_ : usualMaximum(B.PreviousDemand_));
   double Fraction = Total > 0 ? KnownDemand / Total : 1 / Count;
+  if (!IsComplete)
+    Fraction = std::min(Fraction, B.FractionLimit_);
   double SafeFraction =
       Surge ? std::min(Fraction, B.DemandFraction_) : Fraction;
+  if (IsComplete)
+    B.FractionLimit_ = SafeFraction;
   B.DemandFraction_ = Fraction;
   B.Share_ = EvenFraction / Count + (1 - EvenFraction) * SafeFraction;
 }
@@ -95,4 +99,9 @@
   return Out;
 }
 
+void charge(RateShare &B, const GlobalRate &R, unsigned Count) {
+  double Floor = -(R.Burst_ + R.Rate_ * R.Window_.inSeconds());
+  B.Tokens_ = std::max(B.Tokens_ - Count, Floor);
+}
+
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Limits/DemandShare.h
+++ b/lagoonpoint/src/Limits/DemandShare.h
@@ -34,7 +34,9 @@
   double PreviousDemand_ = 0; ///< local demand in the report before it
   double DemandFraction_ = 0; ///< latest local fraction of total demand
   double TotalDemand_ = 0;    ///< latest total over all holders
-  double Share_ = 0;          ///< fraction of the global rate
+  /// Demand fraction when the demand of all holders was last known.
+  double FractionLimit_ = 1;
+  double Share_ = 0; ///< fraction of the global rate
   double Tokens_ = 0;
   Time RefilledAt_;
 };
@@ -79,11 +81,16 @@
 /// used if they differ by more than that, because an isolated holder receives a
 /// total that is too small. Of the last two local reports, the smaller is used
 /// in the same way, because the other holders' demand in a total is older than
-/// this holder's latest report. \ingroup Limits \param OwnDemand local demand
-/// that is being reported \param TotalDemand latest known total, including \p
-/// OwnDemand
+/// this holder's latest report.
+///
+/// While another holder's demand is not known, the share does not exceed that
+/// of the last time at which it was: both sides of a cut see their own surge
+/// only, and would each grow at the other's expense. \ingroup Limits \param
+/// OwnDemand local demand that is being reported \param TotalDemand latest
+/// known total, including \p OwnDemand \param IsComplete whether the total is
+/// based on recent reports of all holders
 void updateShare(RateShare &B, double OwnDemand, double TotalDemand,
-                 std::size_t Holders);
+                 std::size_t Holders, bool IsComplete = true);
 
 /// \returns the factor by which a share is reduced when the last exchange with
 /// the other holders is \p Age old: 1 up to ShareValidFor, 0 from
@@ -107,4 +114,9 @@
                  double ShareFactor, unsigned Requested, unsigned Prefetch,
                  Time Now);
 
+/// Takes tokens that were used without a grant of this holder. The bucket may
+/// become negative, by at most the rate of some seconds.
+/// \ingroup Limits
+void charge(RateShare &B, const GlobalRate &R, unsigned Count);
+
 } // namespace lagoonpoint
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -406,16 +406,19 @@
     B.TeamRates_ = {{"rangers", Rate}};
     REQUIRE(record(Registry_, VmId(Name), B, At) == HeartbeatResult::Accepted);
   }
+  TeamDemand demandAt(Time Now) const {
+    return teamDemand(Registry_, RegionId("north"),
+                      {RegionId("north"), RegionId("south"), RegionId("east")},
+                      Now);
+  }
   double rateIn(const std::string &Region, Time Now) const {
-    TeamDemand D = teamDemand(Registry_, RegionId("north"), Now);
+    TeamDemand D = demandAt(Now);
     auto Found = D.RatesByRegion_.find(RegionId(Region));
     if (Found == D.RatesByRegion_.end() || !Found->second.count("rangers"))
       return 0;
     return Found->second.at("rangers");
   }
-  Duration contactAge(Time Now) const {
-    return teamDemand(Registry_, RegionId("north"), Now).ContactAge_;
-  }
+  Duration contactAge(Time Now) const { return demandAt(Now).ContactAge_; }
 
   NodeRegistry Registry_;
 };
@@ -448,6 +451,22 @@
     D.receiveHeartbeat("c2", true, "north", 4, Later);
     CHECK(D.contactAge(Later) == Duration::seconds(8));
   }
+  // Fails if a region that can't see another's surge counts its demand as
+  // known.
+  SECTION("and tell whether all regions that may grant tokens were heard") {
+    CHECK(D.demandAt(Start).IsComplete_);
+    CHECK(D.demandAt(Start + Duration::millis(1600)).IsComplete_);
+    Time Silent = Start + Duration::millis(1601);
+    CHECK_FALSE(D.demandAt(Silent).IsComplete_);
+    for (const char *Name : {"c2", "c5", "c6"})
+      D.receiveHeartbeat(Name, true, Name[1] == '2' ? "north" : "east", 4,
+                         Silent);
+    CHECK_FALSE(D.demandAt(Silent).IsComplete_); // south still has its share
+    for (const char *Name : {"c2", "c5", "c6"})
+      D.receiveHeartbeat(Name, true, Name[1] == '2' ? "north" : "east", 4,
+                         Later);
+    CHECK(D.demandAt(Later).IsComplete_); // it has given it up
+  }
 }
 
 TEST_CASE("The teams are distributed over the core VMs of a region") {
@@ -466,13 +485,17 @@
     TeamId Any("t" + std::to_string(N));
     bool First =
         rankHolders(Any.str(), {VmId("c1"), VmId("c2")}).front() == VmId("c1");
-    HolderRank Rank =
-        rankOf(D.Registry_, makeNode("c1", true, "north"), Any, Start);
+    auto RankAt = [&](Time Now) {
+      return rankOf(D.Registry_, VmId("c1"), RegionId("north"), Any, Now);
+    };
+    HolderRank Rank = RankAt(Start);
     CHECK(Rank.First_ == First);
     CHECK(Rank.PrecedingLive_ == !First);
-    Time Later = Start + Duration::seconds(3);
-    CHECK_FALSE(rankOf(D.Registry_, makeNode("c1", true, "north"), Any, Later)
-                    .PrecedingLive_);
+    CHECK(Rank.Preceding_ ==
+          (First ? std::vector<VmId>() : std::vector<VmId>{VmId("c2")}));
+    HolderRank Later = RankAt(Start + Duration::seconds(3));
+    CHECK_FALSE(Later.PrecedingLive_);
+    CHECK(Later.Preceding_ == Rank.Preceding_); // it may only be cut off
   }
 }
 
@@ -610,7 +633,7 @@
     record(Near, E1.Vm_, B, Start);
     record(Far, E1.Vm_, B, Start - Duration::seconds(5)); // before it moved
     recordReports(Far, reportEntryVms(Near, Silence, Sent, Start), Start);
-    CHECK(teamDemand(Far, RegionId("south"), Start)
+    CHECK(teamDemand(Far, RegionId("south"), {}, Start)
               .RatesByRegion_[RegionId("south")]
               .empty());
     Heartbeat FromCore = makeHeartbeat(makeNode("c1", true, "north"));
--- a/test/TeamTokens.cpp
+++ b/test/TeamTokens.cpp
@@ -118,9 +118,13 @@
       E.Clock_.advance(Duration::millis(200));
     auto NextRequest = E.nextRequest();
     CHECK(NextRequest.first == SecondHolder);
-    E.grant(Request, 1); // late: another core VM was asked since
+    CHECK_FALSE(Request.second.PrecedingInContact_);
+    CHECK(NextRequest.second.PrecedingInContact_);
+    E.grant(Request, 1); // another core VM was asked since
     E.grant(NextRequest, 1);
     CHECK_NOTHROW(Call.get());
+    if (!Answers) // the late token was counted, so that it is used as well
+      CHECK_NOTHROW(E.Tokens_.take(Team));
     Call = E.take();
     CHECK((NextRequest = E.nextRequest()).first == SecondHolder);
     E.grant(NextRequest, 1);
@@ -138,6 +142,18 @@
     E.grant(E.nextRequest(), 1);
     CHECK_NOTHROW(Call.get());
   }
+  SECTION("a grant that comes after the lifetime of tokens is not used") {
+    E.Clock_.advance(Duration::millis(200));
+    auto NextRequest = E.nextRequest();
+    E.Clock_.advance(Duration::millis(199));
+    E.grant(NextRequest, 1);
+    CHECK_NOTHROW(Call.get());
+    E.Clock_.advance(Duration::millis(2));
+    E.grant(Request, 1);
+    Call = E.take();
+    E.grant(E.nextRequest(), 1);
+    CHECK_NOTHROW(Call.get());
+  }
   SECTION("without any answer, requests are refused as not ready") {
     E.Clock_.advance(Duration::millis(450));
     try {
@@ -169,6 +185,21 @@
     }
     CHECK(Served >= 8);
     CHECK(Served <= 13); // half of 10 requests per second for 2.5 s
+    // They are counted as soon as a core VM answers, also if it did not answer
+    // the first request that reported them.
+    E.Tokens_.setHolders({VmId("c1")}, {});
+    Call = E.take();
+    CHECK(E.nextRequest().second.Used_ == unsigned(Served));
+    E.Clock_.advance(Duration::millis(200));
+    Request = E.nextRequest();
+    CHECK(Request.second.Used_ == unsigned(Served));
+    E.grant(Request, 1);
+    CHECK_NOTHROW(Call.get());
+    Call = E.take();
+    Request = E.nextRequest();
+    CHECK(Request.second.Used_ == 0);
+    E.grant(Request, 1);
+    CHECK_NOTHROW(Call.get());
   }
 }
 
@@ -233,12 +264,122 @@
   CHECK(Granted >= 5 * 528);
 }
 
+namespace {
+
+/// Two regions with two core VMs each that grant the tokens of one large team.
+struct GrantingRegions {
+  GrantingRegions() {
+    for (FleetSettings *S : {&North_, &South_}) {
+      S->QuotaOverage_ = 0.1;
+      S->QuotaSlack_ = 20;
+    }
+    Clock_.advance(Duration::seconds(10));
+    for (int Seconds = 0; Seconds < 5; ++Seconds) {
+      update(60, 60, 60, 60, true);
+      Clock_.advance(Duration::seconds(1));
+    }
+  }
+
+  /// Requests per second in each region, and as the other one knows it.
+  void update(double North, double South, double KnownNorth, double KnownSouth,
+              bool IsComplete) {
+    for (QuotaHolder *H : {&NorthFirst_, &NorthStandby_})
+      H->updateDemand(known(North, KnownSouth, IsComplete));
+    for (QuotaHolder *H : {&SouthFirst_, &SouthStandby_})
+      H->updateDemand(known(KnownNorth, South, IsComplete));
+  }
+  static TeamDemand known(double North, double South, bool IsComplete) {
+    TeamDemand D = demand(North, South);
+    D.IsComplete_ = IsComplete;
+    return D;
+  }
+  void grant(QuotaHolder &H, const HolderRank &Rank, const TokenRequest &R,
+             QuotaHolder *Charged = nullptr) {
+    unsigned Count = H.grant(R, &Large_, Rank).Count_;
+    Granted_ += Count;
+    if (Charged)
+      Charged->charge({Team, Count}, &Large_);
+  }
+  /// The most that may run in a window of five seconds.
+  double limit() const { return (5 * 528 + 528) * 1.1 + 20; }
+
+  FakeClock Clock_;
+  FleetSettings North_ = settings("north"), South_ = settings("south");
+  QuotaHolder NorthFirst_{North_, Clock_}, NorthStandby_{North_, Clock_};
+  QuotaHolder SouthFirst_{South_, Clock_}, SouthStandby_{South_, Clock_};
+  TeamItem Large_ = item(528, 528);
+  unsigned Granted_ = 0;
+};
+
+} // namespace
+
+// Each of these exceeded the limit: a surge of one large team during a cut
+// between core VMs, with entry VMs that waited too long for the first of them.
+TEST_CASE("A surge during a failure stays within the limit of a window") {
+  GrantingRegions R;
+  const HolderRank First{};
+  const HolderRank Standby{false, true, {VmId("c1")}};
+  const TokenRequest Wanted{1, Team, 8, 0};
+  auto Run = [&](auto Step) {
+    for (int Ms = 0; Ms < 5000; Ms += 10) {
+      Step(Ms);
+      R.Clock_.advance(Duration::millis(10));
+    }
+  };
+  SECTION("while the regions don't hear each other") {
+    Run([&](int Ms) {
+      if (Ms % 1000 == 0)
+        R.update(600, 600, 60, 60, false);
+      R.grant(R.NorthFirst_, First, Wanted);
+      R.grant(R.SouthFirst_, First, Wanted);
+    });
+    CHECK(R.Granted_ >= 5 * 528);
+  }
+  SECTION("while entry VMs ask standbys because the first core VMs are slow") {
+    Run([&](int Ms) {
+      if (Ms % 1000 == 0)
+        R.update(600, 600, 600, 600, true);
+      R.grant(R.NorthFirst_, First, Wanted);
+      R.grant(R.NorthStandby_, Standby, Wanted, &R.NorthFirst_);
+      R.grant(R.SouthFirst_, First, Wanted);
+      R.grant(R.SouthStandby_, Standby, Wanted, &R.SouthFirst_);
+    });
+    CHECK(R.Granted_ >= 5 * 528);
+  }
+  SECTION("while the core VMs of a region don't hear each other") {
+    const HolderRank Cut{false, false, {VmId("c1")}};
+    TokenRequest FromSlow = Wanted;
+    FromSlow.PrecedingInContact_ = true;
+    Run([&](int Ms) {
+      if (Ms % 1000 == 0)
+        R.update(600, 600, 600, 600, true);
+      R.grant(R.NorthFirst_, First, Wanted);
+      R.grant(R.NorthStandby_, Cut, Ms % 1000 == 0 ? FromSlow : Wanted);
+      R.grant(R.SouthFirst_, First, Wanted);
+    });
+    CHECK(R.Granted_ >= 5 * 528);
+  }
+  SECTION("while entry VMs use tokens that no core VM has granted") {
+    Run([&](int Ms) {
+      if (Ms % 1000 == 0)
+        R.update(600, 600, 600, 600, true);
+      TokenRequest AfterFallback = Wanted;
+      AfterFallback.Used_ = Ms % 100 == 0 ? 20 : 0;
+      R.Granted_ += 2 * AfterFallback.Used_;
+      R.grant(R.NorthFirst_, First, AfterFallback);
+      R.grant(R.SouthFirst_, First, AfterFallback);
+    });
+    CHECK(R.Granted_ >= 5 * 528);
+  }
+  CHECK(R.Granted_ <= R.limit());
+}
+
 TEST_CASE("A core VM grants its region's share of a rate") {
   FakeClock Clock;
   FleetSettings S = settings("north");
   QuotaHolder H(S, Clock);
   TeamItem Item = item(20, 20);
-  HolderRank FirstRank{true, false};
+  HolderRank FirstRank{true, false, {}};
   Clock.advance(Duration::seconds(10));
   auto Granted = [&](HolderRank Rank, unsigned Wanted = 100) {
     return H.grant({1, Team, Wanted, 0}, &Item, Rank);
@@ -256,7 +397,7 @@
     CHECK(More.RetryAfter_ > Duration());
   }
   SECTION("a standby starts empty and grants half while the first is heard") {
-    HolderRank Standby{false, true};
+    HolderRank Standby{false, true, {VmId("c1")}};
     CHECK(Granted(Standby).Count_ == 0);
     Clock.advance(Duration::seconds(1));
     CHECK(Granted(Standby).Count_ == Approx(10 * Share).margin(1));
