Ask for proof of current keys as soon as the first items arrive

Cause: after a restart of all VMs, entry VMs got their items 1.3 s after the start, and refused every call for another 0.7 s, until the reply to their next regular heartbeat told them how far these items reach in the log.

Change: the first items of a process are followed by a heartbeat at once.

--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -188,7 +188,7 @@
   void tick();
   void onHeartbeatReply(const VmId &From, const HeartbeatReply &Reply);
   void onNoticeSyncReply(const VmId &From, const NoticeSyncReply &Reply);
-  void onItems(const ItemUpdate &Update);
+  bool onItems(const ItemUpdate &Update);
   void onNotices(const VmId &From, const NoticeBatch &Batch);
   void markLeaving(const SharedSlot &Slot);
   NodeRecord selfRecord() const;
@@ -276,7 +276,11 @@
     ControlLoad_.measure("heartbeat_reply",
                          [&] { onHeartbeatReply(From, *Reply); });
   else if (const auto *Update = std::get_if<ItemUpdate>(&M))
-    ControlLoad_.measure("items", [&] { onItems(*Update); });
+    ControlLoad_.measure("items", [&] {
+      // No call is served before a reply proves that these items are current.
+      if (onItems(*Update))
+        sendHeartbeats();
+    });
   else if (const auto *Batch = std::get_if<NoticeBatch>(&M))
     ControlLoad_.measure("notices", [&] { onNotices(From, *Batch); });
   else if (const auto *SyncReply = std::get_if<NoticeSyncReply>(&M))
@@ -353,12 +357,13 @@
   onNotices(From, {0, Reply.Notices_});
 }
 
-void EntryVm::Impl::onItems(const ItemUpdate &Update) {
+/// \returns whether these are the first items of this process.
+bool EntryVm::Impl::onItems(const ItemUpdate &Update) {
   std::lock_guard Writer(Lock_);
   auto Old = current();
   if (Update.FromRevision_ > Old->Revision_ ||
       Update.ToRevision_ <= Old->Revision_)
-    return;
+    return false;
   auto Next = std::make_shared<Configuration>();
   Next->Items_ = Old->Items_;
   mergeItemsFromPeer(Next->Items_, Update.Items_);
@@ -374,6 +379,7 @@
     Config_ = std::move(Next);
   }
   updateDispatcher();
+  return Old->Revision_ == Revision();
 }
 
 void EntryVm::Impl::onNotices(const VmId &From, const NoticeBatch &Batch) {
--- a/test/FleetVms.cpp
+++ b/test/FleetVms.cpp
@@ -294,6 +294,33 @@
     CHECK(Fleet.Cores_[1]->submit(Late, SubmitTimeout).Verdict_ ==
           ChangeVerdict::Conflict);
   }
+  // Fails if the proof that the first items are current waits for the next
+  // regular heartbeat, a second later: all calls of that time were refused.
+  SECTION("after a restart of all VMs, an entry VM serves calls as soon as it "
+          "has items") {
+    constexpr Duration ServesWithin = Duration::millis(500);
+    SystemClock Clock;
+    for (auto &Core : Fleet.Cores_)
+      Core->stop();
+    for (std::size_t N = 0; N < Fleet.Cores_.size(); ++N) {
+      Fleet.Cores_[N].reset();
+      Fleet.Cores_[N] = std::make_unique<CoreVm>(*Fleet.Settings_[N]);
+    }
+    for (auto &Core : Fleet.Cores_)
+      Core->start();
+    FleetSettings S = settings(5, false, Fleet.Folder_);
+    EntryVm Second(S, Dialect());
+    Second.start();
+    while (!Second.ready())
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    Time ReadyAt = Clock.now();
+    CHECK(eventually([&] {
+      std::string Response = Fleet.call(Get, 5);
+      return Response.find("keys_not_current") == std::string::npos;
+    }));
+    CHECK(Clock.now() - ReadyAt < ServesWithin);
+    Second.stop();
+  }
   SECTION("a planned stop cuts no call, whenever it arrives") {
     UpstreamNotice SlowNotice =
         notice(Slow.address().Port_, NoticePhase::Serving, 1);
