Grant teams their rates from the first seconds on

Change: the first report is shared evenly, and a holder keeps most of its fraction while all demand grows; tokens accrue from the start of the process unless another core VM has granted some since.

--- a/lagoonpoint/src/Fleet/FleetMessage.h
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -170,8 +170,12 @@
   /// The sender is in contact with a core VM that is ranked before the receiver
   /// and did not answer in time.
   bool PrecedingInContact_ = false;
+  /// Whether another core VM has granted tokens to the sender, and how long ago
+  /// that was the last time.
+  bool OtherGranted_ = false;
+  Duration SinceOtherGrant_;
   MSGPACK_DEFINE(Number_, Team_, Waiting_, Prefetch_, Used_,
-                 PrecedingInContact_)
+                 PrecedingInContact_, OtherGranted_, SinceOtherGrant_)
 };
 
 /// Answers TokenRequest.
--- a/lagoonpoint/src/Gateway/QuotaHolder.cpp
+++ b/lagoonpoint/src/Gateway/QuotaHolder.cpp
@@ -29,8 +29,8 @@
   auto [Found, New] = Quotas_.emplace(Team, TeamQuota());
   RateShare &Share = Found->second.RateShare_;
   if (New)
-    Share.Share_ = Share.DemandFraction_ = Share.FractionLimit_ =
-        1.0 / static_cast<double>(regionCount());
+    Share.Share_ = Share.DemandFraction_ = Share.KeptFraction_ =
+        Share.FractionLimit_ = 1.0 / static_cast<double>(regionCount());
   return Found->second;
 }
 
@@ -79,6 +79,29 @@
                       Charge.Count_);
 }
 
+/// Another core VM, or this one before a restart, may have granted the whole
+/// burst in this window. Callers that were refused during an outage return
+/// together, so that the tokens that accrued since the start are needed.
+void QuotaHolder::startBucket(TeamQuota &Quota, const TokenRequest &Request,
+                              const HolderRank &Rank, Time Now) const {
+  Duration Window = Settings_.QuotaWindow_;
+  bool IsFirstRequest = Quota.LastRequestAt_ == Time();
+  bool StartEmpty = Rank.First_ ? Now - StartedAt_ < Window && IsFirstRequest
+                                : Now - Quota.LastRequestAt_ > Window;
+  if (StartEmpty) {
+    Quota.RateShare_.Tokens_ = 0;
+    Quota.RateShare_.RefilledAt_ = Rank.First_ ? StartedAt_ : Now;
+    Quota.AccruedFrom_ = Rank.First_ ? StartedAt_ : Time();
+  }
+  bool OtherGranted = Quota.AccruedFrom_ != Time() && Request.OtherGranted_ &&
+                      Now - Request.SinceOtherGrant_ > Quota.AccruedFrom_;
+  if (OtherGranted) {
+    Quota.RateShare_.Tokens_ = std::min(Quota.RateShare_.Tokens_, 0.0);
+    Quota.RateShare_.RefilledAt_ = Now;
+    Quota.AccruedFrom_ = Time();
+  }
+}
+
 TokenGrant QuotaHolder::grant(const TokenRequest &Request, const TeamItem *Team,
                               const HolderRank &Rank) {
   std::lock_guard Guard(Lock_);
@@ -92,16 +115,7 @@
   double Usable = usableFraction(Quota, Rank);
   if (Usable < MinUsableFraction)
     return Out;
-  Duration Window = Settings_.QuotaWindow_;
-  // Another core VM, or this one before a restart, may have granted the whole
-  // burst in this window.
-  bool StartEmpty =
-      Rank.First_ ? Now - StartedAt_ < Window && Quota.LastRequestAt_ == Time()
-                  : Now - Quota.LastRequestAt_ > Window;
-  if (StartEmpty) {
-    Quota.RateShare_.Tokens_ = 0;
-    Quota.RateShare_.RefilledAt_ = Now;
-  }
+  startBucket(Quota, Request, Rank, Now);
   Quota.LastRequestAt_ = Now;
   GlobalRate TeamRate = rateOf(*Team);
   lagoonpoint::charge(Quota.RateShare_, TeamRate, Request.Used_);
--- a/lagoonpoint/src/Gateway/QuotaHolder.h
+++ b/lagoonpoint/src/Gateway/QuotaHolder.h
@@ -18,8 +18,9 @@
 ///
 /// A team's rate is divided among the regions by demand. In each region one
 /// core VM grants the team's tokens. If it fails, the next one takes over with
-/// an empty bucket. What that one grants is charged to the first, which may
-/// only have been slow or frozen.
+/// an empty bucket. A core VM that has just started counts the time since then,
+/// unless another one has granted tokens meanwhile. What that one grants is
+/// charged to the first, which may only have been slow or frozen.
 class QuotaHolder {
 public:
   QuotaHolder(const FleetSettings &S, const Clock &C)
@@ -42,10 +43,15 @@
     Time LastRequestAt_;
     /// Last request that said that a preceding core VM is in contact.
     Time PrecedingSeenAt_;
+    /// Time since which tokens have accrued at the start of this process;
+    /// Time() if they were given up.
+    Time AccruedFrom_;
   };
 
   std::size_t regionCount() const;
   TeamQuota &quotaOf(const TeamId &Team);
+  void startBucket(TeamQuota &Quota, const TokenRequest &Request,
+                   const HolderRank &Rank, Time Now) const;
   double usableFraction(const TeamQuota &Quota, const HolderRank &Rank) const;
   GlobalRate rateOf(const TeamItem &Team) const;
 
--- a/lagoonpoint/src/Gateway/TeamTokens.cpp
+++ b/lagoonpoint/src/Gateway/TeamTokens.cpp
@@ -97,9 +97,16 @@
   State.RequestNumber_ = NextRequestNumber_++;
   State.SentAt_ = Now;
   State.Told_ = State.Uncounted_;
-  Send_(State.RequestedFrom_, {State.RequestNumber_, Team, State.Waiting_,
-                               std::min(Prefetch, MaxPrefetch), State.Told_,
-                               isStandby(Team, State.RequestedFrom_)});
+  TokenRequest Out{State.RequestNumber_, Team,
+                   State.Waiting_,       std::min(Prefetch, MaxPrefetch),
+                   State.Told_,          isStandby(Team, State.RequestedFrom_)};
+  Time OtherGrantAt;
+  for (const auto &[Core, At] : State.GrantedAt_)
+    if (Core != State.RequestedFrom_)
+      OtherGrantAt = std::max(OtherGrantAt, At);
+  Out.OtherGranted_ = OtherGrantAt != Time();
+  Out.SinceOtherGrant_ = Out.OtherGranted_ ? Now - OtherGrantAt : Duration();
+  Send_(State.RequestedFrom_, Out);
   return true;
 }
 
@@ -148,7 +155,10 @@
   return IsLocal && rankHolders(Team.str(), LocalHolders_).front() != Vm;
 }
 
-void TeamTokens::addTokens(TeamState &State, unsigned Count, Time Now) const {
+void TeamTokens::addTokens(TeamState &State, const VmId &From, unsigned Count,
+                           Time Now) const {
+  if (Count > 0)
+    State.GrantedAt_[From] = Now;
   if (Now - State.ReceivedAt_ > TokenLifetime)
     State.Tokens_ = 0;
   State.Tokens_ += Count;
@@ -160,13 +170,13 @@
 /// Uses the tokens of a grant that came after another core VM was asked,
 /// because the sender has counted them. Too old ones would exceed the limit of
 /// a window.
-void TeamTokens::acceptLateGrant(TeamState &State, const TokenGrant &G,
-                                 Time Now) const {
+void TeamTokens::acceptLateGrant(TeamState &State, const VmId &From,
+                                 const TokenGrant &G, Time Now) const {
   auto Sent = State.Overdue_.find(G.Number_);
   if (Sent == State.Overdue_.end())
     return;
   if (G.IsHolder_ && Now - Sent->second <= TokenLifetime) {
-    addTokens(State, G.Count_, Now);
+    addTokens(State, From, G.Count_, Now);
     State.Changed_.notify_all();
   }
   State.Overdue_.erase(Sent);
@@ -180,14 +190,14 @@
     return;
   TeamState &State = Found->second;
   if (State.RequestNumber_ != G.Number_) {
-    acceptLateGrant(State, G, Now);
+    acceptLateGrant(State, From, G, Now);
     return;
   }
   State.RequestNumber_ = 0;
   if (!G.IsHolder_) {
     SuspectedUntil_[From] = Now + SuspicionPeriod;
   } else {
-    addTokens(State, G.Count_, Now);
+    addTokens(State, From, G.Count_, Now);
     State.FallbackTokens_ = 0;
     State.Uncounted_ -= State.Told_;
     State.OverRateUntil_ = Now + G.RetryAfter_;
--- a/lagoonpoint/src/Gateway/TeamTokens.h
+++ b/lagoonpoint/src/Gateway/TeamTokens.h
@@ -59,7 +59,8 @@
     std::map<std::uint64_t, Time> Overdue_;
     Time OverRateUntil_; ///< the team is over its rate until then
     Time LastGrantAt_;
-    double FallbackTokens_ = 0; ///< tokens to use while no core VM answers
+    std::map<VmId, Time> GrantedAt_; ///< last grant of each core VM
+    double FallbackTokens_ = 0;      ///< tokens to use while no core VM answers
     Time FallbackUpdatedAt_;
     unsigned Uncounted_ = 0; ///< fallback tokens used, not yet told a core VM
     unsigned Told_ = 0;      ///< of these, those in the outstanding request
@@ -68,8 +69,10 @@
 
   bool takeCachedToken(TeamState &State, Time Now) const;
   bool takeFallbackToken(TeamState &State, Time Now) const;
-  void addTokens(TeamState &State, unsigned Count, Time Now) const;
-  void acceptLateGrant(TeamState &State, const TokenGrant &G, Time Now) const;
+  void addTokens(TeamState &State, const VmId &From, unsigned Count,
+                 Time Now) const;
+  void acceptLateGrant(TeamState &State, const VmId &From, const TokenGrant &G,
+                       Time Now) const;
   bool isStandby(const TeamId &Team, const VmId &Vm) const;
   bool requestTokens(const TeamId &Team, TeamState &State, Time Now);
   VmId holderOf(const TeamId &Team, Time Now) const;
--- a/lagoonpoint/src/Limits/DemandShare.cpp
+++ b/lagoonpoint/src/Limits/DemandShare.cpp
@@ -10,9 +10,15 @@
 /// Half-life of older events in a smoothed rate.
 constexpr Duration SmoothingHalfLife = Duration::seconds(2);
 constexpr double MinIntervalSeconds = 0.05;
+/// Demand below which a team counts as idle, in requests per second. A smoothed
+/// rate does not fall to zero.
+constexpr double IdleDemand = 0.1;
 /// Two standard deviations by which a smoothed rate changes within a second, as
 /// a multiple of its square root: 2 * (1 - 2^(-1 s / SmoothingHalfLife)).
 constexpr double ChanceFactor = 0.59;
+/// Part of its fraction that a holder keeps during a surge. Holders that don't
+/// know of it yet may have larger ones, by the usual variation.
+constexpr double KeptInSurge = 0.8;
 
 /// \returns the rate that a second may make of \p Rate without a change of
 /// demand, for requests that arrive at random.
@@ -39,6 +45,7 @@
   B.PreviousDemand_ = B.ReportedDemand_;
   B.ReportedDemand_ = OwnDemand;
   auto Count = static_cast<double>(std::max<std::size_t>(Holders, 1));
+  bool WasIdle = B.TotalDemand_ < IdleDemand;
   bool Surge = TotalDemand > usualMaximum(B.TotalDemand_);
   double Total = std::max(TotalDemand, OwnDemand);
   if (Surge || B.TotalDemand_ > usualMaximum(TotalDemand))
@@ -46,12 +53,20 @@
   B.TotalDemand_ = TotalDemand;
   double KnownDemand = std::min(
       OwnDemand, Surge ? B.PreviousDemand_ : usualMaximum(B.PreviousDemand_));
-  double Fraction = Total > 0 ? KnownDemand / Total : 1 / Count;
+  // Without a report of earlier demand, all holders have even parts.
+  double Fraction = Total > 0 && !WasIdle ? KnownDemand / Total : 1 / Count;
+  double SafeFraction = Fraction;
+  double Kept = 0;
+  if (Surge) {
+    SafeFraction = std::min(Fraction, B.DemandFraction_);
+    // Where all holders' demand grows alike, each keeps its fraction.
+    Kept = std::min({OwnDemand / Total, B.KeptFraction_, 1 / Count});
+  }
+  B.KeptFraction_ = std::max(SafeFraction, Kept);
+  SafeFraction = std::max(SafeFraction, Kept * KeptInSurge);
   if (!IsComplete)
-    Fraction = std::min(Fraction, B.FractionLimit_);
-  double SafeFraction =
-      Surge ? std::min(Fraction, B.DemandFraction_) : Fraction;
-  if (IsComplete)
+    SafeFraction = std::min(SafeFraction, B.FractionLimit_);
+  else
     B.FractionLimit_ = SafeFraction;
   B.DemandFraction_ = Fraction;
   B.Share_ = EvenFraction / Count + (1 - EvenFraction) * SafeFraction;
--- a/lagoonpoint/src/Limits/DemandShare.h
+++ b/lagoonpoint/src/Limits/DemandShare.h
@@ -34,7 +34,8 @@
   double PreviousDemand_ = 0; ///< local demand in the report before it
   double DemandFraction_ = 0; ///< latest local fraction of total demand
   double TotalDemand_ = 0;    ///< latest total over all holders
-  /// Demand fraction when the demand of all holders was last known.
+  double KeptFraction_ = 0;   ///< fraction to keep while all demand grows
+  /// Fraction that was used when the demand of all holders was last known.
   double FractionLimit_ = 1;
   double Share_ = 0; ///< fraction of the global rate
   double Tokens_ = 0;
@@ -75,13 +76,14 @@
 /// Recomputes the share from the demand that this holder reports and the total
 /// over all holders.
 ///
-/// A share shrinks at once, but beyond the usual variation it grows only with
-/// the second report: in a surge, the first holder to report it gets a total
-/// without the other holders' increase. The larger of the last two totals is
-/// used if they differ by more than that, because an isolated holder receives a
-/// total that is too small. Of the last two local reports, the smaller is used
-/// in the same way, because the other holders' demand in a total is older than
-/// this holder's latest report.
+/// A share shrinks at once, but beyond the usual variation of the demand it
+/// grows only with the second report: in a surge, the first holder to report it
+/// gets a total without the other holders' increase. The larger of the last two
+/// totals is used if they differ by more than that, because an isolated holder
+/// receives a total that is too small. Of the last two local reports, the
+/// smaller is used in the same way, because the other holders' demand in a
+/// total is older than this holder's latest report. The first report of demand
+/// is shared evenly.
 ///
 /// While another holder's demand is not known, the share does not exceed that
 /// of the last time at which it was: both sides of a cut see their own surge
--- a/test/DemandShare.cpp
+++ b/test/DemandShare.cpp
@@ -129,6 +129,22 @@
   }
 }
 
+// Fails if holders use a part of the rate only until demand has been reported
+// for some seconds: callers within the rate were refused at each start.
+TEST_CASE(
+    "A team that starts to send gets its rate from the first seconds on") {
+  const GlobalRate R{60, 6, Duration::seconds(5), 0.1, 20};
+  RateSharers S(3);
+  for (RateShare &B : S.Buckets_) {
+    B.Share_ = B.DemandFraction_ = B.KeptFraction_ = 1. / 3;
+    B.RefilledAt_ = Start;
+  }
+  S.ReportedAt_.assign(3, Start);
+  std::vector<int> Passed = S.run(Start, 5'000, {18, 18, 18}, R);
+  for (int Count : Passed)
+    CHECK(Count >= 0.9 * 54);
+}
+
 namespace {
 
 /// Callers that arrive at random at three regions, whose core VMs share a rate.
--- a/test/TeamTokens.cpp
+++ b/test/TeamTokens.cpp
@@ -127,6 +127,8 @@
       CHECK_NOTHROW(E.Tokens_.take(Team));
     Call = E.take();
     CHECK((NextRequest = E.nextRequest()).first == SecondHolder);
+    // The late grant was the first one's, the others the second one's.
+    CHECK(NextRequest.second.OtherGranted_ == !Answers);
     E.grant(NextRequest, 1);
     CHECK_NOTHROW(Call.get());
   }
@@ -410,6 +412,34 @@
     Restarted.updateDemand(demand(15, 5));
     CHECK(Restarted.grant({1, Team, 100, 0}, &Item, FirstRank).Count_ == 0);
   }
+  // Fails if callers that return together after a restart of all VMs find no
+  // tokens, although none were granted meanwhile.
+  SECTION("but what has accrued since its start") {
+    QuotaHolder Restarted(S, Clock);
+    Restarted.updateDemand(demand(15, 5));
+    Clock.advance(Duration::millis(800));
+    TokenRequest Request{1, Team, 100, 0};
+    Request.OtherGranted_ = true;
+    SECTION("if no other core VM has granted tokens since then") {
+      Request.SinceOtherGrant_ = Duration::millis(900);
+      unsigned Count = Restarted.grant(Request, &Item, FirstRank).Count_;
+      CHECK(Count == Approx(0.8 * 20 / 2).margin(1)); // of an even share
+    }
+    SECTION("else nothing") {
+      Request.SinceOtherGrant_ = Duration::millis(700);
+      CHECK(Restarted.grant(Request, &Item, FirstRank).Count_ == 0);
+    }
+    SECTION("or the rest is given up when that is heard later") {
+      Request.Waiting_ = 1;
+      Request.OtherGranted_ = false;
+      CHECK(Restarted.grant(Request, &Item, FirstRank).Count_ == 1);
+      Request.OtherGranted_ = true;
+      Request.SinceOtherGrant_ = Duration::millis(100);
+      CHECK(Restarted.grant(Request, &Item, FirstRank).Count_ == 0);
+      Clock.advance(Duration::millis(500)); // given up once only
+      CHECK(Restarted.grant(Request, &Item, FirstRank).Count_ == 1);
+    }
+  }
   SECTION("without contact to other core VMs it grants less, then nothing") {
     H.updateDemand(demand(15, 5, Duration::millis(3600)));
     CHECK(Granted(FirstRank).Count_ == Approx(10 * Share).margin(1));
