Tell refused callers to return when they can be served

Cause: a constant Retry-After brought all callers that were refused together back into the same burst or outage, and most retry only once.

Change: Retry/ReturnTime chooses the Retry-After by the time that a caller has left and its route's objective, and spreads callers over that time (docs/design/0017). [refusals] return_times, off by default; the term pressure turns it on on the platform. Metric lagoonpoint_return_seconds. Tests of the settings of this and of load_sharing.

--- a/lagoonpoint/src/Config/FleetSettings.cpp
+++ b/lagoonpoint/src/Config/FleetSettings.cpp
@@ -165,9 +165,20 @@
   return Spec;
 }
 
+const SectionSpec<S> &refusalsSection() {
+  static const SectionSpec<S> Spec{
+      "refusals",
+      {choiceKey<S, PlacementMode>("return_times", "off", &S::ReturnTimes_,
+                                   {{"off", PlacementMode::Off},
+                                    {"auto", PlacementMode::Auto},
+                                    {"on", PlacementMode::On}})}};
+  return Spec;
+}
+
 std::vector<const SectionSpec<S> *> fleetSections() {
-  return {&vmSection(),     &listenSection(),   &fleetSection(),
-          &boundsSection(), &fleetLogSection(), &placementSection()};
+  return {&vmSection(),      &listenSection(),   &fleetSection(),
+          &boundsSection(),  &fleetLogSection(), &placementSection(),
+          &refusalsSection()};
 }
 
 /// Removes keys without a value: templates render absent values as empty.
--- a/lagoonpoint/src/Config/FleetSettings.h
+++ b/lagoonpoint/src/Config/FleetSettings.h
@@ -55,6 +55,7 @@
   std::string LogLevel_ = "info";
   PlacementMode Placement_ = PlacementMode::Off;
   PlacementMode LoadSharing_ = PlacementMode::Off;
+  PlacementMode ReturnTimes_ = PlacementMode::Off;
   unsigned PoolSlots_ = 48; ///< slots that one VM grants as one pool
 };
 
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -31,6 +31,9 @@
 /// request at the upstream.
 constexpr Duration RevocationMargin = Duration::millis(400);
 constexpr Duration RetryAfterHint = Duration::millis(500);
+/// Time after which a fleet whose VMs were all restarted serves again: the
+/// longest election timeout, as the VMs find each other meanwhile.
+constexpr Duration UsualStartup = Duration::seconds(2);
 /// A call's deadline is this much earlier than the caller's, so that the
 /// response still reaches the caller.
 constexpr Duration ResponseMargin = Duration::millis(30);
@@ -144,7 +147,7 @@
   Impl(const FleetSettings &S, Dialect D)
       : Settings_(S), CallerSettings_(callerSettings(S)),
         StartedAtMs_(static_cast<std::uint64_t>(Clock_.unixMillis())),
-        Self_(S.Host_),
+        StartedAt_(Clock_.now()), Self_(S.Host_),
         Peers_(
             fleetPeerOptions(S), [this](Envelope E) { receive(std::move(E)); },
             Clock_, [](const Error &E) { logError(E, LogLevel::Debug); }),
@@ -168,7 +171,8 @@
                   [this](const TeamId &T) { checkKeys(T); },
                   [this] { return retryLimits(); },
                   [this](const TeamId &T) { TeamTokens_.returnToken(T); },
-                  [this](const SharedSlot &Slot) { markLeaving(Slot); }},
+                  [this](const SharedSlot &Slot) { markLeaving(Slot); },
+                  S.ReturnTimes_ == PlacementMode::On},
         Server_(*this, CallerSettings_, Clock_, &Metrics_, std::move(D)),
         Ticker_("entry.tick", TickInterval, [this] {
           ControlLoad_.measure("tick", [this] { tick(); });
@@ -210,6 +214,8 @@
   std::optional<Time> keysProvenAt(const TeamId &Team) const;
   void checkKeys(const TeamId &Team) const;
   void checkItems(Duration MaxAge, const TeamId &Team) const;
+  Duration startupHint() const;
+  Refusal adviseReturn(const Refusal &R, FleetCallAdmission A, const Call &C);
   /// Called before a call is refused for good by the items.
   void checkItemsToRefuse() const {
     checkItems(Settings_.Revoke_ / 2, TeamId());
@@ -223,6 +229,7 @@
   const Settings CallerSettings_;
   SystemClock Clock_;
   const std::uint64_t StartedAtMs_;
+  const Time StartedAt_;
   const VmId Self_;
   MetricRegistry Metrics_;
   ControlLoad ControlLoad_{Clock_, Metrics_};
@@ -585,7 +592,14 @@
                          std::to_string((Clock_.now() - *At).count()) +
                          " ms ago"
                    : std::string("keys were never proven to be current"),
-                RetryAfterHint);
+                At ? RetryAfterHint : startupHint());
+}
+
+/// \returns the Retry-After of calls that come before this VM can serve.
+Duration EntryVm::Impl::startupHint() const {
+  Duration Left = StartedAt_ + UsualStartup - Clock_.now();
+  return Services_.SetsReturnTimes_ ? std::max(Left, RetryAfterHint)
+                                    : RetryAfterHint;
 }
 
 /// \returns this VM's share of the fleet's retry budget.
@@ -607,7 +621,7 @@
                                                 const Call &Request) const {
   if (C.Revision_ == Revision())
     throw Refusal(RefusalReason::NotReady, Ran::No, Step,
-                  "this VM has no configuration yet", RetryAfterHint);
+                  "this VM has no configuration yet", startupHint());
   const TableRoute *Route =
       C.Table_.find(hostOf(Request.Host_), pathOf(Request.Path_));
   if (Route)
@@ -661,6 +675,8 @@
   FleetCallAdmission A;
   try {
     A.Request_ = C.Request_;
+    A.Arrived_ = C.ArrivedAt_;
+    A.CallerDeadline_ = C.ArrivedAt_ + C.Deadline_.value_or(Duration());
     TeamTokens_.countService(routeOf(C).Service_);
     Permission Granted = permissionOf(C);
     const RouteItem &Route = Granted.Route_->Item_;
@@ -675,7 +691,6 @@
     bool OwnPriority = Team && Team->HasPriority_;
     A.Priority_ = OwnPriority ? Team->Priority_ : Route.Priority_;
     A.MaxAttempts_ = Route.MaxAttempts_;
-    A.Arrived_ = C.ArrivedAt_;
     A.Objective_ = Route.LatencyObjective_;
     A.SinceFirstRequest_ =
         Placement_.sinceFirstRequest(A.Route_.Name_, C.Deadline_);
@@ -694,11 +709,22 @@
          .Team_ = A.Team_,
          .Request_ = C.Request_,
          .Revision_ = current()->Revision_});
-    throw;
+    throw adviseReturn(R, std::move(A), C);
   }
   return std::make_unique<FleetCall>(Services_, std::move(A));
 }
 
+Refusal EntryVm::Impl::adviseReturn(const Refusal &R, FleetCallAdmission A,
+                                    const Call &C) {
+  if (!Services_.SetsReturnTimes_)
+    return R;
+  auto InForce = current();
+  const TableRoute *Route =
+      InForce->Table_.find(hostOf(C.Host_), pathOf(C.Path_));
+  A.Objective_ = Route ? Route->Item_.LatencyObjective_ : Duration();
+  return withReturnTime(R, A, R.ran(), Metrics_, Clock_.now());
+}
+
 /// \throws Refusal if this VM is stopping and the call may not end in time
 void EntryVm::Impl::checkStopping(Time CallDeadline) const {
   if (!Draining_ || acceptsCall(*StopPlan_, Clock_.now(), CallDeadline))
--- a/lagoonpoint/src/Gateway/FleetCall.cpp
+++ b/lagoonpoint/src/Gateway/FleetCall.cpp
@@ -1,9 +1,11 @@
 #include "lagoonpoint/src/Gateway/FleetCall.h"
 
 #include "lagoonpoint/Log"
+#include "lagoonpoint/src/Core/util/StableHash.h"
 #include "lagoonpoint/src/Node/util/Labels.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lagoonpoint {
 
@@ -56,6 +58,22 @@
 
 } // namespace
 
+Refusal withReturnTime(const Refusal &R, const FleetCallAdmission &A,
+                       Ran RanState, MetricRegistry &Metrics, Time Now) {
+  Duration After = R.retryAfter();
+  if (After > Duration() && RanState == Ran::No) {
+    Duration ObjectiveLeft =
+        A.Arrived_ - A.SinceFirstRequest_ + A.Objective_ - Now;
+    double Spread =
+        std::ldexp(double(internal::stableHash(A.Request_.str())), -64);
+    After = returnDelay(
+        {After, A.CallerDeadline_ - Now, A.Objective_, ObjectiveLeft}, Spread);
+    Metrics.observe(Metric::ReturnSeconds, {toString(R.reason())},
+                    After.inSeconds());
+  }
+  return Refusal(R.reason(), RanState, R.step(), R.message(), After);
+}
+
 FleetCall::FleetCall(FleetCallServices &Services, FleetCallAdmission A)
     : Services_(Services), Admission_(std::move(A)) {
   Retry_.Kind_ = Admission_.Route_.Kind_;
@@ -188,6 +206,9 @@
              " ms, service " + Admission_.Route_.Service_.str(),
          .Team_ = Admission_.Team_,
          .Request_ = Admission_.Request_});
+    if (Services_.SetsReturnTimes_)
+      throw withReturnTime(R, Admission_, ranOf(Retry_), Services_.Metrics_,
+                           Services_.Clock_.now());
     throw Refusal(R.reason(), ranOf(Retry_), R.step(), R.message(),
                   R.retryAfter());
   }
--- a/lagoonpoint/src/Gateway/FleetCall.h
+++ b/lagoonpoint/src/Gateway/FleetCall.h
@@ -26,6 +26,7 @@
   std::function<void(const TeamId &)> ReturnToken_; ///< for an unspent token
   /// Called when the upstream of a try states that it is leaving.
   std::function<void(const SharedSlot &)> MarkLeaving_;
+  bool SetsReturnTimes_ = false; ///< see withReturnTime()
 };
 
 /// Result of a call's admission.
@@ -45,6 +46,14 @@
   Time CallerDeadline_;        ///< until which the caller waits
 };
 
+/// Tells the caller of a call that was refused and has not run when to return,
+/// see returnDelay(). A refusal without a Retry-After, after which a retry is
+/// of no use, is not changed.
+/// \ingroup Gateway
+/// \param RanState whether the call may have run in any of its tries
+Refusal withReturnTime(const Refusal &R, const FleetCallAdmission &A,
+                       Ran RanState, MetricRegistry &Metrics, Time Now);
+
 /// \class FleetCall
 /// \ingroup Gateway
 /// \brief One admitted call at an entry VM that shares all upstreams with other
--- a/lagoonpoint/src/Metrics/MetricTable.h
+++ b/lagoonpoint/src/Metrics/MetricTable.h
@@ -21,6 +21,7 @@
   UpstreamUpdates,
   UpstreamsHeld,
   LoadNotices,
+  ReturnSeconds,
   SlotReplies,
   SlotFallbacks,
   SlotWaitSeconds,
--- a/test/Config.cpp
+++ b/test/Config.cpp
@@ -370,18 +370,24 @@
     CHECK(S.QuotaSlack_ == 0);
     CHECK(S.StrictRevocation_);
     CHECK(S.Placement_ == PlacementMode::Off);
+    CHECK(S.LoadSharing_ == PlacementMode::Off);
+    CHECK(S.ReturnTimes_ == PlacementMode::Off);
     CHECK(S.PoolSlots_ == 48);
     CHECK(S.Terms_.empty());
   }
   SECTION("terms are any words") {
     Diagnostics Found;
-    FleetSettings T = Read(
-        Replaced("[bounds]\n", "terms = pressure, [x y]\n[placement]\n"
-                               "mode = auto\npool_slots = 4096\n[bounds]\n"),
-        Found);
+    FleetSettings T =
+        Read(Replaced("[bounds]\n", "terms = pressure, [x y]\n[placement]\n"
+                                    "mode = auto\nload_sharing = auto\n"
+                                    "pool_slots = 4096\n[refusals]\n"
+                                    "return_times = on\n[bounds]\n"),
+             Found);
     CHECK(Found.empty());
     CHECK(T.Terms_ == std::vector<std::string>{"pressure", "[x", "y]"});
     CHECK(T.Placement_ == PlacementMode::Auto);
+    CHECK(T.LoadSharing_ == PlacementMode::Auto);
+    CHECK(T.ReturnTimes_ == PlacementMode::On);
     CHECK(T.PoolSlots_ == 4096);
   }
   SECTION("a missing, unknown or malformed key is named") {
@@ -396,6 +402,11 @@
           std::tuple("[bounds]\n", "[bounds]\nspeed = 3\n", "speed"),
           std::tuple("[bounds]\n", "[placement]\nmode = both\n[bounds]\n",
                      "mode"),
+          std::tuple("[bounds]\n", "[placement]\nload_sharing = 1\n[bounds]\n",
+                     "load_sharing"),
+          std::tuple("[bounds]\n",
+                     "[refusals]\nreturn_times = 300ms\n[bounds]\n",
+                     "return_times"),
           std::tuple("[bounds]\n", "[placement]\npool_slots = 0\n[bounds]\n",
                      "pool_slots")}) {
       Diagnostics Found;
--- a/test/Platform.cpp
+++ b/test/Platform.cpp
@@ -159,18 +159,21 @@
     CHECK_THROWS_AS(decodeDuration(Bad, "f"), WireError);
 }
 
-TEST_CASE("The term pressure turns the placement mode auto into on") {
+TEST_CASE("The term pressure turns auto into on") {
+  auto Setting =
+      GENERATE(&FleetSettings::Placement_, &FleetSettings::LoadSharing_,
+               &FleetSettings::ReturnTimes_);
   FleetSettings S;
-  S.Placement_ = PlacementMode::Auto;
+  S.*Setting = PlacementMode::Auto;
   S.Terms_ = {"calm"};
   applyTerms(S);
-  CHECK(S.Placement_ == PlacementMode::Auto);
+  CHECK(S.*Setting == PlacementMode::Auto);
   S.Terms_ = {"calm", "pressure"};
   applyTerms(S);
-  CHECK(S.Placement_ == PlacementMode::On);
-  S.Placement_ = PlacementMode::Off; // an explicit setting stays
+  CHECK(S.*Setting == PlacementMode::On);
+  S.*Setting = PlacementMode::Off; // an explicit setting stays
   applyTerms(S);
-  CHECK(S.Placement_ == PlacementMode::Off);
+  CHECK(S.*Setting == PlacementMode::Off);
 }
 
 TEST_CASE("A server for probes stops without waiting for its clients") {
