Let a standby grant tokens once entry VMs no longer hear the first

Cause: a standby that does not hear the core VM ranked before it grants nothing while entry VMs are in contact with that one. Contact ends 3 s after the last reply, and a request was remembered for 2.7 s, so a team whose core VM had failed got no tokens for up to 3 s longer than before that rule.

Change: requests name a preceding core VM only if it replied in the last 1.6 s, and are remembered for 500 ms.

--- a/lagoonpoint/src/Fleet/CoreContacts.cpp
+++ b/lagoonpoint/src/Fleet/CoreContacts.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// One heartbeat a second, and time for the reply.
+constexpr Duration ReplyingTimeout = Duration::millis(1600);
+
 bool inContact(const CoreContact &Contact, Time Now) {
   return Now - Contact.RepliedAt_ <= CoreLivenessTimeout;
 }
@@ -51,6 +54,13 @@
   });
 }
 
+std::vector<VmId> replyingCoreVms(const CoreContacts &C, Time Now) {
+  return sortByDistance(C, [&](const CoreContact &Contact) {
+    return Contact.Region_ == C.OwnRegion_ &&
+           Now - Contact.RepliedAt_ <= ReplyingTimeout;
+  });
+}
+
 VmId nearestCoreVm(const CoreContacts &C, Time Now) {
   for (bool OwnRegion : {true, false})
     for (const VmId &Core : coreVmsByDistance(C, OwnRegion, Now))
--- a/lagoonpoint/src/Fleet/CoreContacts.h
+++ b/lagoonpoint/src/Fleet/CoreContacts.h
@@ -43,6 +43,12 @@
 std::vector<VmId> coreVmsByDistance(const CoreContacts &C, bool OwnRegion,
                                     Time Now);
 
+/// \returns the core VMs of this region that replied to one of the last
+/// heartbeats. A shorter time than for those in contact: one that has just
+/// failed is not among them.
+/// \ingroup Fleet
+std::vector<VmId> replyingCoreVms(const CoreContacts &C, Time Now);
+
 /// \returns the nearest core VM in contact, of this region if possible; empty
 /// if there is none.
 /// \ingroup Fleet
--- a/lagoonpoint/src/Fleet/FleetMessage.h
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -167,15 +167,15 @@
   unsigned Waiting_ = 0;  ///< requests that wait for a token
   unsigned Prefetch_ = 0; ///< tokens for requests expected soon
   unsigned Used_ = 0;     ///< tokens used since the last answer without a grant
-  /// The sender is in contact with a core VM that is ranked before the receiver
-  /// and did not answer in time.
-  bool PrecedingInContact_ = false;
+  /// A core VM that is ranked before the receiver did not answer in time, but
+  /// replies to the sender's heartbeats.
+  bool PrecedingReplies_ = false;
   /// Whether another core VM has granted tokens to the sender, and how long ago
   /// that was the last time.
   bool OtherGranted_ = false;
   Duration SinceOtherGrant_;
-  MSGPACK_DEFINE(Number_, Team_, Waiting_, Prefetch_, Used_,
-                 PrecedingInContact_, OtherGranted_, SinceOtherGrant_)
+  MSGPACK_DEFINE(Number_, Team_, Waiting_, Prefetch_, Used_, PrecedingReplies_,
+                 OtherGranted_, SinceOtherGrant_)
 };
 
 /// Answers TokenRequest.
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -565,7 +565,8 @@
   logKeyProof();
   LoadSharing_.setRelayCandidates(coreVmsByDistance(Cores_, true, Now));
   TeamTokens_.setHolders(coreVmsByDistance(Cores_, true, Now),
-                         remoteCoreVms(Cores_, Now));
+                         remoteCoreVms(Cores_, Now),
+                         replyingCoreVms(Cores_, Now));
   updateDispatcher();
   Dispatcher_.rebalance(RegionRates_, RebalancedAt_ == Time()
                                           ? TickInterval
--- a/lagoonpoint/src/Gateway/QuotaHolder.cpp
+++ b/lagoonpoint/src/Gateway/QuotaHolder.cpp
@@ -9,6 +9,10 @@
 /// Fraction of the share that a standby grants while the core VM ranked before
 /// it may still be granting.
 constexpr double StandbyFraction = 0.5;
+/// A team's entry VMs that wait for a slow core VM send requests more often
+/// than this. Longer, and a standby would keep back the tokens of a core VM
+/// that has failed.
+constexpr Duration SeenPeriod = Duration::millis(500);
 /// Below this usable fraction of the share, no tokens are granted.
 constexpr double MinUsableFraction = 0.01;
 
@@ -62,7 +66,7 @@
     return Fraction * StandbyFraction;
   // Only the link between the two is down, so that nothing can be charged.
   bool PrecedingSeen = Quota.PrecedingSeenAt_ != Time() &&
-                       Clock_.now() - Quota.PrecedingSeenAt_ <= LivenessTimeout;
+                       Clock_.now() - Quota.PrecedingSeenAt_ <= SeenPeriod;
   return PrecedingSeen ? 0 : Fraction;
 }
 
@@ -110,7 +114,7 @@
   if (!Team)
     return Out;
   TeamQuota &Quota = quotaOf(Request.Team_);
-  if (Request.PrecedingInContact_)
+  if (Request.PrecedingReplies_)
     Quota.PrecedingSeenAt_ = Now;
   double Usable = usableFraction(Quota, Rank);
   if (Usable < MinUsableFraction)
--- a/lagoonpoint/src/Gateway/QuotaHolder.h
+++ b/lagoonpoint/src/Gateway/QuotaHolder.h
@@ -41,7 +41,7 @@
   struct TeamQuota {
     RateShare RateShare_;
     Time LastRequestAt_;
-    /// Last request that said that a preceding core VM is in contact.
+    /// Last request that said that a preceding core VM replies to heartbeats.
     Time PrecedingSeenAt_;
     /// Time since which tokens have accrued at the start of this process;
     /// Time() if they were given up.
--- a/lagoonpoint/src/Gateway/TeamTokens.cpp
+++ b/lagoonpoint/src/Gateway/TeamTokens.cpp
@@ -25,10 +25,16 @@
 constexpr double MaxFallbackTokens = 2;
 constexpr Duration RetryAfterHint = Duration::millis(300);
 
+bool contains(const std::vector<VmId> &Vms, const VmId &Vm) {
+  return std::find(Vms.begin(), Vms.end(), Vm) != Vms.end();
+}
+
 } // namespace
 
-void TeamTokens::setHolders(std::vector<VmId> Local, std::vector<VmId> Remote) {
+void TeamTokens::setHolders(std::vector<VmId> Local, std::vector<VmId> Remote,
+                            std::vector<VmId> Replying) {
   std::lock_guard Guard(Lock_);
+  ReplyingHolders_ = std::move(Replying);
   LocalHolders_ = std::move(Local);
   RemoteHolders_ = std::move(Remote);
 }
@@ -97,9 +103,10 @@
   State.RequestNumber_ = NextRequestNumber_++;
   State.SentAt_ = Now;
   State.Told_ = State.Uncounted_;
-  TokenRequest Out{State.RequestNumber_, Team,
-                   State.Waiting_,       std::min(Prefetch, MaxPrefetch),
-                   State.Told_,          isStandby(Team, State.RequestedFrom_)};
+  TokenRequest Out{
+      State.RequestNumber_, Team,
+      State.Waiting_,       std::min(Prefetch, MaxPrefetch),
+      State.Told_,          precedingReplies(Team, State.RequestedFrom_)};
   Time OtherGrantAt;
   for (const auto &[Core, At] : State.GrantedAt_)
     if (Core != State.RequestedFrom_)
@@ -147,12 +154,15 @@
   Found->second.Changed_.notify_one();
 }
 
-/// \returns whether another core VM of this region in contact is ranked before
-/// \p Vm
-bool TeamTokens::isStandby(const TeamId &Team, const VmId &Vm) const {
-  bool IsLocal = std::find(LocalHolders_.begin(), LocalHolders_.end(), Vm) !=
-                 LocalHolders_.end();
-  return IsLocal && rankHolders(Team.str(), LocalHolders_).front() != Vm;
+/// \returns whether a core VM that is ranked before \p Vm is known to run
+bool TeamTokens::precedingReplies(const TeamId &Team, const VmId &Vm) const {
+  for (const VmId &Holder : rankHolders(Team.str(), LocalHolders_)) {
+    if (Holder == Vm)
+      return false;
+    if (contains(ReplyingHolders_, Holder) && contains(LocalHolders_, Vm))
+      return true;
+  }
+  return false;
 }
 
 void TeamTokens::addTokens(TeamState &State, const VmId &From, unsigned Count,
--- a/lagoonpoint/src/Gateway/TeamTokens.h
+++ b/lagoonpoint/src/Gateway/TeamTokens.h
@@ -29,7 +29,9 @@
   /// Sets the core VMs that may grant tokens.
   /// \param Local those in contact of this VM's region
   /// \param Remote those of other regions, the nearest first
-  void setHolders(std::vector<VmId> Local, std::vector<VmId> Remote);
+  /// \param Replying those of \p Local that are known to run
+  void setHolders(std::vector<VmId> Local, std::vector<VmId> Remote,
+                  std::vector<VmId> Replying);
 
   /// Counts a request for a service.
   void countService(const ServiceId &Service);
@@ -73,7 +75,7 @@
                  Time Now) const;
   void acceptLateGrant(TeamState &State, const VmId &From, const TokenGrant &G,
                        Time Now) const;
-  bool isStandby(const TeamId &Team, const VmId &Vm) const;
+  bool precedingReplies(const TeamId &Team, const VmId &Vm) const;
   bool requestTokens(const TeamId &Team, TeamState &State, Time Now);
   VmId holderOf(const TeamId &Team, Time Now) const;
 
@@ -82,6 +84,7 @@
   std::mutex Lock_;
   std::vector<VmId> LocalHolders_;
   std::vector<VmId> RemoteHolders_;
+  std::vector<VmId> ReplyingHolders_;
   std::map<VmId, Time> SuspectedUntil_; ///< core VMs that gave no usable answer
   std::map<TeamId, TeamState> Teams_;
   std::map<ServiceId, DemandMeter> Services_;
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -534,6 +534,12 @@
       CHECK(Targets(Later, Later).size() == 3);
     }
   }
+  SECTION("and knows which of them failed to reply to the last ones") {
+    Time Later = Start + Duration::millis(1601);
+    Reply("n1", "north", Later);
+    Reply("s1", "south", Later);
+    CHECK(replyingCoreVms(C, Later) == std::vector<VmId>{VmId("n1")});
+  }
   SECTION("to all while its proof is old, as if the region were cut off from "
           "the quorum") {
     Time Later = Start + Duration::millis(2501);
