Start the workers of load notices with the first notice

Cause: with load_sharing = auto, entry VMs woke ten times a second before any load was shared, and core VMs ran the relay's worker in every deployment.

Change: the workers start once loads are shared, or with the first notice.

--- a/lagoonpoint/src/Gateway/LoadRelay.cpp
+++ b/lagoonpoint/src/Gateway/LoadRelay.cpp
@@ -13,8 +13,25 @@
     : Clock_(C), Forward_(std::move(Forward)),
       Worker_("loads.relay", ForwardInterval, [this] { forward(); }) {}
 
+void LoadRelay::start() {
+  std::lock_guard Guard(Lock_);
+  MayWork_ = true;
+  if (!Pending_.empty())
+    Worker_.start();
+}
+
+void LoadRelay::stop() {
+  {
+    std::lock_guard Guard(Lock_);
+    MayWork_ = false;
+  }
+  Worker_.stop();
+}
+
 void LoadRelay::receive(const LoadNotices &M) {
   std::lock_guard Guard(Lock_);
+  if (MayWork_)
+    Worker_.start();
   Time Now = Clock_.now();
   for (const LoadNotice &N : M.Notices_) {
     auto Known = Pending_.find(N.Id_);
--- a/lagoonpoint/src/Gateway/LoadRelay.h
+++ b/lagoonpoint/src/Gateway/LoadRelay.h
@@ -23,8 +23,8 @@
   /// \param Forward sends to all entry VMs of the region
   LoadRelay(const Clock &C, std::function<void(const LoadNotices &)> Forward);
 
-  void start() { Worker_.start(); }
-  void stop() { Worker_.stop(); }
+  void start();
+  void stop();
   void receive(const LoadNotices &M);
 
 private:
@@ -38,7 +38,8 @@
   const std::function<void(const LoadNotices &)> Forward_;
   std::mutex Lock_; ///< guards what follows
   std::map<UpstreamId, Held> Pending_;
-  Worker Worker_;
+  bool MayWork_ = false; ///< between start() and stop()
+  Worker Worker_;        ///< runs from the first notice on
 };
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Gateway/LoadSharing.cpp
+++ b/lagoonpoint/src/Gateway/LoadSharing.cpp
@@ -23,16 +23,30 @@
       Worker_("loads.send", SendInterval, [this] { send(); }) {}
 
 void LoadSharing::start() {
-  if (Mode_ != PlacementMode::Off)
+  std::lock_guard Guard(WorkerLock_);
+  MayWork_ = true;
+  if (Active_)
     Worker_.start();
 }
 
-void LoadSharing::stop() { Worker_.stop(); }
+void LoadSharing::stop() {
+  {
+    std::lock_guard Guard(WorkerLock_);
+    MayWork_ = false;
+  }
+  Worker_.stop();
+}
 
 void LoadSharing::activate() {
-  if (Mode_ == PlacementMode::Auto && !Active_.exchange(true))
-    log({.Step_ = "loads.active",
-         .Message_ = "loads of upstreams are shared: one states its pace"});
+  if (Mode_ != PlacementMode::Auto || Active_)
+    return;
+  std::lock_guard Guard(WorkerLock_);
+  if (Active_.exchange(true))
+    return;
+  if (MayWork_)
+    Worker_.start();
+  log({.Step_ = "loads.active",
+       .Message_ = "loads of upstreams are shared: one states its pace"});
 }
 
 void LoadSharing::recordTry(const TryReport &Report,
--- a/lagoonpoint/src/Gateway/LoadSharing.h
+++ b/lagoonpoint/src/Gateway/LoadSharing.h
@@ -54,7 +54,9 @@
   std::mutex Lock_; ///< guards what follows
   VmId Relay_;
   std::map<UpstreamId, Found> Pending_;
-  Worker Worker_;
+  std::mutex WorkerLock_; ///< guards the start and the end of the worker
+  bool MayWork_ = false;  ///< between start() and stop()
+  Worker Worker_;         ///< runs once loads are shared
 };
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Placement/PoolMap.h
+++ b/lagoonpoint/src/Placement/PoolMap.h
@@ -31,7 +31,7 @@
   std::map<RegionId, double> Demand_;
   std::map<RegionId, double> FastDemand_; ///< smoothed over a shorter time
   RegionFlows Flows_;
-  bool HadCalls_ = false;
+  bool HadCalls_ = false; ///< in any region, so that objects have their places
 };
 
 /// Moves the shares of all regions towards what demand and slots require.
