Accept a restarted VM whose wall clock was set back

Cause: heartbeats of a process that started earlier by its wall clock than the known one were ignored for the 60 s for which core VMs remember a silent VM.

Change: once the known process has been silent for 2.7 s, another one is accepted. docs/design/0018 lists the uses of the wall clock.

Measured: the new section of test_Fleet fails without the change.

--- a/lagoonpoint/src/Fleet/NodeRegistry.cpp
+++ b/lagoonpoint/src/Fleet/NodeRegistry.cpp
@@ -9,6 +9,14 @@
 /// Core VMs report once in this time.
 constexpr Duration ReportInterval = Duration::seconds(1);
 
+/// \returns whether a message is of an earlier process than the one that is
+/// known. Starts are compared by the sender's wall clock, which may have been
+/// set back: a process that is no longer heard does not exclude another one.
+bool isOutdated(const KnownNode &Known, std::uint64_t StartedAtMs, Time Now) {
+  return StartedAtMs < Known.Record_.StartedAtMs_ &&
+         Now - Known.HeardAt_ <= LivenessTimeout;
+}
+
 std::vector<const KnownNode *> listLiveNodes(const NodeRegistry &R, bool Core,
                                              Duration MaxSilence, Time Now) {
   std::vector<const KnownNode *> Out;
@@ -24,7 +32,7 @@
                        Time Now) {
   auto Found = R.Nodes_.find(From);
   bool Known = Found != R.Nodes_.end();
-  if (Known && B.StartedAtMs_ < Found->second.Record_.StartedAtMs_)
+  if (Known && isOutdated(Found->second, B.StartedAtMs_, Now))
     return HeartbeatResult::Outdated;
   bool Same = Known && B.StartedAtMs_ == Found->second.Record_.StartedAtMs_;
   if (B.Self_.empty() && !Same)
@@ -48,9 +56,9 @@
     auto Found = R.Nodes_.find(Report.Vm_);
     bool Same = Found != R.Nodes_.end() &&
                 Found->second.Record_.StartedAtMs_ == Report.StartedAtMs_;
-    bool Older = Found != R.Nodes_.end() &&
-                 Report.StartedAtMs_ < Found->second.Record_.StartedAtMs_;
-    if (Older || (!Same && Report.Record_.empty()))
+    bool Outdated = Found != R.Nodes_.end() &&
+                    isOutdated(Found->second, Report.StartedAtMs_, Now);
+    if (Outdated || (!Same && Report.Record_.empty()))
       continue;
     KnownNode &Node = R.Nodes_[Report.Vm_];
     if (!Same) {
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -257,6 +257,18 @@
     Short.StartedAtMs_ = 6;
     CHECK(record(R, E1.Vm_, Short, Start) == HeartbeatResult::Outdated);
   }
+  // Fails if a VM whose wall clock was set back is ignored after its next
+  // restart, for as long as its earlier process is remembered.
+  SECTION("also of a process that started earlier by its wall clock, once the "
+          "later one is silent") {
+    NodeRecord Restarted = E1;
+    Restarted.StartedAtMs_ = E1.StartedAtMs_ - 2;
+    Heartbeat Beat = makeHeartbeat(Restarted);
+    CHECK(record(R, E1.Vm_, Beat, Start) == HeartbeatResult::Outdated);
+    Time Silent = Start + Duration::millis(2701);
+    CHECK(record(R, E1.Vm_, Beat, Silent) == HeartbeatResult::Accepted);
+    CHECK(R.Nodes_[E1.Vm_].Record_.StartedAtMs_ == Restarted.StartedAtMs_);
+  }
   SECTION("and directs callers to their region first") {
     NodeRecord E2 = makeNode("e2", false, "south");
     record(R, E2.Vm_, makeHeartbeat(E2), Start);
