Limit calls in progress of teams that are bound to an overloaded region

Change: Admission/ConcurrencyLimit limits a VM's calls in progress by service and region while calls take more than 0.6 of their time, and refuses calls that are bound to regions at their limit (docs/design/0019). [refusals] concurrency_limits, off by default; the term pressure turns it on on the platform. Log step dispatch.limit.

--- a/lagoonpoint/src/Config/FleetSettings.cpp
+++ b/lagoonpoint/src/Config/FleetSettings.cpp
@@ -169,6 +169,11 @@
   static const SectionSpec<S> Spec{
       "refusals",
       {choiceKey<S, PlacementMode>("return_times", "off", &S::ReturnTimes_,
+                                   {{"off", PlacementMode::Off},
+                                    {"auto", PlacementMode::Auto},
+                                    {"on", PlacementMode::On}}),
+       choiceKey<S, PlacementMode>("concurrency_limits", "off",
+                                   &S::ConcurrencyLimits_,
                                    {{"off", PlacementMode::Off},
                                     {"auto", PlacementMode::Auto},
                                     {"on", PlacementMode::On}})}};
--- a/lagoonpoint/src/Config/FleetSettings.h
+++ b/lagoonpoint/src/Config/FleetSettings.h
@@ -56,6 +56,7 @@
   PlacementMode Placement_ = PlacementMode::Off;
   PlacementMode LoadSharing_ = PlacementMode::Off;
   PlacementMode ReturnTimes_ = PlacementMode::Off;
+  PlacementMode ConcurrencyLimits_ = PlacementMode::Off;
   unsigned PoolSlots_ = 48; ///< slots that one VM grants as one pool
 };
 
--- a/lagoonpoint/src/Gateway/FleetCall.cpp
+++ b/lagoonpoint/src/Gateway/FleetCall.cpp
@@ -52,6 +52,12 @@
   return Out;
 }
 
+/// \returns a number from 0 to 1 that differs between calls
+double drawOf(const RequestId &Id) {
+  std::uint64_t Hash = internal::mixBits(internal::stableHash(Id.str()));
+  return std::ldexp(double(Hash), -64);
+}
+
 TryOutcome outcomeOf(const TryReport &Report) {
   return {Report.Result_, Report.BytesSent_, Report.ResponseStarted_};
 }
@@ -64,8 +70,7 @@
   if (After > Duration() && RanState == Ran::No) {
     Duration ObjectiveLeft =
         A.Arrived_ - A.SinceFirstRequest_ + A.Objective_ - Now;
-    double Spread = std::ldexp(
-        double(internal::mixBits(internal::stableHash(A.Request_.str()))), -64);
+    double Spread = drawOf(A.Request_);
     Duration TimeLeft =
         A.StatedDeadline_ ? *A.StatedDeadline_ - Now : Duration();
     After = returnDelay({After, TimeLeft, A.Objective_, ObjectiveLeft}, Spread);
--- a/lagoonpoint/src/Gateway/SharedDispatcher.cpp
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.cpp
@@ -16,6 +16,8 @@
 /// few requests.
 constexpr Duration RetryAfterHint = Duration::millis(300);
 
+constexpr ConcurrencyLimitOptions LimitOptions;
+
 std::optional<Address> addressOf(const std::string &Text) {
   std::size_t Colon = Text.rfind(':');
   if (Colon == std::string::npos)
@@ -349,6 +351,50 @@
   return Out;
 }
 
+/// Called with the lock of \p S held.
+void SharedDispatcher::recordDuration(Shard &S, const SharedSlot &Slot,
+                                      const TryReport &Report, Time Now) {
+  if (Settings_.ConcurrencyLimits_ != PlacementMode::On || Slot.Region_.empty())
+    return;
+  std::optional<double> Part;
+  Duration Allowed = Slot.Deadline_ - Slot.AcquiredAt_;
+  bool HasDuration = Report.Result_ == TryResult::Answered ||
+                     Report.Result_ == TryResult::TimedOut;
+  if (HasDuration && Allowed > Duration())
+    Part = (Now - Slot.AcquiredAt_).inSeconds() / Allowed.inSeconds();
+  ConcurrencyLimit &Limit = S.Limits_[Slot.Region_];
+  bool WasLimited = Limit.Limit_.has_value();
+  recordEnd(Limit, Part, LimitOptions, Now);
+  if (Limit.Limit_.has_value() == WasLimited)
+    return;
+  log({.Level_ = LogLevel::Warning,
+       .Step_ = "dispatch.limit",
+       .Message_ = "region " + Slot.Region_.str() +
+                   (WasLimited ? ": calls are no longer limited"
+                               : ": calls take too long, those in progress are "
+                                 "limited to " +
+                                     std::to_string(*Limit.Limit_)),
+       .Peer_ = Slot.Target_.Upstream_.str()});
+}
+
+/// Refuses calls that are bound to regions in which this VM has as many calls
+/// in progress as are answered in time. Others are left alone: shares of the
+/// demand move them to where there is room. Called with the lock of \p S held.
+void SharedDispatcher::checkLimits(Shard &S,
+                                   const SharedDispatchRequest &Request,
+                                   const std::vector<RegionId> &Regions) {
+  if (Settings_.ConcurrencyLimits_ != PlacementMode::On ||
+      Request.Regions_.empty() || Regions.empty())
+    return;
+  bool HasRoom =
+      std::any_of(Regions.begin(), Regions.end(),
+                  [&](const RegionId &R) { return hasRoom(S.Limits_[R]); });
+  if (!HasRoom)
+    throw Refusal(RefusalReason::NoCapacity, Ran::No, Step,
+                  "calls to the service take too long in the allowed regions",
+                  RetryAfterHint);
+}
+
 SharedSlot SharedDispatcher::acquire(const SharedDispatchRequest &Request) {
   Shard *S = findShard(Request.Service_);
   if (!S)
@@ -356,6 +402,7 @@
   std::unique_lock Guard(S->Lock_);
   S->HadCalls_ = true;
   KeyedRequest Keyed = makeKeyedRequest(*S, Request);
+  checkLimits(*S, Request, Keyed.Regions_);
   bool IsWaiting = false;
   auto StopWaiting = [&] {
     if (IsWaiting && --S->Waiting_[Request.Priority_] == 0)
@@ -371,8 +418,10 @@
     if (U) {
       double InFlight = estimatedInFlight(*U, options(), Now);
       reserve(*U, Now);
+      recordStart(S->Limits_[U->Region_]);
       StopWaiting();
-      return {{U->Id_, {}, U->Address_}, InFlight, Now, U->StartedAtMs_};
+      return {{U->Id_, {}, U->Address_}, InFlight,          Now,
+              U->StartedAtMs_,           Request.Deadline_, U->Region_};
     }
     Time OpenAt = usableFrom(S->Group_, Keyed, Now);
     if (OpenAt > Request.WaitUntil_) {
@@ -478,6 +527,7 @@
   if (!S)
     return {};
   std::lock_guard Guard(S->Lock_);
+  recordDuration(*S, Slot, Report, Clock_.now());
   std::optional<LoadNotice> Changed;
   auto U = findPosition(S->Group_.Upstreams_, Slot.Target_.Upstream_);
   if (U != S->Group_.Upstreams_.end() && U->Id_ == Slot.Target_.Upstream_) {
--- a/lagoonpoint/src/Gateway/SharedDispatcher.h
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lagoonpoint/Admission"
 #include "lagoonpoint/Fleet"
 #include "lagoonpoint/Http"
 #include "lagoonpoint/Items"
@@ -36,6 +37,8 @@
   double InFlightAtSend_ = 0; ///< expected load before this try
   Time AcquiredAt_;
   std::uint64_t StartedAtMs_ = 0; ///< of the upstream's process
+  Time Deadline_;                 ///< of the response
+  RegionId Region_;               ///< of the upstream; empty if granted
 };
 
 /// The fleet's state as the dispatcher needs it; refers to data of the caller.
@@ -109,9 +112,14 @@
     bool HadCalls_ = false;     ///< the fleet, or this VM, has had calls
     std::map<RegionId, double> Demand_;    ///< smoothed fractions of all demand
     std::map<unsigned, unsigned> Waiting_; ///< calls by priority
+    std::map<RegionId, ConcurrencyLimit> Limits_;
   };
 
   KeyedChoiceOptions options() const;
+  void recordDuration(Shard &S, const SharedSlot &Slot, const TryReport &Report,
+                      Time Now);
+  void checkLimits(Shard &S, const SharedDispatchRequest &Request,
+                   const std::vector<RegionId> &Regions);
   std::vector<std::pair<ServiceId, Shard *>> shards();
   Shard *findShard(const ServiceId &Service);
   Shard &findOrCreateShard(const ServiceId &Service);
--- a/test/Config.cpp
+++ b/test/Config.cpp
@@ -372,22 +372,25 @@
     CHECK(S.Placement_ == PlacementMode::Off);
     CHECK(S.LoadSharing_ == PlacementMode::Off);
     CHECK(S.ReturnTimes_ == PlacementMode::Off);
+    CHECK(S.ConcurrencyLimits_ == PlacementMode::Off);
     CHECK(S.PoolSlots_ == 48);
     CHECK(S.Terms_.empty());
   }
   SECTION("terms are any words") {
     Diagnostics Found;
-    FleetSettings T =
-        Read(Replaced("[bounds]\n", "terms = pressure, [x y]\n[placement]\n"
-                                    "mode = auto\nload_sharing = auto\n"
-                                    "pool_slots = 4096\n[refusals]\n"
-                                    "return_times = on\n[bounds]\n"),
-             Found);
+    FleetSettings T = Read(
+        Replaced("[bounds]\n",
+                 "terms = pressure, [x y]\n[placement]\n"
+                 "mode = auto\nload_sharing = auto\n"
+                 "pool_slots = 4096\n[refusals]\n"
+                 "return_times = on\nconcurrency_limits = auto\n[bounds]\n"),
+        Found);
     CHECK(Found.empty());
     CHECK(T.Terms_ == std::vector<std::string>{"pressure", "[x", "y]"});
     CHECK(T.Placement_ == PlacementMode::Auto);
     CHECK(T.LoadSharing_ == PlacementMode::Auto);
     CHECK(T.ReturnTimes_ == PlacementMode::On);
+    CHECK(T.ConcurrencyLimits_ == PlacementMode::Auto);
     CHECK(T.PoolSlots_ == 4096);
   }
   SECTION("a missing, unknown or malformed key is named") {
--- a/test/Platform.cpp
+++ b/test/Platform.cpp
@@ -160,9 +160,9 @@
 }
 
 TEST_CASE("The term pressure turns auto into on") {
-  auto Setting =
-      GENERATE(&FleetSettings::Placement_, &FleetSettings::LoadSharing_,
-               &FleetSettings::ReturnTimes_);
+  auto Setting = GENERATE(
+      &FleetSettings::Placement_, &FleetSettings::LoadSharing_,
+      &FleetSettings::ReturnTimes_, &FleetSettings::ConcurrencyLimits_);
   FleetSettings S;
   S.*Setting = PlacementMode::Auto;
   S.Terms_ = {"calm"};
