--- a/review/6/drive.cpp
+++ b/review/6/drive.cpp
@@ -7,6 +7,8 @@
 using namespace rig;
 
 constexpr const char *Key = "xd9dnn2ctnfzs989anu6";
+/// No configuration ever holds this key.
+constexpr const char *UnknownKey = "n0keyofthisdeployment";
 /// Requests are watched for so long after the bound.
 constexpr long WatchMs = 8000;
 
@@ -44,6 +46,14 @@
                                                    .Key_ = Key}));
     All.back()->start();
   }
+  Clients Strangers(P, Log,
+                    Clients::Options{.Zone_ = "east-a",
+                                     .Host_ = "app.example",
+                                     .Path_ = "/keyed/stranger",
+                                     .Key_ = UnknownKey,
+                                     .PerSecond_ = 2,
+                                     .Name_ = "stranger"});
+  Strangers.start();
   sleepMs(6000);
   long AckedMs = nowMs();
   if (Trouble)
@@ -53,6 +63,7 @@
   sleepUntilMs(AckedMs + RevokeMs + WatchMs);
   for (auto &C : All)
     C->stop();
+  Strangers.stop();
   if (P.anyEnded())
     throw CannotRun("a process ended by itself");
 
@@ -79,6 +90,14 @@
           " requests ran before the change; of " + std::to_string(SentLate) +
           " sent over " + std::to_string(RevokeMs) +
           " ms after its acknowledgement, " + std::to_string(RunLate) + " ran");
+  long StrangersBefore = 0;
+  long StrangersAfter = 0;
+  for (const Attempt &A : Strangers.attempts())
+    if (Run.count(A.Id_))
+      ++(A.SentMs_ <= AckedMs ? StrangersBefore : StrangersAfter);
+  Log.add("summary: of requests with a key that no configuration ever held, " +
+          std::to_string(StrangersBefore) + " ran before the change and " +
+          std::to_string(StrangersAfter) + " after it");
   if (RunBefore == 0)
     throw CannotRun("no request ran before the change");
   if (!Trouble && RunLate < SentLate / 2)
--- a/review/rig.h
+++ b/review/rig.h
@@ -800,6 +800,7 @@
     std::string Key_;
     double PerSecond_ = 5;
     long DeadlineMs_ = 3000;
+    std::string Name_; ///< begins the attempts' ids; empty: the zone
   };
 
   Clients(Platform &P, Record &Log, Options O)
@@ -882,7 +883,8 @@
     {
       std::lock_guard Guard(Lock_);
       A.Key_ = Options_.Key_;
-      A.Id_ = Options_.Zone_ + "-" + std::to_string(++Sent_);
+      A.Id_ = (Options_.Name_.empty() ? Options_.Zone_ : Options_.Name_) + "-" +
+              std::to_string(++Sent_);
     }
     A.Region_ = Region_;
     A.Entry_ = Platform_.nameOf(Entry);
