Refuse calls that no region may serve

Cause: the allowed regions of route and team were intersected as sets, and an empty set meant "all regions" from there on: in the dispatcher, the choice of a pool and the limits of calls in progress.

Change: AllowedRegions tells "all" from "none". A call that no region may serve is refused at once with 503 no_region_allowed, not run, without a Retry-After. So is one whose allowed regions the fleet doesn't have, which waited for half of its latency objective before.

Why it works: no caller of the type can read an empty set as no restriction, and the lists of the configuration are converted in one place.

--- a/lagoonpoint/src/Core/Refusal.cpp
+++ b/lagoonpoint/src/Core/Refusal.cpp
@@ -24,6 +24,7 @@
     {RefusalReason::DeadlinePassed, "deadline_passed", 504},
     {RefusalReason::NoUpstream, "no_upstream", 503},
     {RefusalReason::NoCapacity, "no_capacity", 503},
+    {RefusalReason::NoRegionAllowed, "no_region_allowed", 503},
     {RefusalReason::LinkFull, "link_full", 503},
     {RefusalReason::NotReady, "not_ready", 503},
     {RefusalReason::Draining, "draining", 503},
--- a/lagoonpoint/src/Core/Refusal.h
+++ b/lagoonpoint/src/Core/Refusal.h
@@ -21,6 +21,7 @@
   DeadlinePassed,      ///< deadline passed before dispatch or response
   NoUpstream,          ///< no healthy upstream
   NoCapacity,          ///< no reachable region has spare capacity
+  NoRegionAllowed,     ///< no region may serve the call
   LinkFull,            ///< links to the allowed regions are at their cap
   NotReady,            ///< this VM has no current declarations yet
   Draining,            ///< this VM is shutting down
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -84,15 +84,16 @@
   return Out;
 }
 
-std::set<RegionId> intersection(const std::vector<RegionId> &A,
-                                const std::vector<RegionId> &B) {
-  std::set<RegionId> Out(A.begin(), A.end());
-  if (A.empty())
-    Out.insert(B.begin(), B.end());
-  else if (!B.empty())
-    std::erase_if(Out, [&](const RegionId &R) {
-      return std::find(B.begin(), B.end(), R) == B.end();
-    });
+/// \param Team null on an open route
+/// \throws Refusal if route and team have no allowed region in common
+AllowedRegions allowedRegions(const RouteItem &Route, const TeamItem *Team) {
+  AllowedRegions Out;
+  Out.restrictTo(Route.Regions_);
+  if (Team)
+    Out.restrictTo(Team->Regions_);
+  if (Out.allowsNone())
+    throw Refusal(RefusalReason::NoRegionAllowed, Ran::No, Step,
+                  "route and team have no allowed region in common");
   return Out;
 }
 
@@ -688,8 +689,7 @@
     const TeamItem *Team =
         findItem(Granted.Configuration_->Items_.Teams_, A.Team_.str());
     A.Object_ = Route.SessionAffinity_ ? C.Object_ : "";
-    A.Regions_ = intersection(Route.Regions_,
-                              Team ? Team->Regions_ : std::vector<RegionId>());
+    A.Regions_ = allowedRegions(Route, Team);
     bool OwnPriority = Team && Team->HasPriority_;
     A.Priority_ = OwnPriority ? Team->Priority_ : Route.Priority_;
     A.MaxAttempts_ = Route.MaxAttempts_;
--- a/lagoonpoint/src/Gateway/FleetCall.h
+++ b/lagoonpoint/src/Gateway/FleetCall.h
@@ -35,7 +35,7 @@
   RequestId Request_;
   TeamId Team_;
   std::string Object_;
-  std::set<RegionId> Regions_;
+  AllowedRegions Regions_;
   unsigned Priority_ = 0;
   unsigned MaxAttempts_ = 1;
   bool Authenticated_ = false;
--- a/lagoonpoint/src/Gateway/SharedDispatcher.cpp
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.cpp
@@ -346,7 +346,7 @@
   for (const auto &[Zone, Region] : Settings_.Zones_)
     Shares.emplace(Region, 0);
   for (const RegionId &R : regionOrder(Settings_.Region_, Shares, HashKey))
-    if (Request.Regions_.empty() || Request.Regions_.count(R))
+    if (Request.Regions_.allows(R))
       Out.Regions_.push_back(R);
   return Out;
 }
@@ -384,7 +384,7 @@
                                    const SharedDispatchRequest &Request,
                                    const std::vector<RegionId> &Regions) {
   if (Settings_.ConcurrencyLimits_ != PlacementMode::On ||
-      Request.Regions_.empty() || Regions.empty())
+      !Request.Regions_.isRestricted())
     return;
   bool HasRoom =
       std::any_of(Regions.begin(), Regions.end(),
@@ -402,6 +402,9 @@
   std::unique_lock Guard(S->Lock_);
   S->HadCalls_ = true;
   KeyedRequest Keyed = makeKeyedRequest(*S, Request);
+  if (Keyed.Regions_.empty())
+    throw Refusal(RefusalReason::NoRegionAllowed, Ran::No, Step,
+                  "this fleet has none of the allowed regions");
   checkLimits(*S, Request, Keyed.Regions_);
   bool IsWaiting = false;
   auto StopWaiting = [&] {
--- a/lagoonpoint/src/Gateway/SharedDispatcher.h
+++ b/lagoonpoint/src/Gateway/SharedDispatcher.h
@@ -23,7 +23,7 @@
 struct SharedDispatchRequest {
   ServiceId Service_;
   std::string Object_;
-  std::set<RegionId> Regions_; ///< that may serve the call; empty: all
+  AllowedRegions Regions_; ///< that may serve the call
   std::set<UpstreamId> Tried_;
   unsigned Priority_ = 0;     ///< lower values are served first
   Time WaitUntil_;            ///< limit of the wait for free capacity
--- a/lagoonpoint/src/Gateway/SlotClient.cpp
+++ b/lagoonpoint/src/Gateway/SlotClient.cpp
@@ -103,7 +103,7 @@
   for (const RegionId &Region :
        steadyRegionOrder(Settings_.Region_, Found->second.OwnShares_,
                          Object.empty() ? C.Spread_ : Object)) {
-    if (!C.Regions_.empty() && !C.Regions_.count(Region))
+    if (!C.Regions_.allows(Region))
       continue;
     if (const Pool *P = findPool(*Map, Region, Object, C.Spread_))
       return P;
--- a/lagoonpoint/src/Gateway/SlotClient.h
+++ b/lagoonpoint/src/Gateway/SlotClient.h
@@ -16,7 +16,7 @@
 /// One attempt of a call that needs a slot.
 struct SlotCall {
   ServiceId Service_;
-  std::set<RegionId> Regions_; ///< that may serve the call; empty: all
+  AllowedRegions Regions_; ///< that may serve the call
   std::string Spread_; ///< distributes calls without an object over the pools
   SlotDemand Demand_;  ///< without From_ and Number_
 };
--- a/test/FleetVms.cpp
+++ b/test/FleetVms.cpp
@@ -212,6 +212,34 @@
     CHECK_THAT(Fleet.call("GET /tags/7 HTTP/1.1\r\nX-Api-Key: key-two\r\n"),
                Contains("mine"));
   }
+  // Guards against reading "no region in common" as "no restriction".
+  SECTION("a route and a team without a common region are served in none") {
+    auto Restrict = [&](std::uint64_t Version, const char *OfRoute,
+                        const char *OfTeam) {
+      ItemSet Patch = items(Version, {"key-one", "key-two"});
+      Patch.Routes_["tags"].Version_ = ItemVersion(Version);
+      Patch.Routes_["tags"].Value_.Regions_ = {RegionId(OfRoute)};
+      Patch.Teams_["rangers"].Value_.Regions_ = {RegionId(OfTeam)};
+      REQUIRE(Fleet.apply(Patch).Verdict_ == ChangeVerdict::Accepted);
+    };
+    auto IsServed = [&] {
+      return Fleet.call(Get).find("mine") != std::string::npos;
+    };
+    Restrict(2, "north", "south");
+    CHECK(eventually([&] { return !IsServed(); }));
+    int Before = Upstream.requests();
+    SystemClock Clock;
+    Time CalledAt = Clock.now();
+    CHECK_THAT(Fleet.call(Get),
+               StartsWith("HTTP/1.1 503 ") &&
+                   Contains("\"no_region_allowed\",\"ran\":\"no\""));
+    // Refused at once; a call that waits takes half of the objective, 1 s.
+    CHECK(Clock.now() - CalledAt < Duration::millis(500));
+    CHECK(Upstream.requests() == Before);
+
+    Restrict(3, "north", "north");
+    CHECK(eventually(IsServed));
+  }
   SECTION("a leaving upstream gets no requests after the confirmation") {
     REQUIRE(Fleet.Cores_[0]->announce(notice(Port, NoticePhase::Leaving, 2)) ==
             AnnounceResult::Accepted);
--- a/test/SharedDispatcher.cpp
+++ b/test/SharedDispatcher.cpp
@@ -59,6 +59,49 @@
 
 } // namespace
 
+// Guards against a wait, or a run in another region, where a call's regions are
+// not among those of the fleet.
+TEST_CASE("A call is placed only in regions that may serve it") {
+  Vm V;
+  V.announce("n", 2);
+  V.tick();
+  auto Place = [&](const std::vector<std::vector<RegionId>> &Restrictions) {
+    SharedDispatchRequest Call;
+    Call.Service_ = Service;
+    Call.WaitUntil_ = V.Clock_.now();
+    Call.Deadline_ = V.Clock_.now() + Duration::seconds(1);
+    for (const std::vector<RegionId> &Stated : Restrictions)
+      Call.Regions_.restrictTo(Stated);
+    return V.Dispatcher_.acquire(Call);
+  };
+  auto ReasonFor = [&](const std::vector<std::vector<RegionId>> &Restrictions) {
+    try {
+      Place(Restrictions);
+    } catch (const Refusal &R) {
+      return R.reason();
+    }
+    FAIL("the call was placed");
+    return RefusalReason::Internal;
+  };
+  SECTION("without a restriction, in any") {
+    CHECK(Place({}).Region_ == North);
+    CHECK(Place({{}, {}}).Region_ == North);
+  }
+  SECTION("where all restrictions allow it") {
+    CHECK(Place({{}, {North}}).Region_ == North);
+    CHECK(Place({{North, South}, {North}}).Region_ == North);
+    CHECK(ReasonFor({{South}}) == RefusalReason::NoUpstream);
+  }
+  SECTION("in none if the restrictions have no region in common") {
+    CHECK(ReasonFor({{North}, {South}}) == RefusalReason::NoRegionAllowed);
+    CHECK(ReasonFor({{North}, {South}, {North}}) ==
+          RefusalReason::NoRegionAllowed);
+  }
+  SECTION("in none if the fleet has none of them") {
+    CHECK(ReasonFor({{RegionId("west")}}) == RefusalReason::NoRegionAllowed);
+  }
+}
+
 // At the start of a fleet the upstreams of the own zone are known first. Shares
 // that follow slowly from there send most calls to the few upstreams of the own
 // region for half a minute.
