Acknowledge a departure only once all VMs are known

Cause: a core VM awaits the confirmations of the entry VMs that it has heard of. Just after a start, a suspension or a cut it has heard of none, but of a quorum of core VMs, and acknowledged with nobody's confirmation.

Change: FleetView says whether the VMs heard of are all: a quorum has been in contact for 2.7 s without interruption. Until then a departure is sent to all that are known and not acknowledged; the upstream repeats it.

Why it works: entry VMs send heartbeats and core VMs report them once a second each, so that an entry VM that is in contact with the quorum is known by then, and confirms before the acknowledgement. It still knows of the departure when the core VMs' processes have gone.

--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -128,6 +128,7 @@
                   const std::set<VmId> &To);
   std::set<VmId> entryVmsInContact(Time Now);
   bool quorumInContact(Time Now);
+  bool knowsAllVms(Time Now);
   bool confirmNotice(const UpstreamNotice &Notice);
   void repairVoters();
   void forwardLoads(const LoadNotices &M);
@@ -174,6 +175,7 @@
   /// Entry VMs whose records each core VM has, by the start of their process.
   std::map<VmId, std::map<VmId, std::uint64_t>> ReportedTo_;
   ItemFreshness ItemFreshness_;
+  FleetView View_;
   Time NextHeartbeat_;
   unsigned HeartbeatsSent_ = 0; ///< used by the ticker only
   VmId LoggedLeader_;           ///< used by the ticker only
@@ -524,6 +526,13 @@
   return !Config.Voters_.empty() && Heard >= Config.quorum();
 }
 
+/// \returns whether the VMs that this VM has heard of are all in contact with a
+/// quorum. Called with Lock_ held.
+bool CoreVm::Impl::knowsAllVms(Time Now) {
+  updateView(View_, quorumInContact(Now), Now);
+  return isComplete(View_);
+}
+
 /// \param Immediate whether to notify entry VMs now, because they must stop
 /// sending to the upstream
 void CoreVm::Impl::publishNotice(const UpstreamNotice &Notice, bool Immediate) {
@@ -592,8 +601,9 @@
 
 /// \returns whether all entry VMs in contact have confirmed in time. One that
 /// has just failed delays this until it is out of contact; the upstream repeats
-/// its announcement. Without a quorum, entry VMs may exist that this VM doesn't
-/// know.
+/// its announcement. So does an entry VM that this VM may not know yet: a
+/// departure that none has confirmed would be lost with the core VMs'
+/// processes.
 bool CoreVm::Impl::confirmNotice(const UpstreamNotice &Notice) {
   Time Deadline = Clock_.now() + ConfirmTimeout;
   std::vector<VmId> Cores = PeerRegistry_.coreVms();
@@ -605,6 +615,7 @@
   };
   std::set<VmId> To = AwaitAll();
   To.insert(Cores.begin(), Cores.end());
+  bool KnowsAll = knowsAllVms(Clock_.now());
   bool AllConfirmed = false;
   while (!AllConfirmed && Clock_.now() < Deadline) {
     Guard.unlock();
@@ -614,16 +625,18 @@
                         std::chrono::milliseconds(ConfirmRetryInterval.count()),
                         [&] { return isConfirmed(Departures_, Number); });
     To = AwaitAll(); // VMs may have joined or fallen silent
-    AllConfirmed = To.empty();
+    KnowsAll = knowsAllVms(Clock_.now());
+    AllConfirmed = KnowsAll && To.empty();
   }
   if (!AllConfirmed)
     log({.Level_ = LogLevel::Warning,
          .Step_ = "upstream.confirm",
          .Message_ = std::to_string(To.size()) +
                      " entry VMs have not confirmed the departure, first " +
-                     (To.empty() ? std::string("none") : To.begin()->str()),
+                     (To.empty() ? std::string("none") : To.begin()->str()) +
+                     (KnowsAll ? "" : "; there may be others"),
          .Peer_ = Notice.Id_.str()});
-  return AllConfirmed && quorumInContact(Clock_.now());
+  return AllConfirmed;
 }
 
 void CoreVm::Impl::repairVoters() {
@@ -681,6 +694,7 @@
                  Settings_.AnnounceEvery_ * 3 + Duration::seconds(1),
                  UpstreamRetention, Now);
     removeSilent(NodeRegistry_, NodeRetention, Now);
+    knowsAllVms(Now);
     std::erase_if(Delivered_, [&](const auto &Entry) {
       return Now - Entry.second.SentAt_ > NodeRetention;
     });
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -735,6 +735,38 @@
   }
 }
 
+// Guards against taking the VMs heard of so far for all: a departure was
+// acknowledged that no entry VM knew of.
+TEST_CASE(
+    "A core VM knows of all VMs once it has been in contact for a while") {
+  constexpr Duration Tick = Duration::millis(250);
+  FleetView V;
+  Time Now = Start;
+  auto Run = [&](Duration For, bool HasQuorum) {
+    for (Time End = Now + For; Now < End; Now = Now + Tick)
+      updateView(V, HasQuorum, Now);
+    return isComplete(V);
+  };
+  CHECK_FALSE(isComplete(V));
+  SECTION("but not without a quorum") {
+    CHECK_FALSE(Run(Duration::seconds(60), false));
+  }
+  SECTION("of two heartbeats, as an entry VM may not reach it itself") {
+    CHECK_FALSE(Run(Duration::seconds(2), true));
+    CHECK(Run(Duration::seconds(1), true));
+    SECTION("until it loses the quorum") {
+      Run(Tick, false);
+      CHECK_FALSE(Run(Duration::seconds(2), true));
+      CHECK(Run(Duration::seconds(1), true));
+    }
+    SECTION("until it is suspended") {
+      Now = Now + Duration::seconds(2);
+      CHECK_FALSE(Run(Duration::seconds(2), true));
+      CHECK(Run(Duration::seconds(1), true));
+    }
+  }
+}
+
 TEST_CASE("The entry VMs that have to confirm a departure") {
   NodeRegistry R;
   NodeRecord Near = makeNode("e1", false, "north");
