Tell all entry VMs of a warm-up after a restart of the core

Callers saw: all core VMs were restarted while a zone was drained, an upstream of it became cold, the drain ended, and the cold upstream got the full share of most entry VMs. review/10/run.sh on: broken, 17 requests in a second of 9.5 allowed, from three entry VMs.

Causes: a restarted core VM takes the upstream for a new one and tells only the entry VMs that it has heard of; digests of the announcements leave out the warm-up, so that nothing repairs this; the sighting of an announcement hides the announcement if it comes first; and from a core VM's first, partial lists of entry VMs several of them take themselves for the one that warms the upstream.

Change: digests cover all that decisions read. Sightings no longer count as announcements. An entry VM that meets a core VM which doesn't know it sends its record and synchronizes at once. Warm-ups of unknown upstreams are told at once while the core VM doesn't know all VMs. Lists of entry VMs say whether they are complete, and entry VMs keep the last complete one.

Why it works: an entry VM that has been in contact since the restart is told of each warm-up, one that comes into contact compares what it holds, and all choose the VM that warms an upstream by the same list.

Tests: test_FleetVms, "a warm-up that restarted core VMs hear of is known to the entry VM", failed on the code before in 2 of 2 runs; four sections of test_Fleet for digests, sightings and lists.

--- a/lagoonpoint/src/Fleet/FleetMessage.h
+++ b/lagoonpoint/src/Fleet/FleetMessage.h
@@ -102,7 +102,8 @@
   /// Live entry VMs of the core VM's region that accept new callers. An older
   /// core VM doesn't send them.
   std::vector<VmId> RegionEntryVms_;
-  MSGPACK_DEFINE(EntryVms_, RegionRates_, RegionEntryVms_)
+  bool IsComplete_ = true; ///< else there may be other entry VMs
+  MSGPACK_DEFINE(EntryVms_, RegionRates_, RegionEntryVms_, IsComplete_)
 };
 
 /// Reply of a core VM to a Heartbeat.
--- a/lagoonpoint/src/Fleet/TeamDemand.cpp
+++ b/lagoonpoint/src/Fleet/TeamDemand.cpp
@@ -130,6 +130,13 @@
   return Out;
 }
 
+void recordRates(FleetRates &Known, const FleetRates &New) {
+  if (New.IsComplete_)
+    Known = New;
+  else if (!Known.IsComplete_)
+    Known.RegionRates_ = New.RegionRates_;
+}
+
 HolderRank rankOf(const NodeRegistry &R, const VmId &Self,
                   const RegionId &Region, const TeamId &Team, Time Now) {
   std::vector<VmId> Cores{Self};
--- a/lagoonpoint/src/Fleet/TeamDemand.h
+++ b/lagoonpoint/src/Fleet/TeamDemand.h
@@ -52,6 +52,14 @@
 /// \ingroup Fleet
 FleetRates fleetRates(const NodeRegistry &R, const RegionId &Own, Time Now);
 
+/// Records a core VM's rates at an entry VM. Entry VMs divide limits and
+/// warm-ups by these lists, and would take too much by a list that lacks some
+/// of them: the last complete rates are kept until there are new ones. Before
+/// the first complete ones, only the sums by region are used.
+/// \ingroup Fleet
+/// \param[in,out] Known initially not complete
+void recordRates(FleetRates &Known, const FleetRates &New);
+
 /// Rank of a core VM among those of its region for one team.
 struct HolderRank {
   bool First_ = true;          ///< no core VM of the region precedes it
--- a/lagoonpoint/src/Fleet/UpstreamRegistry.cpp
+++ b/lagoonpoint/src/Fleet/UpstreamRegistry.cpp
@@ -46,29 +46,48 @@
          A.Slots_ != Old.Slots_ || WarmupChanged || Known.Silent_;
 }
 
-std::uint64_t digestTerm(const UpstreamNotice &A) {
-  return internal::stableHash(A.Id_.str() + "/" +
-                              std::to_string(A.StartedAtMs_) + "/" +
-                              std::to_string(static_cast<int>(A.Phase_)));
+bool isWarmingUp(const KnownUpstream &Known, Time Now) {
+  return Known.Notice_.Phase_ == NoticePhase::Serving &&
+         Now < Known.WarmupEndsAt_;
+}
+
+std::uint64_t digestTerm(const UpstreamNotice &A, bool IsWarmingUp) {
+  std::string Text = A.Id_.str();
+  for (const std::string &Field :
+       {std::to_string(A.StartedAtMs_),
+        std::to_string(static_cast<int>(A.Phase_)), A.Service_.str(),
+        A.Address_, A.Zone_.str(), std::to_string(A.Slots_),
+        std::string(IsWarmingUp ? "cold" : "")})
+    Text.append("/").append(Field);
+  return internal::stableHash(Text);
 }
 
 /// Updates the digest after a change to an upstream.
-void updateDigest(UpstreamRegistry &Registry, KnownUpstream &Known) {
-  std::uint64_t NewTerm = digestTerm(Known.Notice_);
+void updateDigest(UpstreamRegistry &Registry, KnownUpstream &Known, Time Now) {
+  Known.CountsAsCold_ = isWarmingUp(Known, Now);
+  std::uint64_t NewTerm = digestTerm(Known.Notice_, Known.CountsAsCold_);
   Registry.Digest_ += NewTerm - Known.DigestTerm_;
   Known.DigestTerm_ = NewTerm;
 }
 
+/// Updates the digest for warm-ups that have ended.
+void endWarmups(UpstreamRegistry &Registry, Time Now) {
+  for (auto &[Id, Known] : Registry.Upstreams_)
+    if (Known.CountsAsCold_ && !isWarmingUp(Known, Now))
+      updateDigest(Registry, Known, Now);
+}
+
 /// Marks the older upstreams at an address as gone: an address belongs to the
 /// process that was started last.
-void retireOlderAtAddress(UpstreamRegistry &Registry, const UpstreamNotice &A) {
+void retireOlderAtAddress(UpstreamRegistry &Registry, const UpstreamNotice &A,
+                          Time Now) {
   for (auto &[Id, Known] : Registry.Upstreams_) {
     if (Id == A.Id_ || Known.Notice_.Address_ != A.Address_)
       continue;
     if (Known.Notice_.StartedAtMs_ >= A.StartedAtMs_)
       continue;
     Known.Notice_.Phase_ = NoticePhase::Gone;
-    updateDigest(Registry, Known);
+    updateDigest(Registry, Known, Now);
   }
 }
 
@@ -108,15 +127,19 @@
                        A.StartedAtMs_ != Found->second.Notice_.StartedAtMs_ ||
                        A.Address_ != Found->second.Notice_.Address_;
   KnownUpstream &Known = Registry.Upstreams_[A.Id_];
+  bool IsSameProcess = IsKnown && A.StartedAtMs_ == Known.Notice_.StartedAtMs_;
   Known.Notice_ = A;
-  Known.HeardAt_ = Now - A.Age_;
+  if (!IsSameProcess || A.Sequence_ >= Known.HeardSequence_) {
+    Known.HeardSequence_ = A.Sequence_;
+    Known.HeardAt_ = Now - A.Age_;
+    Known.Silent_ = false;
+  }
   Known.WarmupEndsAt_ = Now + A.WarmupLeft_;
-  Known.Silent_ = false;
   if (ClaimsAddress && hasNewerAtAddress(Registry, A))
     Known.Notice_.Phase_ = NoticePhase::Gone;
-  updateDigest(Registry, Known);
+  updateDigest(Registry, Known, Now);
   if (ClaimsAddress)
-    retireOlderAtAddress(Registry, A);
+    retireOlderAtAddress(Registry, A, Now);
   return Changed;
 }
 
@@ -140,15 +163,16 @@
   if (Found == Registry.Upstreams_.end())
     return;
   KnownUpstream &Known = Found->second;
-  if (Sequence < Known.Notice_.Sequence_ || Now - Age <= Known.HeardAt_)
+  if (Sequence < Known.HeardSequence_ || Now - Age <= Known.HeardAt_)
     return;
-  Known.Notice_.Sequence_ = Sequence;
+  Known.HeardSequence_ = Sequence;
   Known.HeardAt_ = Now - Age;
 }
 
 void expireSilent(UpstreamRegistry &Registry, Duration SilentAfter,
                   Duration ForgetAfter, Time Now) {
   removeExpired(Registry, ForgetAfter, Now);
+  endWarmups(Registry, Now);
   for (auto &[Id, Known] : Registry.Upstreams_)
     Known.Silent_ = Now - Known.HeardAt_ > SilentAfter;
 }
@@ -168,6 +192,7 @@
       Known.HeardAt_ = Now;
   }
   removeExpired(Registry, ForgetAfter, Now);
+  endWarmups(Registry, Now);
 }
 
 std::uint64_t digestOf(const UpstreamRegistry &Registry) {
--- a/lagoonpoint/src/Fleet/UpstreamRegistry.h
+++ b/lagoonpoint/src/Fleet/UpstreamRegistry.h
@@ -11,10 +11,12 @@
 /// An entry of the registry.
 struct KnownUpstream {
   UpstreamNotice Notice_;
-  Time HeardAt_;                 ///< when any core VM last heard from it
-  Time WarmupEndsAt_;            ///< on this VM's clock
-  bool Silent_ = false;          ///< no announcements any more; perhaps dead
-  std::uint64_t DigestTerm_ = 0; ///< its term in the registry's digest
+  std::uint64_t HeardSequence_ = 0; ///< highest that any core VM heard
+  Time HeardAt_;                    ///< when a core VM heard it
+  Time WarmupEndsAt_;               ///< on this VM's clock
+  bool Silent_ = false;             ///< no announcements any more; perhaps dead
+  std::uint64_t DigestTerm_ = 0;    ///< its term in the registry's digest
+  bool CountsAsCold_ = false;       ///< in DigestTerm_
 };
 
 /// \class UpstreamRegistry
@@ -23,8 +25,9 @@
 ///
 /// A later process of an id replaces an earlier one. Within one process the
 /// phase only moves forward, and within one phase the highest sequence wins, so
-/// that late and repeated announcements change nothing. Of two ids at one
-/// address, the one that was started later owns it.
+/// that late and repeated announcements change nothing. A sighting by another
+/// VM is no announcement: its content may have been lost on the way. Of two ids
+/// at one address, the one that was started later owns it.
 struct UpstreamRegistry {
   std::map<UpstreamId, KnownUpstream> Upstreams_;
   std::uint64_t Digest_ = 0; ///< sum of the upstreams' terms
@@ -43,7 +46,8 @@
                                      const std::vector<UpstreamNotice> &Notices,
                                      Time Now);
 
-/// Records that another VM heard from an upstream.
+/// Records that another VM heard from an upstream, with a content that this VM
+/// may not have.
 /// \ingroup Fleet
 void recordSighting(UpstreamRegistry &Registry, const UpstreamId &Id,
                     std::uint64_t Sequence, Duration Age, Time Now);
@@ -63,8 +67,10 @@
     const std::vector<const std::set<UpstreamId> *> &SilentByCore,
     Duration ForgetAfter, Time Now);
 
-/// \returns a hash of the known upstreams and their phases; equal registries
-/// have equal digests. It is updated with each change, because every heartbeat
+/// \returns a hash of all that decisions read of the known upstreams; equal
+/// registries have equal digests. A warm-up counts until it ends, as its time
+/// differs between VMs. The digest is updated with each change, and with the
+/// warm-ups by expireSilent() and applySilentReports(), because every heartbeat
 /// of every VM needs it.
 /// \ingroup Fleet
 std::uint64_t digestOf(const UpstreamRegistry &Registry);
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -383,8 +383,10 @@
   for (const auto &[Id, Known] : Upstreams_.Upstreams_)
     if (Known.Silent_ && Known.Notice_.Phase_ != NoticePhase::Gone)
       Out.SilentUpstreams_.push_back(Id);
-  if (H.WantsRates_)
+  if (H.WantsRates_) {
     Out.Rates_.push_back(fleetRates(NodeRegistry_, Settings_.Region_, Now));
+    Out.Rates_.back().IsComplete_ = knowsAllVms(Now);
+  }
   if (auto Relayed = relayedProof(View, OwnProof, Now))
     Out.RelayedProof_.push_back(*Relayed);
   return Out;
@@ -563,7 +565,14 @@
                             RelayedNotices_.end());
     PendingNotices_.clear();
     RelayedNotices_.clear();
-    To = entryVmsToNotify(Clock_.now());
+    // The core VM that is responsible for an entry VM may not know it yet.
+    Time Now = Clock_.now();
+    if (isComplete(View_))
+      To = entryVmsToNotify(Now);
+    else
+      for (const KnownNode *Node :
+           liveEntryVms(NodeRegistry_, LivenessTimeout, Now))
+        To.push_back(Node->Record_.Vm_);
   }
   std::string Body = encodeMessage(Notices);
   for (const VmId &Vm : To)
@@ -819,15 +828,17 @@
 
 AnnounceResult CoreVm::announce(const UpstreamNotice &Notice) {
   bool IsNew = false;
-  bool RestartsWarmup = false;
+  bool MayRestartWarmup = false;
   {
     std::lock_guard Guard(Impl_->Lock_);
     Time Now = Impl_->Clock_.now();
     auto Known = Impl_->Upstreams_.Upstreams_.find(Notice.Id_);
-    RestartsWarmup =
-        Known != Impl_->Upstreams_.Upstreams_.end() &&
-        Known->second.Notice_.StartedAtMs_ == Notice.StartedAtMs_ &&
-        Notice.WarmupLeft_ > Duration();
+    // Entry VMs may know an upstream that this VM has not heard of yet.
+    bool MayBeKnown =
+        Known == Impl_->Upstreams_.Upstreams_.end()
+            ? !isComplete(Impl_->View_)
+            : Known->second.Notice_.StartedAtMs_ == Notice.StartedAtMs_;
+    MayRestartWarmup = MayBeKnown && Notice.WarmupLeft_ > Duration();
     IsNew = applyNotice(Impl_->Upstreams_, Notice, Now);
     Impl_->Sightings_[Notice.Id_] = {Notice.Id_, Notice.Sequence_, Duration()};
   }
@@ -839,7 +850,7 @@
                      std::to_string(static_cast<int>(Notice.Phase_)),
          .Peer_ = Notice.Id_.str()});
   if (IsNew && !IsEnding)
-    Impl_->publishNotice(Notice, RestartsWarmup);
+    Impl_->publishNotice(Notice, MayRestartWarmup);
   if (!IsEnding)
     return AnnounceResult::Accepted;
   return Impl_->confirmNotice(Notice) ? AnnounceResult::Accepted
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -252,12 +252,10 @@
   mutable std::mutex Lock_; ///< guards what follows
   UpstreamRegistry Upstreams_;
   ItemFreshness ItemFreshness_;
-  std::vector<VmId> EntryVms_;
-  std::vector<VmId> RegionEntryVms_;
+  FleetRates Rates_{.IsComplete_ = false};
   CoreContacts Cores_{Settings_.Region_, {}};
   ItemRequests ItemRequests_;
   bool LoggedKeysProven_ = false;
-  std::map<std::string, RateMap> RegionRates_;
   Time RebalancedAt_;
   std::set<VmId> RecordSentTo_; ///< core VMs that hold this VM's record
   Time NextHeartbeat_;          ///< used by the ticker only
@@ -324,20 +322,18 @@
           std::max(ItemFreshness_.AppliedIndex_, Reply.Proof_.AppliedIndex_);
     if (!Reply.KnowsSender_)
       RecordSentTo_.erase(From);
-    if (!Reply.Rates_.empty()) {
-      EntryVms_ = Reply.Rates_.front().EntryVms_;
-      RegionRates_ = Reply.Rates_.front().RegionRates_;
-      RegionEntryVms_ = Reply.Rates_.front().RegionEntryVms_;
-    }
+    if (!Reply.Rates_.empty())
+      recordRates(Rates_, Reply.Rates_.front());
     if (!Reply.RelayedProof_.empty())
       recordRelay(ItemFreshness_, From, Time(Reply.EchoedSentAt_),
                   Reply.RelayedProof_.front(), Reply.ItemsRevision_);
     CoreContact &Core = recordReply(Cores_, From, Reply, Now);
     bool Differs = Reply.UpstreamsDigest_ != digestOf(Upstreams_);
     Core.DigestMismatches_ = Differs ? Core.DigestMismatches_ + 1 : 0;
-    // A single mismatch is expected while announcements are in transit.
+    // A single mismatch is expected while announcements are in transit. A core
+    // VM that has just started could not send its own to this VM.
     bool NeedsSync = Core.DigestMismatches_ >= MismatchesBeforeSync ||
-                     Upstreams_.Upstreams_.empty();
+                     !Reply.KnowsSender_ || Upstreams_.Upstreams_.empty();
     if (NeedsSync && Differs && From == nearestCoreVm(Cores_, Now)) {
       Core.DigestMismatches_ = 0;
       Request.Digests_ = bucketDigests(Upstreams_);
@@ -345,7 +341,8 @@
     RequestItems =
         OwnRevision < Reply.ItemsRevision_ && beginRequest(ItemRequests_, Now);
   }
-  if (RequestItems)
+  // First, so that announcements after the synchronization are sent to this VM.
+  if (RequestItems || !Reply.KnowsSender_)
     sendHeartbeats({From});
   if (!Request.Digests_.empty())
     sendTo(From, Request);
@@ -436,7 +433,7 @@
 
 /// Called with Lock_ held. Refers to this object and to \p C.
 FleetSnapshot EntryVm::Impl::fleetSnapshot(const Configuration &C) const {
-  return {Upstreams_, C.DrainedZones_, EntryVms_, C.Items_.Services_,
+  return {Upstreams_, C.DrainedZones_, Rates_.EntryVms_, C.Items_.Services_,
           Clock_.now()};
 }
 
@@ -468,8 +465,9 @@
 /// Sends heartbeats to the heartbeatTargets(). Only the nearest core VM is
 /// asked for the fleet's rates, and team rates go only to the core VMs that
 /// grant tokens. \param Only if not empty, the heartbeats go only to these core
-/// VMs and request items from them; used for the first core VM that reports
-/// newer items when they may be requested
+/// VMs and request items from them; used for a core VM that doesn't know this
+/// VM, and for the first one that reports newer items when they may be
+/// requested
 void EntryVm::Impl::sendHeartbeats(const std::vector<VmId> &Only) {
   Heartbeat Common;
   Common.WantsItems_ = !Only.empty();
@@ -552,7 +550,7 @@
   PlacementView View;
   {
     std::lock_guard Guard(Lock_);
-    View = {RegionRates_, EntryVms_, RegionEntryVms_};
+    View = {Rates_.RegionRates_, Rates_.EntryVms_, Rates_.RegionEntryVms_};
   }
   if (Placement_.isActive())
     PeerRegistry_.add(View.EntryVms_);
@@ -569,9 +567,9 @@
                          remoteCoreVms(Cores_, Now),
                          replyingCoreVms(Cores_, Now));
   updateDispatcher();
-  Dispatcher_.rebalance(RegionRates_, RebalancedAt_ == Time()
-                                          ? TickInterval
-                                          : Now - RebalancedAt_);
+  Dispatcher_.rebalance(Rates_.RegionRates_, RebalancedAt_ == Time()
+                                                 ? TickInterval
+                                                 : Now - RebalancedAt_);
   RebalancedAt_ = Now;
 }
 
@@ -609,7 +607,7 @@
   std::size_t Vms = 1;
   {
     std::lock_guard Guard(Lock_);
-    Vms = std::max<std::size_t>(EntryVms_.size(), 1);
+    Vms = std::max<std::size_t>(Rates_.EntryVms_.size(), 1);
   }
   double Slack = Settings_.RetrySlack_ * RetrySlackFraction / double(Vms);
   RetryBudgetLimits Limits;
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -116,6 +116,26 @@
     CHECK(Forwarded.front().WarmupLeft_ == Duration::millis(1500));
     CHECK(Forwarded.front().Age_ == Duration::millis(500));
   }
+  // Guards against a sighting that hides an announcement which comes later.
+  SECTION("also if the sighting of an announcement arrives before it") {
+    UpstreamNotice Cold = makeNotice("i1", 50, 4);
+    Cold.WarmupLeft_ = Duration::seconds(2);
+    Time Now = Start + Duration::millis(100);
+    recordSighting(Registry, Cold.Id_, 5, Duration(), Now);
+    CHECK(applyNotice(Registry, Cold, Now));
+    CHECK(allNotices(Registry, Now).front().WarmupLeft_ == Cold.WarmupLeft_);
+    SECTION("but a late one doesn't count as heard now") {
+      Cold.Sequence_ = 5;
+      applyNotice(Registry, Cold, Now);
+      recordSighting(Registry, Cold.Id_, 7, Duration(),
+                     Now + Duration::seconds(1));
+      Cold.Sequence_ = 6;
+      applyNotice(Registry, Cold, Now + Duration::seconds(9));
+      expireSilent(Registry, Duration::seconds(5), Duration::seconds(60),
+                   Now + Duration::seconds(9));
+      CHECK(Registry.Upstreams_.at(Cold.Id_).Silent_);
+    }
+  }
   SECTION("an upstream that stops is silent, then removed") {
     Duration Silent = Duration::seconds(5);
     Duration Forget = Duration::seconds(60);
@@ -235,6 +255,46 @@
     applyNotice(Same, makeNotice("i2", 50, 4, "10.0.0.2:80"), Start);
     CHECK(digestOf(Registry) == digestOf(Same));
   }
+  // Guards against registries that differ and are not synchronized.
+  SECTION("of what decisions read") {
+    auto DigestOf = [](const UpstreamNotice &A) {
+      UpstreamRegistry One;
+      applyNotice(One, A, Start);
+      return digestOf(One);
+    };
+    const UpstreamNotice A = makeNotice("i1", 50, 3);
+    const std::uint64_t Usual = DigestOf(A);
+    auto IsSeen = [&](const auto &Change) {
+      UpstreamNotice Changed = A;
+      Change(Changed);
+      return DigestOf(Changed) != Usual;
+    };
+    using N = UpstreamNotice;
+    CHECK(IsSeen([](N &C) { C.Id_ = UpstreamId("i2"); }));
+    CHECK(IsSeen([](N &C) { C.StartedAtMs_ = 51; }));
+    CHECK(IsSeen([](N &C) { C.Service_ = ServiceId("other"); }));
+    CHECK(IsSeen([](N &C) { C.Address_ = "10.0.0.9:8081"; }));
+    CHECK(IsSeen([](N &C) { C.Zone_ = ZoneId("b"); }));
+    CHECK(IsSeen([](N &C) { C.Slots_ = 4; }));
+    CHECK(IsSeen([](N &C) { C.Phase_ = NoticePhase::Leaving; }));
+    CHECK(IsSeen([](N &C) { C.WarmupLeft_ = Duration::seconds(1); }));
+    CHECK_FALSE(IsSeen([](N &C) { C.Sequence_ = 4; }));
+  }
+  SECTION("when a warm-up begins, and again when it ends") {
+    std::uint64_t Warm = digestOf(Registry);
+    UpstreamNotice Cold = makeNotice("i1", 50, 4, "10.0.0.1:80");
+    Cold.WarmupLeft_ = Duration::seconds(2);
+    applyNotice(Registry, Cold, Start);
+    CHECK(digestOf(Registry) != Warm);
+    Time End = Start + Cold.WarmupLeft_;
+    SECTION("at a core VM") {
+      expireSilent(Registry, MaxSilence, Duration::seconds(60), End);
+    }
+    SECTION("at an entry VM") {
+      applySilentReports(Registry, {}, Duration::seconds(60), End);
+    }
+    CHECK(digestOf(Registry) == Warm);
+  }
   SECTION("but not by a repeated announcement") {
     std::uint64_t Before = digestOf(Registry);
     applyNotice(Registry, makeNotice("i1", 50, 4, "10.0.0.1:80"), Start);
@@ -481,6 +541,33 @@
   }
 }
 
+// Guards against entry VMs that each take the part of a fleet of few: several
+// of them warmed the same upstream.
+TEST_CASE("An entry VM keeps to the last complete list of entry VMs") {
+  auto Rates = [](std::vector<VmId> Vms, double PerSecond, bool IsComplete) {
+    return FleetRates{
+        Vms, {{"north", {{"register", PerSecond}}}}, Vms, IsComplete};
+  };
+  const std::vector<VmId> All{VmId("e1"), VmId("e2"), VmId("e3")};
+  const std::vector<VmId> Some{VmId("e2")};
+  FleetRates Known{.IsComplete_ = false};
+  recordRates(Known, Rates(Some, 1, false));
+  SECTION("before the first one it has none, but sums") {
+    CHECK(Known.EntryVms_.empty());
+    CHECK(Known.RegionEntryVms_.empty());
+    CHECK(Known.RegionRates_["north"]["register"] == 1);
+  }
+  SECTION("from then on it has the last one") {
+    recordRates(Known, Rates(All, 3, true));
+    recordRates(Known, Rates(Some, 1, false));
+    CHECK(Known.EntryVms_ == All);
+    CHECK(Known.RegionEntryVms_ == All);
+    CHECK(Known.RegionRates_["north"]["register"] == 3);
+    recordRates(Known, Rates(Some, 1, true));
+    CHECK(Known.EntryVms_ == Some);
+  }
+}
+
 TEST_CASE("The teams are distributed over the core VMs of a region") {
   DemandFixture D;
   TeamId Team("rangers");
--- a/test/FleetVms.cpp
+++ b/test/FleetVms.cpp
@@ -353,6 +353,23 @@
     CHECK_THAT(Fleet.call(Get), StartsWith("HTTP/1.1 503 "));
     CHECK(Upstream.requests() == Before);
   }
+  // Guards against a warm-up that only entry VMs hear of which the core VM had
+  // heard of before.
+  SECTION(
+      "a warm-up that restarted core VMs hear of is known to the entry VM") {
+    ItemSet Patch = items(2, {"key-one"});
+    Patch.Services_["register"].Version_ = ItemVersion(2);
+    Patch.Services_["register"].Value_.WarmupRate_ = 0.1;
+    REQUIRE(Fleet.apply(Patch).Verdict_ == ChangeVerdict::Accepted);
+    Fleet.restartCores();
+    UpstreamNotice Cold = notice(Port, NoticePhase::Serving, 2);
+    Cold.WarmupLeft_ = Duration::seconds(60);
+    Fleet.Cores_[0]->announce(Cold);
+    CHECK(eventually([&] {
+      return Fleet.call(Get).find("\"no_capacity\",\"ran\":\"no\"") !=
+             std::string::npos;
+    }));
+  }
   // Fails if the proof that the first items are current waits for the next
   // regular heartbeat, a second later: all calls of that time were refused.
   SECTION("after a restart of all VMs, an entry VM serves calls as soon as it "
