Tell an entry VM of warm-ups instead of synchronizing all

Cause: after a restart of the core, each entry VM synchronized announcements at its first contact, and would have sent all that it knows to a core VM that has just started, at the same moment as all others of its region.

Change: the core VM sends the announcements of the upstreams that are warming up to an entry VM whose record it gets. All else is synchronized after two heartbeats, as before.

The bytes of a restart were not measured.

--- a/lagoonpoint/src/Fleet/UpstreamRegistry.cpp
+++ b/lagoonpoint/src/Fleet/UpstreamRegistry.cpp
@@ -207,6 +207,15 @@
   return Out;
 }
 
+std::vector<UpstreamNotice> warmupNotices(const UpstreamRegistry &Registry,
+                                          Time Now) {
+  std::vector<UpstreamNotice> Out;
+  for (const auto &[Id, Known] : Registry.Upstreams_)
+    if (isWarmingUp(Known, Now))
+      Out.push_back(makeForwardedNotice(Known, Now));
+  return Out;
+}
+
 BucketDigests bucketDigests(const UpstreamRegistry &Registry) {
   BucketDigests Out(BucketCount);
   for (const auto &[Id, Known] : Registry.Upstreams_)
--- a/lagoonpoint/src/Fleet/UpstreamRegistry.h
+++ b/lagoonpoint/src/Fleet/UpstreamRegistry.h
@@ -80,6 +80,11 @@
 std::vector<UpstreamNotice> allNotices(const UpstreamRegistry &Registry,
                                        Time Now);
 
+/// \returns the announcements of the upstreams that are warming up.
+/// \ingroup Fleet
+std::vector<UpstreamNotice> warmupNotices(const UpstreamRegistry &Registry,
+                                          Time Now);
+
 /// Digests of the buckets into which a registry is divided by the hash of the
 /// upstreams' ids. They show where two registries differ, so that only those
 /// buckets are exchanged.
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -396,6 +396,7 @@
   Time Now = Clock_.now();
   HeartbeatResult Status = HeartbeatResult::Accepted;
   bool FromCore = false;
+  NoticeBatch Warmups;
   std::vector<VmId> Reported;
   for (const EntryReport &Report : H.EntryVms_)
     Reported.push_back(Report.Vm_);
@@ -407,8 +408,11 @@
     if (Status == HeartbeatResult::Accepted)
       FromCore = NodeRegistry_.Nodes_[From].Record_.Core_;
     recordReports(NodeRegistry_, H.EntryVms_, Now);
-    if (!H.Self_.empty()) // the sender may have been restarted
+    if (!H.Self_.empty()) { // the sender may have been restarted
       ReportedTo_.erase(From);
+      if (Status == HeartbeatResult::Accepted && !FromCore)
+        Warmups.Notices_ = warmupNotices(Upstreams_, Now);
+    }
     for (const Sighting &S : H.Sightings_)
       recordSighting(Upstreams_, S.Id_, S.Sequence_, S.Age_, Now);
   }
@@ -420,6 +424,9 @@
   HeartbeatReply Reply = makeReply(From, H, Now);
   Reply.KnowsSender_ = Status == HeartbeatResult::Accepted;
   sendTo(From, Reply);
+  // Those of before this VM knew the sender; too late after two heartbeats.
+  if (!Warmups.Notices_.empty())
+    sendTo(From, Warmups);
   if (H.WantsItems_ && lacksItems(From, H.ItemsRevision_))
     sendItems({From}, H.ItemsRevision_);
 }
--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -330,10 +330,9 @@
     CoreContact &Core = recordReply(Cores_, From, Reply, Now);
     bool Differs = Reply.UpstreamsDigest_ != digestOf(Upstreams_);
     Core.DigestMismatches_ = Differs ? Core.DigestMismatches_ + 1 : 0;
-    // A single mismatch is expected while announcements are in transit. A core
-    // VM that has just started could not send its own to this VM.
+    // A single mismatch is expected while announcements are in transit.
     bool NeedsSync = Core.DigestMismatches_ >= MismatchesBeforeSync ||
-                     !Reply.KnowsSender_ || Upstreams_.Upstreams_.empty();
+                     Upstreams_.Upstreams_.empty();
     if (NeedsSync && Differs && From == nearestCoreVm(Cores_, Now)) {
       Core.DigestMismatches_ = 0;
       Request.Digests_ = bucketDigests(Upstreams_);
@@ -341,7 +340,6 @@
     RequestItems =
         OwnRevision < Reply.ItemsRevision_ && beginRequest(ItemRequests_, Now);
   }
-  // First, so that announcements after the synchronization are sent to this VM.
   if (RequestItems || !Reply.KnowsSender_)
     sendHeartbeats({From});
   if (!Request.Digests_.empty())
