Require keys also once the last team was removed

Cause: an entry VM checks no key where no team is left, as in a fleet that uses no keys. The two have the same value.

Change: a fleet that never had a team is told from one whose teams were removed by their tombstones. Once there was a team, routes that aren't open answer 401 to unknown keys and to requests without a key.

Why it works: tombstones are kept and sent like other items, so that every entry VM that has the removal requires keys, also after a restart.

--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -644,7 +644,7 @@
 TeamId EntryVm::Impl::authenticateTeam(const Configuration &C,
                                        const RouteItem &Route,
                                        const Call &Request) {
-  if (Route.Open_ || !C.Table_.hasTeams())
+  if (Route.Open_ || !C.Table_.requiresKeys())
     return TeamId();
   TeamId Team = C.Table_.teamOf(Request.Key_);
   if (Team.empty())
--- a/lagoonpoint/src/Items/RouteTable.cpp
+++ b/lagoonpoint/src/Items/RouteTable.cpp
@@ -13,10 +13,10 @@
               [](const TableRoute &A, const TableRoute &B) {
                 return A.Item_.Prefix_.size() > B.Item_.Prefix_.size();
               });
+  RequiresKeys_ = !Items.Teams_.empty(); // removed teams stay as tombstones
   for (const auto &[Name, T] : Items.Teams_) {
     if (T.Removed_)
       continue;
-    HasTeams_ = true;
     for (const std::string &Key : T.Value_.Keys_)
       ByKey_.emplace(Key, TeamId(Name));
   }
--- a/lagoonpoint/src/Items/RouteTable.h
+++ b/lagoonpoint/src/Items/RouteTable.h
@@ -27,12 +27,15 @@
                          const std::string &Path) const;
   /// \returns the team that owns a key, or an empty id.
   TeamId teamOf(const std::string &Key) const;
-  bool hasTeams() const { return HasTeams_; }
+  /// \returns whether routes that aren't open need a key. They don't in a fleet
+  /// that never had a team. They do once the last team was removed: its key
+  /// must not work, and the routes must not become open.
+  bool requiresKeys() const { return RequiresKeys_; }
 
 private:
   std::unordered_map<std::string, std::vector<TableRoute>> ByHost_;
   std::unordered_map<std::string, TeamId> ByKey_;
-  bool HasTeams_ = false;
+  bool RequiresKeys_ = false;
 };
 
 } // namespace lagoonpoint
--- a/test/FleetVms.cpp
+++ b/test/FleetVms.cpp
@@ -232,6 +232,26 @@
     CHECK_THAT(Fleet.call("GET /tags/7 HTTP/1.1\r\nX-Api-Key: key-two\r\n"),
                Contains("mine"));
   }
+  // Guards against reading "no team left" as "no key needed".
+  SECTION("the key of the last team is refused once the team is removed") {
+    ItemSet Patch;
+    Patch.Teams_["rangers"].Version_ = ItemVersion(2);
+    Patch.Teams_["rangers"].Removed_ = true;
+    REQUIRE(Fleet.apply(Patch).Verdict_ == ChangeVerdict::Accepted);
+    CHECK(
+        eventually([&] { return Fleet.call(Get).find("HTTP/1.1 401 ") == 0; }));
+    int Before = Upstream.requests();
+    CHECK_THAT(Fleet.call("GET /tags/7 HTTP/1.1\r\nX-Api-Key: nobody\r\n"),
+               StartsWith("HTTP/1.1 401 "));
+    CHECK_THAT(Fleet.call("GET /tags/7 HTTP/1.1\r\n"),
+               StartsWith("HTTP/1.1 401 "));
+    CHECK(Upstream.requests() == Before);
+
+    Patch.Teams_["rangers"] = items(3, {"key-one"}).Teams_["rangers"];
+    REQUIRE(Fleet.apply(Patch).Verdict_ == ChangeVerdict::Accepted);
+    CHECK(eventually(
+        [&] { return Fleet.call(Get).find("mine") != std::string::npos; }));
+  }
   // Guards against reading "no region in common" as "no restriction".
   SECTION("a route and a team without a common region are served in none") {
     auto Restrict = [&](std::uint64_t Version, const char *OfRoute,
--- a/test/Items.cpp
+++ b/test/Items.cpp
@@ -209,5 +209,16 @@
   CHECK(Table.find("other.example", "/lookup/7") == nullptr);
   CHECK(Table.teamOf("k2") == TeamId("rangers"));
   CHECK(Table.teamOf("k3").empty());
-  CHECK(Table.hasTeams());
+  SECTION("routes that aren't open need a key") {
+    CHECK(Table.requiresKeys());
+    SECTION("also once the last team was removed") {
+      Items.Teams_["rangers"] = removal<TeamItem>(9);
+      CHECK(RouteTable(Items).requiresKeys());
+      CHECK(RouteTable(Items).teamOf("k2").empty());
+    }
+    SECTION("unless there was never a team") {
+      Items.Teams_.clear();
+      CHECK_FALSE(RouteTable(Items).requiresKeys());
+    }
+  }
 }
