Fail a try whose response has a status out of range

Callers saw: nothing reported here; the users saw status 000 as an answer on other systems and asked for a check. An upstream that answered 000, 001 or 099 made the caller wait until its deadline (504); 600 and 999 were passed on.

Cause: three digits were read as a status without a range. A status below 200 counts as an interim response, after which the real one is awaited.

Change: a status outside of 100 to 599 is a malformed status line. The try fails at once as broken: 502, ran unknown, or another try on a repeatable route.

Why it works: the parser is the only place that reads a status line of an upstream or another VM.

--- a/lagoonpoint/src/Http/util/HeadParser.cpp
+++ b/lagoonpoint/src/Http/util/HeadParser.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t MaxNameBytes = 256;
 constexpr std::size_t MaxMethodBytes = 32;
 constexpr std::size_t MaxLengthDigits = 18;
+/// Status codes of HTTP (RFC 9110, section 15).
+constexpr int MinStatus = 100;
+constexpr int MaxStatus = 599;
 
 /// Thrown for a head that must be rejected.
 struct Malformed {
@@ -138,7 +141,8 @@
     IsValid = Line[At] >= '0' && Line[At] <= '9';
     Status = Status * 10 + (Line[At] - '0');
   }
-  IsValid = IsValid && (Line.size() == 12 || Line[12] == ' ');
+  IsValid = IsValid && (Line.size() == 12 || Line[12] == ' ') &&
+            Status >= MinStatus && Status <= MaxStatus;
   if (!IsValid || hasControlCharacters(Line))
     throw Malformed{"malformed status line"};
   Out.setVersion(std::string(Line.substr(0, StatusAt - 1)));
--- a/test/ProxyFaults.cpp
+++ b/test/ProxyFaults.cpp
@@ -95,6 +95,28 @@
   CHECK(onlyReport(Fixture).Result_ == TryResult::Broken);
 }
 
+// Guards against a status that is three digits but no status, passed on or
+// taken for an interim response that the real one would follow.
+TEST_CASE("A response whose status is out of range fails the try at once") {
+  std::string Status =
+      GENERATE(as<std::string>(), "000", "001", "099", "600", "999");
+  CAPTURE(Status);
+  std::atomic<bool> LostConnection{false};
+  ScriptedUpstream Upstream([&](RawSocket &S) {
+    Upstream.receive(S);
+    S.send("HTTP/1.1 " + Status + " X\r\nContent-Length: 2\r\n\r\nno");
+    LostConnection = Upstream.receive(S).empty();
+  });
+  fakes::CallerServerFixture Fixture;
+  RawSocket Caller(Fixture.start(Upstream.address()));
+  Caller.send(Get);
+  std::string Response = Caller.readMessage();
+  CHECK_THAT(Response, StartsWith("HTTP/1.1 502 "));
+  CHECK_THAT(Response, Contains("\"upstream_failed\",\"ran\":\"unknown\""));
+  CHECK(onlyReport(Fixture).Result_ == TryResult::Broken);
+  CHECK(eventually([&] { return LostConnection.load(); }));
+}
+
 TEST_CASE("A response truncated after its start never looks complete") {
   std::string Head = "HTTP/1.1 200 OK\r\n";
   std::string Body(LongBytes, 'x');
