Answer a request whose body is not complete in time

Cause: a streamed body whose next part doesn't come ended the call as one whose caller has left, also if the deadline had passed, the part was malformed or the body too long.

Change: such a call gets 504, 400 or 413, which don't say that the request has not run, and its connection is closed. A short body that is late gets 504 instead of 400.

Why it works: only a close by the caller counts as its leaving.

Tests: test_ProxyFaults, "A request body that can't be completed is answered", failed on the code before (3 checks).

--- a/lagoonpoint/src/Http/util/ProxyCall.cpp
+++ b/lagoonpoint/src/Http/util/ProxyCall.cpp
@@ -17,7 +17,12 @@
 
 Refusal badBody(Ran R) {
   return Refusal(RefusalReason::BadRequest, R, Step,
-                 "request body is truncated, late or malformed");
+                 "request body is truncated or malformed");
+}
+
+Refusal lateBody(Ran R) {
+  return Refusal(RefusalReason::DeadlinePassed, R, Step,
+                 "request body was not complete in time");
 }
 
 Refusal tooLarge(Ran R) {
@@ -105,6 +110,8 @@
     BodyStatus Status = Body_.next(Data, BodyDeadline);
     if (Status == BodyStatus::Complete)
       return;
+    if (Status == BodyStatus::TimedOut)
+      throw lateBody(Ran::No);
     if (Status != BodyStatus::Data)
       throw badBody(Ran::No);
     BufferedBody_ += Data;
@@ -167,6 +174,8 @@
     }
   }
   bool Retry = report(T);
+  if (T.BodyFault_)
+    throw Refusal(*T.BodyFault_);
   if (T.Report_.Result_ == TryResult::CallerLeft)
     return true;
   if (!Retry || BodyStreamed_)
@@ -246,11 +255,15 @@
         Status == BodyStatus::Interrupted || T.Socket_->readable();
     if (ResponseArrived)
       return true;
+    if (Status == BodyStatus::TimedOut)
+      return failBody(T, lateBody(Ran::Unknown));
+    if (Status == BodyStatus::Malformed)
+      return failBody(T, badBody(Ran::Unknown));
     if (Status != BodyStatus::Data)
       return fail(T, TryResult::CallerLeft);
     BodyBytes_ += Data.size();
     if (BodyBytes_ > Context_.Settings_.MaxBodyBytes_)
-      return fail(T, TryResult::CallerLeft);
+      return failBody(T, tooLarge(Ran::Unknown));
     if (!sendBodyData(T, Data, Limit))
       return false;
   }
@@ -265,6 +278,12 @@
   return false;
 }
 
+// The caller is still there and gets a response. The upstream is not at fault.
+bool ProxyCall::failBody(Try &T, const Refusal &R) {
+  T.BodyFault_ = R;
+  return fail(T, TryResult::CallerLeft);
+}
+
 bool ProxyCall::failIo(Try &T, IoStatus Status) {
   if (Status == IoStatus::Interrupted)
     return fail(T, TryResult::CallerLeft);
--- a/lagoonpoint/src/Http/util/ProxyCall.h
+++ b/lagoonpoint/src/Http/util/ProxyCall.h
@@ -65,8 +65,9 @@
     std::optional<Deadline> Limit_; ///< of this try, if it may be repeated
     bool SentAll_ = false;          ///< the complete request was sent
     bool MayHaveRunBefore_ = false; ///< an earlier try may have run the request
-    unsigned SkippedResponses_ = 0; ///< responses to other requests
-    unsigned InterimResponses_ = 0; ///< responses of status 1xx
+    std::optional<Refusal> BodyFault_; ///< of the caller, in a streamed body
+    unsigned SkippedResponses_ = 0;    ///< responses to other requests
+    unsigned InterimResponses_ = 0;    ///< responses of status 1xx
     std::chrono::steady_clock::time_point StartedAt_;
   };
 
@@ -92,6 +93,7 @@
   TryResult streamBody(Try &T, BodyReader &Reader, bool Chunked);
 
   bool fail(Try &T, TryResult Result);
+  bool failBody(Try &T, const Refusal &R);
   bool failIo(Try &T, IoStatus Status);
   bool report(Try &T);
   void refuse(const Try &T);
--- a/lagoonpoint/src/Retry/TryResult.h
+++ b/lagoonpoint/src/Retry/TryResult.h
@@ -11,7 +11,7 @@
   Shed,         ///< upstream reported that it did not run the request
   TimedOut,     ///< deadline of call or try passed after bytes were sent
   Broken,     ///< connection failed or response truncated after bytes were sent
-  CallerLeft, ///< caller closed its connection
+  CallerLeft, ///< caller closed its connection or did not complete its request
 };
 
 } // namespace lagoonpoint
--- a/test/ProxyFaults.cpp
+++ b/test/ProxyFaults.cpp
@@ -228,6 +228,48 @@
   }
 }
 
+// Guards against a caller that waits for a response and finds its connection
+// closed.
+TEST_CASE("A request body that can't be completed is answered") {
+  std::atomic<bool> LostConnection{false};
+  ScriptedUpstream Upstream([&](RawSocket &S) {
+    S.readUntil("\r\n\r\n");
+    S.readAll();
+    LostConnection = true;
+  });
+  fakes::CallerServerFixture Fixture;
+  Fixture.Port_.Deadline_ = Duration::millis(600);
+  RawSocket Caller(Fixture.start(Upstream.address()));
+  std::string Head = "POST /tags HTTP/1.1\r\nHost: vm\r\n";
+  std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  std::string LongChunk = "30d40\r\n" + std::string(LongBytes, 'x') + "\r\n";
+  SECTION("if it is short and late, as not run") {
+    Caller.send(Head + "Content-Length: 10\r\n\r\nshort");
+    CHECK_THAT(Caller.readMessage(),
+               StartsWith("HTTP/1.1 504 ") &&
+                   Contains("\"deadline_passed\",\"ran\":\"no\""));
+    CHECK(Upstream.connections() == 0);
+  }
+  SECTION("if it is streamed") {
+    SECTION("and late") {
+      Caller.send(Head + "Content-Length: 300000\r\n\r\n" +
+                  std::string(LongBytes, 'x'));
+      CHECK_THAT(Caller.readMessage(),
+                 StartsWith("HTTP/1.1 504 ") &&
+                     Contains("\"deadline_passed\",\"ran\":\"unknown\""));
+    }
+    SECTION("and malformed") {
+      Caller.send(Chunked + LongChunk + "zz\r\n");
+      CHECK_THAT(Caller.readMessage(),
+                 StartsWith("HTTP/1.1 400 ") &&
+                     Contains("\"bad_request\",\"ran\":\"unknown\""));
+    }
+    CHECK(onlyReport(Fixture).Result_ == TryResult::CallerLeft);
+    CHECK(eventually([&] { return LostConnection.load(); }));
+  }
+  CHECK(Caller.closed());
+}
+
 TEST_CASE("A long request body is streamed") {
   fakes::CallerServerFixture Fixture;
   SECTION("completely") {
