Take small parts while the number of entry VMs is unknown

Cause: an entry VM without a list of the entry VMs took itself for the only one. It used the whole of each upstream's stated limit and the whole slack of the fleet's retry budget. Since lists are taken over only when complete, this lasts for some 4 s after a start.

Change: without a list, a VM takes the part of one of many senders of a limit, and only the part of the retry budget that follows its own requests.

Tests: test_StatedLimit, "VMs that don't know each other yet don't exceed an upstream's limit", failed on the code before: 144 requests in 4 s of 9 VMs with a limit of 4/s, 29 are tolerated. test_Retry, "Entry VMs together use no more than the fleet's retry budget"; the function did not exist before.

--- a/lagoonpoint/src/Gateway/EntryVm.cpp
+++ b/lagoonpoint/src/Gateway/EntryVm.cpp
@@ -6,6 +6,7 @@
 #include "lagoonpoint/src/Gateway/FleetCall.h"
 #include "lagoonpoint/src/Gateway/InForce.h"
 #include "lagoonpoint/src/Gateway/PeerRegistry.h"
+#include "lagoonpoint/src/Gateway/RetryShare.h"
 #include "lagoonpoint/src/Gateway/StopPlan.h"
 #include "lagoonpoint/src/Gateway/TeamTokens.h"
 #include "lagoonpoint/src/Node/Worker.h"
@@ -45,10 +46,6 @@
 constexpr std::size_t MaxBodyBytes = 64 << 20;
 constexpr Duration CallerIdleTimeout = Duration::seconds(120);
 constexpr Duration ResponseBufferTime = Duration::seconds(1);
-/// Fractions of the fleet's retry ratio and retry slack that all VMs together
-/// use.
-constexpr double RetryRatioFraction = 0.75;
-constexpr double RetrySlackFraction = 0.4;
 
 /// The configuration in force at this VM.
 struct Configuration {
@@ -600,19 +597,9 @@
                                     : RetryAfterHint;
 }
 
-/// \returns this VM's share of the fleet's retry budget.
 RetryBudgetLimits EntryVm::Impl::retryLimits() const {
-  std::size_t Vms = 1;
-  {
-    std::lock_guard Guard(Lock_);
-    Vms = std::max<std::size_t>(Rates_.EntryVms_.size(), 1);
-  }
-  double Slack = Settings_.RetrySlack_ * RetrySlackFraction / double(Vms);
-  RetryBudgetLimits Limits;
-  Limits.RetriesPerRequest_ = Settings_.RetryRatio_ * RetryRatioFraction;
-  Limits.RetriesPerSecond_ = Slack / Settings_.RetryWindow_.inSeconds();
-  Limits.Capacity_ = std::max(1.0, Slack);
-  return Limits;
+  std::lock_guard Guard(Lock_);
+  return retryShare(Settings_, Rates_.EntryVms_.size());
 }
 
 const TableRoute &EntryVm::Impl::findTableRoute(const Configuration &C,
--- a/lagoonpoint/src/Gateway/VmRanking.cpp
+++ b/lagoonpoint/src/Gateway/VmRanking.cpp
@@ -3,6 +3,7 @@
 #include "lagoonpoint/src/Core/util/StableHash.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace lagoonpoint {
 
@@ -30,6 +31,8 @@
 
 LimitSharer VmRanking::sharer(const VmId &Vm,
                               const UpstreamId &Upstream) const {
+  if (Vms_.empty())
+    return {0, std::numeric_limits<std::size_t>::max()};
   auto Own = std::find(Vms_.begin(), Vms_.end(), Vm);
   if (Own == Vms_.end())
     return {Vms_.size(), Vms_.size() + 1};
--- a/lagoonpoint/src/Gateway/VmRanking.h
+++ b/lagoonpoint/src/Gateway/VmRanking.h
@@ -20,7 +20,9 @@
   const std::vector<VmId> &vms() const { return Vms_; }
   /// \returns whether a VM ranks first, false for a VM that is not ranked.
   bool isFirst(const VmId &Vm, const UpstreamId &Upstream) const;
-  /// \returns the position of a VM. One that is not ranked comes last.
+  /// \returns the position of a VM. One that is not ranked comes last. While
+  /// the entry VMs are not known, it is the first of very many, whose part is
+  /// small.
   LimitSharer sharer(const VmId &Vm, const UpstreamId &Upstream) const;
 
 private:
--- a/test/Retry.cpp
+++ b/test/Retry.cpp
@@ -1,4 +1,5 @@
 #include "lagoonpoint/Retry"
+#include "lagoonpoint/src/Gateway/RetryShare.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -201,3 +202,24 @@
     }));
   }
 }
+
+// Guards against VMs that each use the whole fleet's slack just after their
+// start.
+TEST_CASE("Entry VMs together use no more than the fleet's retry budget") {
+  FleetSettings S;
+  S.RetryRatio_ = 0.2;
+  S.RetrySlack_ = 58;
+  S.RetryWindow_ = Duration::seconds(10);
+  SECTION("if they know each other") {
+    RetryBudgetLimits Share = retryShare(S, 9);
+    CHECK(9 * (Share.RetriesPerSecond_ * 10 + Share.Capacity_) <= 58);
+    CHECK(Share.RetriesPerRequest_ <= 0.2);
+    CHECK(Share.RetriesPerSecond_ > 0);
+  }
+  SECTION("if they don't yet") {
+    RetryBudgetLimits Share = retryShare(S, 0);
+    CHECK(Share.RetriesPerSecond_ == 0);
+    CHECK(Share.Capacity_ == 1); // a new budget holds one
+    CHECK(Share.RetriesPerRequest_ == retryShare(S, 9).RetriesPerRequest_);
+  }
+}
--- a/test/StatedLimit.cpp
+++ b/test/StatedLimit.cpp
@@ -129,6 +129,20 @@
   }
 }
 
+// Guards against VMs that each take the whole limit just after their start.
+TEST_CASE(
+    "VMs that don't know each other yet don't exceed an upstream's limit") {
+  auto [Count, PerSecond] = GENERATE(
+      table<int, double>({{2, 0.3}, {4, 0.3}, {4, 1.0}, {9, 4.0}, {30, 20.0}}));
+  CAPTURE(Count, PerSecond);
+  SimulatedVms Vms(Count, PerSecond);
+  const VmRanking Unknown({});
+  Vms.play(Duration::seconds(40),
+           [&](std::size_t, Time) -> const VmRanking & { return Unknown; });
+  CHECK(Vms.most() <= tolerated(PerSecond));
+  CHECK(Vms.most() > 0);
+}
+
 TEST_CASE("A malformed limit counts as absent") {
   Dialect D;
   D.RequestLimit_ = "Server-Limit";
