--- a/lagoonpoint/src/Fleet/FleetView.h
+++ b/lagoonpoint/src/Fleet/FleetContact.h
@@ -6,7 +6,7 @@
 
 namespace lagoonpoint {
 
-/// \class FleetView
+/// \class FleetContact
 /// \ingroup Fleet
 /// \brief Tells whether a core VM has heard of all VMs that are in contact with
 /// a quorum of the core VMs.
@@ -15,7 +15,7 @@
 /// one after the other: entry VMs send heartbeats, and core VMs report the
 /// entry VMs that they hear, once a second each. Until then it must not take
 /// those that it has heard of for all.
-struct FleetView {
+struct FleetContact {
   std::optional<Time> InContactSince_; ///< with a quorum, without interruption
   Time UpdatedAt_;
 };
@@ -23,10 +23,10 @@
 /// Records whether a core VM is in contact with a quorum now. To be called more
 /// often than once a second: a longer pause counts as a suspension.
 /// \ingroup Fleet
-void updateView(FleetView &V, bool HasQuorum, Time Now);
+void updateContact(FleetContact &C, bool HasQuorum, Time Now);
 
 /// \returns whether the VMs heard of are all, as of the last update.
 /// \ingroup Fleet
-bool isComplete(const FleetView &V);
+bool knowsAll(const FleetContact &C);
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -175,7 +175,7 @@
   /// Entry VMs whose records each core VM has, by the start of their process.
   std::map<VmId, std::map<VmId, std::uint64_t>> ReportedTo_;
   ItemFreshness ItemFreshness_;
-  FleetView View_;
+  FleetContact Contact_;
   Time NextHeartbeat_;
   unsigned HeartbeatsSent_ = 0; ///< used by the ticker only
   VmId LoggedLeader_;           ///< used by the ticker only
@@ -538,8 +538,8 @@
 /// \returns whether the VMs that this VM has heard of are all in contact with a
 /// quorum. Called with Lock_ held.
 bool CoreVm::Impl::knowsAllVms(Time Now) {
-  updateView(View_, quorumInContact(Now), Now);
-  return isComplete(View_);
+  updateContact(Contact_, quorumInContact(Now), Now);
+  return knowsAll(Contact_);
 }
 
 /// \param Immediate whether to notify entry VMs now, because they must stop
@@ -574,7 +574,7 @@
     RelayedNotices_.clear();
     // The core VM that is responsible for an entry VM may not know it yet.
     Time Now = Clock_.now();
-    if (isComplete(View_))
+    if (knowsAll(Contact_))
       To = entryVmsToNotify(Now);
     else
       for (const KnownNode *Node :
@@ -843,7 +843,7 @@
     // Entry VMs may know an upstream that this VM has not heard of yet.
     bool MayBeKnown =
         Known == Impl_->Upstreams_.Upstreams_.end()
-            ? !isComplete(Impl_->View_)
+            ? !knowsAll(Impl_->Contact_)
             : Known->second.Notice_.StartedAtMs_ == Notice.StartedAtMs_;
     MayRestartWarmup = MayBeKnown && Notice.WarmupLeft_ > Duration();
     IsNew = applyNotice(Impl_->Upstreams_, Notice, Now);
--- a/test/Fleet.cpp
+++ b/test/Fleet.cpp
@@ -827,14 +827,14 @@
 TEST_CASE(
     "A core VM knows of all VMs once it has been in contact for a while") {
   constexpr Duration Tick = Duration::millis(250);
-  FleetView V;
+  FleetContact C;
   Time Now = Start;
   auto Run = [&](Duration For, bool HasQuorum) {
     for (Time End = Now + For; Now < End; Now = Now + Tick)
-      updateView(V, HasQuorum, Now);
-    return isComplete(V);
+      updateContact(C, HasQuorum, Now);
+    return knowsAll(C);
   };
-  CHECK_FALSE(isComplete(V));
+  CHECK_FALSE(knowsAll(C));
   SECTION("but not without a quorum") {
     CHECK_FALSE(Run(Duration::seconds(60), false));
   }
