--- a/lagoonpoint/src/Http/util/ProxyCall.cpp
+++ b/lagoonpoint/src/Http/util/ProxyCall.cpp
@@ -17,7 +17,7 @@
 
 Refusal badBody(Ran R) {
   return Refusal(RefusalReason::BadRequest, R, Step,
-                 "request body is truncated or malformed");
+                 "request body is truncated, late or malformed");
 }
 
 Refusal lateBody(Ran R) {
@@ -110,10 +110,8 @@
     BodyStatus Status = Body_.next(Data, BodyDeadline);
     if (Status == BodyStatus::Complete)
       return;
-    if (Status == BodyStatus::TimedOut)
-      throw lateBody(Ran::No);
     if (Status != BodyStatus::Data)
-      throw badBody(Ran::No);
+      throw deadlinePassed() ? lateBody(Ran::No) : badBody(Ran::No);
     BufferedBody_ += Data;
     BodyBytes_ = BufferedBody_.size();
     if (BodyBytes_ > Context_.Settings_.MaxBodyBytes_)
@@ -255,12 +253,11 @@
         Status == BodyStatus::Interrupted || T.Socket_->readable();
     if (ResponseArrived)
       return true;
-    if (Status == BodyStatus::TimedOut)
-      return failBody(T, lateBody(Ran::Unknown));
-    if (Status == BodyStatus::Malformed)
-      return failBody(T, badBody(Ran::Unknown));
-    if (Status != BodyStatus::Data)
+    if (Status == BodyStatus::Truncated)
       return fail(T, TryResult::CallerLeft);
+    if (Status != BodyStatus::Data)
+      return failBody(T, deadlinePassed() ? lateBody(Ran::Unknown)
+                                          : badBody(Ran::Unknown));
     BodyBytes_ += Data.size();
     if (BodyBytes_ > Context_.Settings_.MaxBodyBytes_)
       return failBody(T, tooLarge(Ran::Unknown));
@@ -354,6 +351,11 @@
   return Deadline(Context_.Clock_, Handle_->deadline());
 }
 
+// Once-requests have no deadline before they are admitted.
+bool ProxyCall::deadlinePassed() const {
+  return Handle_ && Context_.Clock_.now() >= Handle_->deadline();
+}
+
 // A try is ended early only if the request may run again and there is time for
 // another try.
 std::optional<Deadline> ProxyCall::tryLimit() const {
--- a/lagoonpoint/src/Http/util/ProxyCall.h
+++ b/lagoonpoint/src/Http/util/ProxyCall.h
@@ -112,6 +112,7 @@
   }
   Deadline deadlineIn(Duration D) const;
   Deadline deadline() const;
+  bool deadlinePassed() const;
   Deadline bodyLimit() const;
   std::optional<Deadline> tryLimit() const;
   Deadline deadlineOf(const Try &T) const;
