--- a/review/rig3.h
+++ b/review/rig3.h
@@ -628,18 +628,22 @@
 
   Machine *beat(double Timeout = 3) {
     std::lock_guard Guard(BeatLock_);
+    std::string Body = heartbeat();
+    return callControl(Cores_,
+                       "/-/rpc?call=instances.heartbeat&of=" + Options_.Id_,
+                       Body, Timeout);
+  }
+
+  /// \returns the body of the next heartbeat
+  std::string heartbeat() {
     double Cold = std::max(0.0, WarmupEndsAt_ - now());
-    std::string Body =
-        "{\"service\":\"" + Options_.Service_ + "\",\"address\":\"" +
+    return "{\"service\":\"" + Options_.Service_ + "\",\"address\":\"" +
         Options_.At_.text() + "\",\"zone\":\"" + Options_.Zone_ +
         "\",\"version\":\"v1\",\"slots\":" + std::to_string(Options_.Slots_) +
         ",\"state\":\"" + state() + "\",\"warmupLeft\":\"" +
         std::to_string(static_cast<long>(Cold * 1000)) +
         "ms\",\"sequence\":" + std::to_string(++Sequence_) +
         ",\"born\":" + std::to_string(Born_) + "}";
-    return callControl(Cores_,
-                       "/-/rpc?call=instances.heartbeat&of=" + Options_.Id_,
-                       Body, Timeout);
   }
 
 private:
@@ -685,7 +689,7 @@
   const OnRun Run_;
   const long Born_;
   std::mutex BeatLock_;
-  unsigned long Sequence_ = 0;
+  std::atomic<unsigned long> Sequence_{0};
   std::atomic<unsigned> Running_{0};
   std::atomic<bool> Draining_{false};
   std::atomic<double> WarmupEndsAt_{0};
