--- a/review/11/scene.cpp
+++ b/review/11/scene.cpp
@@ -31,7 +31,7 @@
     R"({"upsert":{"routes":{"columns":["name","host","pathPrefix","routeType",)"
     R"("timeout","targetLatency","priority","maxAttempts","allowAnonymous",)"
     R"("sessionAffinity","allowedRegions","version","service"],"rows":[["r-1",)"
-    R"("calls.example","/lookup/","safe","20000ms","5000ms",1,2,false,false,)"
+    R"("calls.example","/lookup/","safe","6000ms","5000ms",1,2,false,false,)"
     R"(["south"],1,"rutas"]]},"tenants":{"columns":["name","apiKeys",)"
     R"("priority","ratePerS","burst","allowedRegions","version"],"rows":[)"
     R"(["tenant-1",["key-of-tenant-1"],1,40,40,[],1]]},"services":{"columns":)"
@@ -90,7 +90,8 @@
 int run(const std::string &RecordFile) {
   Record Out(RecordFile);
   Calls Sent;
-  Deployment D({{"a", "north"}, {"b", "middle"}, {"c", "south"}}, EdgesPerZone);
+  Deployment D({{"a", "north"}, {"b", "middle"}, {"c", "south"}}, EdgesPerZone,
+               ",health,pool,pressure");
   D.startAll();
   sleepFor(1);
   if (!callControl(D.cores(), "/-/rpc?call=config.patch", Configuration, 15)) {
