--- a/review/12/scene.cpp
+++ b/review/12/scene.cpp
@@ -1,7 +1,7 @@
 /// \file
-/// FAILBACK: a zone is evacuated, its instances become cold shortly before the
-/// operator takes the evacuation back, and say so in their next heartbeats.
-/// Counts the requests that a cold instance gets in a second.
+/// CONFIG: an operator drops a service that a route still names. Looks whether
+/// this invalid configuration is acknowledged and comes into force. Then the
+/// service's instances are replaced, as in any release.
 
 #include "../rig3.h"
 
@@ -9,19 +9,12 @@
 
 using namespace rig;
 
-constexpr double WarmupPerSecond = 2.9; ///< warmupPerS of the service
-constexpr double WarmupSeconds = 3;     ///< warmup of the service
-constexpr double Limit = WarmupPerSecond * 1.5 + 5;
-constexpr double RequestsPerSecond = 180; ///< of all clients
-constexpr double EvacuationSeconds = 8;
-constexpr double UsualSeconds = 4; ///< before the evacuation
-/// Time from the moment at which the instances become cold until the order
-/// that takes the evacuation back.
-constexpr double ColdBefore = 0.5;
+constexpr double ConfigBound = 5; ///< config, s
+constexpr double UsualSeconds = 3;
+constexpr double OldServeSeconds = 6; ///< after they reported that they drain
 constexpr double LastSeconds = 5;
-constexpr int InstancesPerZone = 3;
-constexpr unsigned Slots = 8;
-constexpr double WorkSeconds = 0.1;
+constexpr double RequestsPerSecond = 20;
+constexpr int Instances = 3;
 
 constexpr const char *Configuration =
     R"({"upsert":{"routes":{"columns":["name","host","pathPrefix","routeType",)"
@@ -32,60 +25,48 @@
     R"("ratePerS","burst","allowedRegions","version"],"rows":[["tenant-1",)"
     R"(["key-of-tenant-1"],1,0,0,[],1]]},"services":{"columns":["name",)"
     R"("healthPath","maxConnections","protocol","tls","warmup","warmupPerS",)"
-    R"("version"],"rows":[["register","/health",390,"h1",false,"3s",2.9,1]]},)"
-    R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,)"
-    R"("headerTimeout":"3000ms","idleTimeout":"15000ms","version":1}},)"
-    R"("remove":{"routes":[]}})";
+    R"("version"],"rows":[["register","/health",390,"h1",false,"3s",3.0,1],)"
+    R"(["spare","/health",390,"h1",false,"3s",3.0,1]]},"limits":{)"
+    R"("maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":)"
+    R"("3000ms","idleTimeout":"15000ms","version":1}},"remove":{"routes":[]}})";
+/// No route names this service.
+constexpr const char *ValidDrop =
+    R"({"upsert":{},"remove":{"services":[{"name":"spare","version":2}]}})";
+/// The route names this service.
+constexpr const char *InvalidDrop =
+    R"({"upsert":{},"remove":{"services":[{"name":"register","version":2}]}})";
 
-struct Arrival {
-  double SentAt_ = 0;
-  double At_ = 0;
-};
-
-/// Arrivals by instance.
-class Arrivals {
+class Statuses {
 public:
-  void sent(const std::string &Id) {
-    std::lock_guard Guard(Lock_);
-    SentAt_[Id] = now();
-  }
-  void arrived(const std::string &Instance, const std::string &Id, double At) {
+  void add(double SentAt, int Status) {
     std::lock_guard Guard(Lock_);
-    Arrivals_[Instance].push_back({SentAt_[Id], At});
+    All_.emplace_back(SentAt, Status);
   }
-  std::vector<Arrival> at(const std::string &Instance) {
+  /// \returns the number of answers by status
+  std::map<int, int> between(double From, double Upto) {
     std::lock_guard Guard(Lock_);
-    return Arrivals_[Instance];
+    std::map<int, int> Out;
+    for (const auto &[SentAt, Status] : All_)
+      Out[Status] += SentAt >= From && SentAt < Upto ? 1 : 0;
+    return Out;
   }
 
 private:
   std::mutex Lock_;
-  std::map<std::string, double> SentAt_;
-  std::map<std::string, std::vector<Arrival>> Arrivals_;
+  std::vector<std::pair<double, int>> All_;
 };
 
-/// \returns the largest number of requests that were sent and arrived inside
-/// one second of a span
-std::size_t mostInSecond(const std::vector<Arrival> &All, double From,
-                         double Upto) {
-  std::size_t Most = 0;
-  for (const Arrival &First : All) {
-    double Begin = First.SentAt_;
-    if (Begin < From || Begin + 1 > Upto)
-      continue;
-    auto Count = static_cast<std::size_t>(
-        std::count_if(All.begin(), All.end(), [&](const Arrival &A) {
-          return A.SentAt_ >= Begin && A.At_ < Begin + 1;
-        }));
-    Most = std::max(Most, Count);
-  }
-  return Most;
+Message post(Machine &M, const std::string &Target, const std::string &Body) {
+  return call({M.Ip_, Deployment::Control},
+              "POST " + Target +
+                  " HTTP/1.1\r\nHost: control\r\nContent-Type: "
+                  "application/json\r\n",
+              Body, 3);
 }
 
 int run(const std::string &RecordFile) {
   Record Out(RecordFile);
-  Arrivals Seen;
-  const std::vector<std::string> Zones{"a", "b", "c"};
+  Statuses Answers;
   Deployment D({{"a", "north"}, {"b", "north"}, {"c", "north"}}, 1);
   D.startAll();
   sleepFor(1);
@@ -94,17 +75,20 @@
     return ExitNotRun;
   }
   std::vector<std::unique_ptr<Instance>> Servers;
-  for (const std::string &Zone : Zones)
-    for (int N = 0; N < InstancesPerZone; ++N) {
-      std::string Id = "i-" + Zone + std::to_string(N);
-      Instance::Options O{Id, "register", Zone, {D.nextIp(), 18080}, Slots};
-      Servers.push_back(std::make_unique<Instance>(
-          O, D.cores(), [&Seen, Id](const Message &Request, double Arrived) {
-            Seen.arrived(Id, Request.field("lagoonpoint-attempt-id"), Arrived);
-            return Work{WorkSeconds, ""};
+  auto StartInstances = [&] {
+    for (int N = 0; N < Instances; ++N) {
+      Instance::Options O{"i-" + std::to_string(Servers.size()),
+                          "register",
+                          std::string(1, static_cast<char>('a' + N)),
+                          {D.nextIp(), 18080}};
+      Servers.push_back(
+          std::make_unique<Instance>(O, D.cores(), [](const Message &, double) {
+            return Work{0.05, ""};
           }));
-      Servers.back()->startHeartbeats(0.5 * N);
+      Servers.back()->startHeartbeats(0.3 * N);
     }
+  };
+  StartInstances();
   if (!D.awaitReady(15)) {
     Out.note("the edge machines are not ready");
     return ExitNotRun;
@@ -112,66 +96,76 @@
   sleepFor(4);
 
   double Begin = now();
-  double TakenBackAt = Begin + UsualSeconds + EvacuationSeconds;
-  double ColdAt = TakenBackAt - ColdBefore;
+  double DropAt = Begin + UsualSeconds;
+  double ReleaseAt = DropAt + ConfigBound;
+  double ReplacedAt = ReleaseAt + OldServeSeconds;
+  double EndAt = ReplacedAt + LastSeconds;
+  int DropStatus = 0;
   std::thread Operator([&] {
-    if (!troubled())
-      return;
-    sleepUntil(Begin + UsualSeconds);
-    callControl(D.cores(), "/-/rpc?call=evacuations.start&of=c", "", 4);
-    Out.note("evacuation of zone c acknowledged");
-    sleepUntil(ColdAt);
-    for (auto &Server : Servers)
-      if (Server->options().Zone_ == "c")
-        Server->setWarmupEnd(ColdAt + WarmupSeconds);
-    Out.note("the instances of zone c are cold for 3 s");
-    sleepUntil(TakenBackAt);
-    callControl(D.cores(), "/-/rpc?call=evacuations.end&of=c", "", 4);
-    Out.note("end of the evacuation acknowledged");
+    sleepUntil(DropAt);
+    callControl(D.cores(), "/-/rpc?call=config.patch",
+                troubled() ? InvalidDrop : ValidDrop, 5, &DropStatus);
+    Out.note("the service that %s is dropped: status %d",
+             troubled() ? "a route names" : "no route names", DropStatus);
+    sleepUntil(ReleaseAt);
+    for (Machine *M : D.cores())
+      Out.note("read back: %s",
+               post(*M, "/-/rpc?call=config.get", "").Body_.c_str());
+    int Beat = 0;
+    callControl(D.cores(), "/-/rpc?call=instances.heartbeat&of=i-0",
+                Servers.front()->heartbeat(), 3, &Beat);
+    Out.note("heartbeat of an instance of the route's service: status %d",
+             Beat);
+    StartInstances();
+    Out.note("%d new instances have started", Instances);
+    sleepUntil(ReleaseAt + 2);
+    for (int N = 0; N < Instances; ++N) {
+      Machine *M = Servers[N]->drain(1);
+      Out.note("%s reports that it drains: %s",
+               Servers[N]->options().Id_.c_str(),
+               M ? "acknowledged" : "not acknowledged");
+    }
+    sleepUntil(ReplacedAt);
+    for (int N = 0; N < Instances; ++N)
+      Servers[N]->stop();
+    Out.note("the old instances have ended");
   });
   std::vector<std::thread> Clients;
   std::mt19937 Random(1);
   std::vector<Machine *> Edges = D.edges();
-  std::atomic<int> Served{0};
-  for (double At = Begin; At < TakenBackAt + LastSeconds;) {
+  for (double At = Begin; At < EndAt;) {
     At += std::exponential_distribution<double>(RequestsPerSecond)(Random);
     sleepUntil(At);
     std::string Id = "attempt-" + std::to_string(Clients.size());
     Address To{Edges[Random() % Edges.size()]->Ip_, Deployment::Frontend};
-    Clients.emplace_back([&Seen, &Served, Id, To] {
-      Seen.sent(Id);
+    Clients.emplace_back([&Answers, Id, To] {
+      double SentAt = now();
       Message Reply = call(To,
                            "GET /lookup/x HTTP/1.1\r\nHost: calls.example\r\n"
                            "Lagoonpoint-Attempt-Id: " +
                                Id + "\r\nLagoonpoint-Deadline-Ms: 3000\r\n",
                            "", 4);
-      Served += Reply.status() == 200 ? 1 : 0;
+      Answers.add(SentAt, Reply.status());
     });
   }
   Operator.join();
   for (std::thread &Client : Clients)
     Client.join();
 
-  std::size_t Most = 0;
-  for (auto &Server : Servers) {
-    const std::string &Id = Server->options().Id_;
-    for (const Arrival &A : Seen.at(Id))
-      Out.note("%s sent %.3f arrived %.3f", Id.c_str(), A.SentAt_, A.At_);
-    if (Server->options().Zone_ != "c" || !troubled())
-      continue;
-    std::size_t Own = mostInSecond(Seen.at(Id), ColdAt, ColdAt + WarmupSeconds);
-    Out.note("cold instance %s: most in a second %zu", Id.c_str(), Own);
-    Most = std::max(Most, Own);
-  }
-  Out.note("sent %zu, served %d; most at a cold instance in a second: %zu; "
-           "limit %.2f",
-           Clients.size(), Served.load(), Most, Limit);
-  std::printf("sent %zu, served %d; most at a cold instance in a second: %zu; "
-              "limit %.2f\n",
-              Clients.size(), Served.load(), Most, Limit);
-  if (static_cast<std::size_t>(Served) * 2 < Clients.size())
+  for (const auto &[Status, Count] : Answers.between(Begin, DropAt))
+    Out.note("before the drop: status %d: %d", Status, Count);
+  for (const auto &[Status, Count] : Answers.between(ReplacedAt + 1, EndAt))
+    Out.note("after the release: status %d: %d", Status, Count);
+  int Served = Answers.between(Begin, DropAt)[200];
+  int ServedLater = Answers.between(ReplacedAt + 1, EndAt)[200];
+  std::printf("drop answered %d; served before %d, after the release %d\n",
+              DropStatus, Served, ServedLater);
+  if (Served < 20 || DropStatus == 0)
     return ExitNotRun;
-  return static_cast<double>(Most) > Limit ? ExitBroken : ExitHeld;
+  bool Acknowledged = DropStatus / 100 == 2;
+  if (!troubled())
+    return Acknowledged && ServedLater > 0 ? ExitHeld : ExitBroken;
+  return Acknowledged ? ExitBroken : ExitHeld;
 }
 
 } // namespace
