Let the stand-in instances queue and answer health checks

PROTOCOL.md: an instance queues a few more requests than it has slots, and its health responses give its id and Lagoonpoint-Warmup-Ms. The stand-in did neither.

--- a/review/rig3.h
+++ b/review/rig3.h
@@ -667,26 +667,60 @@
     }
   }
 
+  std::string load() {
+    std::lock_guard Guard(SlotLock_);
+    return "Lagoonpoint-Instance-Load: " + std::to_string(Running_) + "," +
+           std::to_string(Waiting_) + "," + std::to_string(Options_.Slots_) +
+           "\r\n";
+  }
+
+  /// \returns false if the queue is full
+  bool takeSlot() {
+    std::unique_lock Guard(SlotLock_);
+    if (Running_ >= Options_.Slots_) {
+      if (Waiting_ >= MaxWaiting)
+        return false;
+      ++Waiting_;
+      SlotFree_.wait(Guard, [this] { return Running_ < Options_.Slots_; });
+      --Waiting_;
+    }
+    ++Running_;
+    return true;
+  }
+
+  void releaseSlot() {
+    std::lock_guard Guard(SlotLock_);
+    --Running_;
+    SlotFree_.notify_one();
+  }
+
+  bool answerHealth(Stream &S) {
+    double Cold = std::max(0.0, WarmupEndsAt_ - now());
+    return S.send(std::string("HTTP/1.1 ") +
+                  (Draining_ ? "503 Leaving" : "200 OK") +
+                  "\r\nLagoonpoint-Instance-Id: " + Options_.Id_ + "\r\n" +
+                  load() + "Lagoonpoint-Warmup-Ms: " +
+                  std::to_string(static_cast<long>(Cold * 1000)) +
+                  "\r\nContent-Length: 0\r\n\r\n");
+  }
+
   bool answer(Stream &S, const Message &Request) {
     double Arrived = now();
     std::string Id = Request.field("lagoonpoint-attempt-id");
     std::string Common = "Lagoonpoint-Attempt-Id: " + Id + "\r\n";
+    if (Request.FirstLine_.starts_with("GET /health "))
+      return answerHealth(S);
     std::string Target = Request.field("lagoonpoint-target-instance");
     if (!Target.empty() && Target != Options_.Id_)
       return S.send("HTTP/1.1 421 Misdirected\r\n" + Common +
                     "Lagoonpoint-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-    unsigned Running = ++Running_;
-    std::string Load = "Lagoonpoint-Instance-Load: " +
-                       std::to_string(std::min(Running, Options_.Slots_)) +
-                       ",0," + std::to_string(Options_.Slots_) + "\r\n";
-    if (Running > Options_.Slots_) {
-      --Running_;
-      return S.send("HTTP/1.1 503 Full\r\n" + Common + Load +
+    if (!takeSlot())
+      return S.send("HTTP/1.1 503 Full\r\n" + Common + load() +
                     "Lagoonpoint-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-    }
     Work Done = Run_(Request, Arrived);
     sleepFor(Done.Seconds_);
-    --Running_;
+    std::string Load = load();
+    releaseSlot();
     std::string Body = "done " + Id;
     return S.send("HTTP/1.1 200 OK\r\n" + Common + Load + Done.Fields_ +
                   "Lagoonpoint-Response-Seal: " + Options_.Id_ + "." + Id +
@@ -700,7 +734,11 @@
   const long Born_;
   std::mutex BeatLock_;
   std::atomic<unsigned long> Sequence_{0};
-  std::atomic<unsigned> Running_{0};
+  static constexpr unsigned MaxWaiting = 9;
+  std::mutex SlotLock_;
+  std::condition_variable SlotFree_;
+  unsigned Running_ = 0;
+  unsigned Waiting_ = 0;
   std::atomic<bool> Draining_{false};
   std::atomic<double> WarmupEndsAt_{0};
   std::atomic<bool> Silent_{false};
