--- a/review/12/scene.cpp
+++ b/review/12/scene.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// CONFIG: an operator drops a service that a route still names. Looks whether
 /// this invalid configuration is acknowledged and comes into force. Then the
-/// service's instances are replaced, as in any release.
+/// service's instances are replaced one after the other, each by a release.
 
 #include "../rig3.h"
 
@@ -11,7 +11,9 @@
 
 constexpr double ConfigBound = 5; ///< config, s
 constexpr double UsualSeconds = 3;
-constexpr double OldServeSeconds = 6; ///< after they reported that they drain
+/// From the start of a new instance until the old one reports that it drains.
+constexpr double DrainAfter = 2;
+constexpr double OldServesSeconds = 4; ///< after that report
 constexpr double LastSeconds = 5;
 constexpr double RequestsPerSecond = 20;
 constexpr int Instances = 3;
@@ -75,20 +77,19 @@
     return ExitNotRun;
   }
   std::vector<std::unique_ptr<Instance>> Servers;
-  auto StartInstances = [&] {
-    for (int N = 0; N < Instances; ++N) {
-      Instance::Options O{"i-" + std::to_string(Servers.size()),
-                          "register",
-                          std::string(1, static_cast<char>('a' + N)),
-                          {D.nextIp(), 18080}};
-      Servers.push_back(
-          std::make_unique<Instance>(O, D.cores(), [](const Message &, double) {
-            return Work{0.05, ""};
-          }));
-      Servers.back()->startHeartbeats(0.3 * N);
-    }
+  auto StartInstance = [&](int N) {
+    Instance::Options O{"i-" + std::to_string(Servers.size()),
+                        "register",
+                        std::string(1, static_cast<char>('a' + N)),
+                        {D.nextIp(), 18080}};
+    Servers.push_back(
+        std::make_unique<Instance>(O, D.cores(), [](const Message &, double) {
+          return Work{0.05, ""};
+        }));
+    Servers.back()->startHeartbeats(0);
   };
-  StartInstances();
+  for (int N = 0; N < Instances; ++N)
+    StartInstance(N);
   if (!D.awaitReady(15)) {
     Out.note("the edge machines are not ready");
     return ExitNotRun;
@@ -98,7 +99,7 @@
   double Begin = now();
   double DropAt = Begin + UsualSeconds;
   double ReleaseAt = DropAt + ConfigBound;
-  double ReplacedAt = ReleaseAt + OldServeSeconds;
+  double ReplacedAt = ReleaseAt + Instances * (DrainAfter + OldServesSeconds);
   double EndAt = ReplacedAt + LastSeconds;
   int DropStatus = 0;
   std::thread Operator([&] {
@@ -116,18 +117,16 @@
                 Servers.front()->heartbeat(), 3, &Beat);
     Out.note("heartbeat of an instance of the route's service: status %d",
              Beat);
-    StartInstances();
-    Out.note("%d new instances have started", Instances);
-    sleepUntil(ReleaseAt + 2);
     for (int N = 0; N < Instances; ++N) {
+      StartInstance(N);
+      sleepFor(DrainAfter);
       Machine *M = Servers[N]->drain(1);
-      Out.note("%s reports that it drains: %s",
+      Out.note("%s is replaced, reports that it drains: %s",
                Servers[N]->options().Id_.c_str(),
                M ? "acknowledged" : "not acknowledged");
-    }
-    sleepUntil(ReplacedAt);
-    for (int N = 0; N < Instances; ++N)
+      sleepUntil(ReleaseAt + (N + 1) * (DrainAfter + OldServesSeconds));
       Servers[N]->stop();
+    }
     Out.note("the old instances have ended");
   });
   std::vector<std::thread> Clients;
