Acknowledge a departure only once the log holds it

What callers saw: an upstream deregistered and was acknowledged, all processes of core and entry VMs were killed right after it and came back, and a heartbeat that the upstream had sent before arrived late.

Cause: departures were kept in the memory of processes only. With core and entry VMs gone nothing was left that was newer than the late heartbeat, so it named a new upstream.

Change: a departure is acknowledged once it is in the replicated log, besides the confirmations of the entry VMs; both are awaited at the same time. One change of a core VM is under way at a time, and what is announced meanwhile goes into the next. The catalog keeps the departures of 120 s without a revision or a stored reply; a core VM that starts restores those of the last minute into its registry.

--- a/lagoonpoint/src/Catalog/Catalog.cpp
+++ b/lagoonpoint/src/Catalog/Catalog.cpp
@@ -137,6 +137,12 @@
   return accept(State);
 }
 
+ChangeReply recordDepartures(Catalog &State, const Change &C) {
+  for (const RecordedDeparture &Departure : C.Departures_)
+    recordDeparture(State.Departures_, Departure);
+  return {ChangeVerdict::Accepted, State.Revision_, ""};
+}
+
 ChangeReply applyByKind(Catalog &State, const Change &C) {
   std::string Fault = C.Kind_ == ChangeKind::Declare ? "" : validateChange(C);
   if (!Fault.empty())
@@ -154,6 +160,8 @@
     return setView(State, C);
   case ChangeKind::PatchItems:
     return patchItems(State, C);
+  case ChangeKind::RecordDepartures:
+    return recordDepartures(State, C);
   }
   return {ChangeVerdict::Invalid, State.Revision_, "unknown kind of change"};
 }
@@ -167,6 +175,14 @@
   State.ReplyOrder_.pop_front();
 }
 
+std::string
+validateDepartures(const std::vector<RecordedDeparture> &Departures) {
+  for (const RecordedDeparture &D : Departures)
+    if (D.Notice_.Id_.empty() || D.Notice_.Phase_ == NoticePhase::Serving)
+      return "upstream \"" + D.Notice_.Id_.str() + "\" is not departing";
+  return "";
+}
+
 void applyDrain(Declarations &D, const Drain &Dr) {
   if (Dr.Scope_ == DrainScope::Region) {
     auto It = D.Regions_.find(RegionId(Dr.Id_));
@@ -214,6 +230,8 @@
     return "the drain names nothing";
   if (C.Kind_ == ChangeKind::PatchItems)
     return validateItems(C.Items_);
+  if (C.Kind_ == ChangeKind::RecordDepartures)
+    return validateDepartures(C.Departures_);
   if (C.Kind_ == ChangeKind::SetView &&
       (C.View_.Zone_.empty() || C.View_.Members_.empty()))
     return "the view has no zone or no members";
@@ -251,7 +269,8 @@
   Revision Before = State.Revision_;
   ChangeReply Reply = applyByKind(State, C);
   LAGOONPOINT_ASSERT(State.Revision_ >= Before, "catalog.apply");
-  storeReply(State, C.Id_, Reply);
+  if (C.Kind_ != ChangeKind::RecordDepartures)
+    storeReply(State, C.Id_, Reply);
   return Reply;
 }
 
@@ -272,6 +291,7 @@
   Catalog Copy = State;
   Copy.Replies_.clear();
   Copy.ReplyOrder_.clear();
+  Copy.Departures_.clear();
   return encode(Copy);
 }
 
--- a/lagoonpoint/src/Catalog/Catalog.h
+++ b/lagoonpoint/src/Catalog/Catalog.h
@@ -20,7 +20,8 @@
 /// replies to the last MaxReplies changes are kept, so that a resent change is
 /// not applied twice. A resend of an older change is evaluated again, which is
 /// safe: a declaration's base revision or a view's epoch is outdated by then, a
-/// granted key exists, and the other kinds are idempotent.
+/// granted key exists, and the other kinds are idempotent. Departures come in
+/// series, so that replies to them are not kept.
 struct Catalog {
   static constexpr std::size_t MaxReplies = 10'000;
 
@@ -33,6 +34,7 @@
   std::map<Drain, Revision> DrainRevisions_; ///< of the last order of each
   std::map<ZoneId, ZoneView> Views_;
   ItemSet Items_;
+  DepartureRecords Departures_;
   std::map<ChangeId, ChangeReply> Replies_;
   std::deque<ChangeId> ReplyOrder_; ///< oldest first
   /// Text_ as parsed when it was applied; null after decoding. A cache that
@@ -40,7 +42,7 @@
   std::shared_ptr<const Declarations> ParsedText_;
   MSGPACK_DEFINE(Revision_, DeclarationsRevision_, Text_, GrantedKeys_,
                  WithdrawnKeys_, Drains_, Views_, Replies_, ReplyOrder_, Items_,
-                 DrainRevisions_)
+                 DrainRevisions_, Departures_)
 };
 
 /// Validates a change and applies it if it is accepted.
@@ -64,11 +66,12 @@
 /// keys are still included; WithdrawnKeys_ lists them.
 Declarations effectiveDeclarations(const Catalog &State);
 
-/// \returns a hash of the state without the stored replies, in hex. Equal for
-/// all VMs at one revision.
+/// \returns a hash of the state without the stored replies and departures, in
+/// hex. Equal for all VMs at one revision.
 std::string digestOf(const Catalog &State);
 
-/// \returns the state without the stored replies, for VMs that don't vote.
+/// \returns the state without the stored replies and departures, for VMs that
+/// don't vote.
 std::string encodeForFollowers(const Catalog &State);
 
 } // namespace lagoonpoint
--- a/lagoonpoint/src/Catalog/Change.h
+++ b/lagoonpoint/src/Catalog/Change.h
@@ -3,6 +3,7 @@
 #include "lagoonpoint/Codec"
 #include "lagoonpoint/Core"
 #include "lagoonpoint/Items"
+#include "lagoonpoint/src/Catalog/DepartureRecords.h"
 
 #include <cstdint>
 #include <string>
@@ -18,6 +19,7 @@
   SetDrain = 4,    ///< drains or undrains a region, zone or VM
   SetView = 5,     ///< sets a zone's next view for once-requests
   PatchItems = 6,  ///< sets and removes named items by version
+  RecordDepartures = 7, ///< records departures of upstreams; makes no revision
 };
 
 /// What a drain covers.
@@ -84,8 +86,9 @@
   bool Drained_ = false; ///< SetDrain: on or off
   ZoneView View_;        ///< SetView: its epoch follows the current one
   ItemSet Items_;        ///< PatchItems
+  std::vector<RecordedDeparture> Departures_; ///< RecordDepartures
   MSGPACK_DEFINE(Id_, Kind_, Base_, Text_, Splice_, Key_, Drain_, Drained_,
-                 View_, Items_)
+                 View_, Items_, Departures_)
 };
 
 /// Whether a change was applied, and if not, why.
--- a/lagoonpoint/src/Fleet/UpstreamNotice.h
+++ b/lagoonpoint/src/Catalog/UpstreamNotice.h
@@ -12,7 +12,7 @@
 enum class NoticePhase : std::uint8_t { Serving = 1, Leaving = 2, Gone = 3 };
 
 /// \class UpstreamNotice
-/// \ingroup Fleet
+/// \ingroup Catalog
 /// \brief The last announcement of one upstream.
 struct UpstreamNotice {
   UpstreamId Id_;
@@ -30,6 +30,11 @@
                  Slots_, Phase_, WarmupLeft_, Age_)
 };
 
+/// \returns whether an announcement replaces a known one of the same upstream:
+/// a later process, a later phase, or a higher sequence.
+/// \ingroup Catalog
+bool isNewer(const UpstreamNotice &A, const UpstreamNotice &Known);
+
 } // namespace lagoonpoint
 
 MSGPACK_ADD_ENUM(lagoonpoint::NoticePhase);
--- a/lagoonpoint/src/Fleet/UpstreamRegistry.cpp
+++ b/lagoonpoint/src/Fleet/UpstreamRegistry.cpp
@@ -25,14 +25,6 @@
   return Out;
 }
 
-bool isNewer(const UpstreamNotice &A, const UpstreamNotice &Known) {
-  if (A.StartedAtMs_ != Known.StartedAtMs_)
-    return A.StartedAtMs_ > Known.StartedAtMs_;
-  if (A.Phase_ != Known.Phase_)
-    return A.Phase_ > Known.Phase_;
-  return A.Sequence_ > Known.Sequence_;
-}
-
 bool changesUpstream(const UpstreamNotice &A, const KnownUpstream &Known,
                      Time Now) {
   const UpstreamNotice &Old = Known.Notice_;
--- a/lagoonpoint/src/Fleet/UpstreamRegistry.h
+++ b/lagoonpoint/src/Fleet/UpstreamRegistry.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lagoonpoint/src/Fleet/UpstreamNotice.h"
+#include "lagoonpoint/src/Catalog/UpstreamNotice.h"
 
 #include <map>
 #include <set>
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <chrono>
 #include <thread>
+#include <utility>
 
 namespace lagoonpoint {
 
@@ -85,8 +86,11 @@
         PeerRegistry_(S, Peers_), Quotas_(S, Clock_),
         PushWorker_("core.push", IdleTickInterval, [] {}),
         Host_(ReplicaSettings_, Clock_, Peers_,
-              [this](const Catalog &C, const Change *) { onCatalogChange(C); }),
+              [this](const Catalog &C, const Change *Applied) {
+                onCatalogChange(C, Applied);
+              }),
         Router_(Self_, seedVms(S), &Host_, Clock_, Peers_),
+        RecordWorker_("core.record", IdleTickInterval, [] {}),
         LoadRelay_(Clock_, [this](const LoadNotices &M) { forwardLoads(M); }),
         Ticker_("core.tick", TickInterval, [this] {
           ControlLoad_.measure("tick", [this] { tick(); });
@@ -94,7 +98,8 @@
         }) {}
 
   void receive(Envelope Message);
-  void onCatalogChange(const Catalog &C);
+  void onCatalogChange(const Catalog &C, const Change *Applied);
+  void onRecordedDeparture(const RecordedDeparture &D);
   void tick();
 
   void onHeartbeat(const VmId &From, const Heartbeat &H);
@@ -130,6 +135,8 @@
   bool quorumInContact(Time Now);
   bool knowsAllVms(Time Now);
   bool confirmNotice(const UpstreamNotice &Notice);
+  void requestRecord(const UpstreamNotice &Notice);
+  void recordDepartures();
   void repairVoters();
   void forwardLoads(const LoadNotices &M);
   void logLeaderChange();
@@ -180,12 +187,16 @@
   unsigned HeartbeatsSent_ = 0; ///< used by the ticker only
   VmId LoggedLeader_;           ///< used by the ticker only
   Departures Departures_;
+  DepartureRecords Recorded_; ///< departures that are known to be in the log
+  /// To be recorded by the next change.
+  std::map<UpstreamId, UpstreamNotice> Unrecorded_;
 
   std::atomic<bool> PushQueued_{false};
   Worker PushWorker_; ///< declared before Host_, whose start reports the stored
                       ///< catalog
   ReplicaHost Host_;
   ChangeRouter Router_;
+  Worker RecordWorker_;
   LoadRelay LoadRelay_;
   Worker Ticker_;
 };
@@ -224,7 +235,15 @@
                    findItem(items()->Items_.Teams_, Charge->Team_.str()));
 }
 
-void CoreVm::Impl::onCatalogChange(const Catalog &C) {
+void CoreVm::Impl::onCatalogChange(const Catalog &C, const Change *Applied) {
+  if (!Applied)
+    for (const auto &[Id, D] : C.Departures_)
+      onRecordedDeparture(D);
+  else
+    for (const RecordedDeparture &D : Applied->Departures_)
+      onRecordedDeparture(D);
+  if (Applied && Applied->Kind_ == ChangeKind::RecordDepartures)
+    return;
   auto Next = std::make_shared<ItemsSnapshot>();
   Next->Revision_ = C.Revision_;
   Next->Items_ = C.Items_;
@@ -238,6 +257,20 @@
     PushQueued_ = false;
 }
 
+/// Makes a departure of the log known to this VM. After a restart it may be the
+/// only trace of it.
+void CoreVm::Impl::onRecordedDeparture(const RecordedDeparture &D) {
+  std::lock_guard Guard(Lock_);
+  recordDeparture(Recorded_, D);
+  Confirmed_.notify_all();
+  UpstreamNotice Notice = D.Notice_;
+  Notice.Age_ = std::max(
+      Duration::millis(Clock_.unixMillis() - D.RecordedAtMs_), Duration());
+  if (Notice.Age_ < UpstreamRetention &&
+      applyNotice(Upstreams_, Notice, Clock_.now()))
+    PendingNotices_.push_back(Notice);
+}
+
 std::shared_ptr<const ItemsSnapshot> CoreVm::Impl::items() const {
   std::lock_guard Guard(ItemsLock_);
   return Items_;
@@ -615,11 +648,52 @@
     Peers_.send({Self_, Vm, Channel::Fleet, Body});
 }
 
-/// \returns whether all entry VMs in contact have confirmed in time. One that
-/// has just failed delays this until it is out of contact; the upstream repeats
-/// its announcement. So does an entry VM that this VM may not know yet: a
-/// departure that none has confirmed would be lost with the core VMs'
-/// processes.
+/// Has a departure recorded in the log, unless it is. Called with Lock_ held.
+void CoreVm::Impl::requestRecord(const UpstreamNotice &Notice) {
+  if (isRecorded(Recorded_, Notice))
+    return;
+  auto [Queued, IsNew] = Unrecorded_.try_emplace(Notice.Id_, Notice);
+  if (!IsNew && isNewer(Notice, Queued->second))
+    Queued->second = Notice;
+  RecordWorker_.post([this] { recordDepartures(); });
+}
+
+/// Records the departures that were announced here while the previous change
+/// was replicated, with one change.
+void CoreVm::Impl::recordDepartures() {
+  if (!isBootstrapped())
+    return;
+  Change C;
+  C.Id_ = makeChangeId();
+  C.Kind_ = ChangeKind::RecordDepartures;
+  {
+    std::lock_guard Guard(Lock_);
+    for (auto &[Id, Notice] : std::exchange(Unrecorded_, {}))
+      if (!isRecorded(Recorded_, Notice)) {
+        Notice.WarmupLeft_ = Notice.Age_ = Duration();
+        C.Departures_.push_back({Notice, Clock_.unixMillis()});
+      }
+  }
+  if (C.Departures_.empty())
+    return;
+  ChangeReply Reply = Router_.submit(C, ConfirmTimeout);
+  // A leader of an older version does not know this kind of change. Departures
+  // are then kept by the VMs' processes only, as in that version.
+  if (Reply.Verdict_ != ChangeVerdict::Accepted)
+    log({.Level_ = LogLevel::Warning,
+         .Step_ = "upstream.record",
+         .Message_ = std::to_string(C.Departures_.size()) +
+                     " departures are not recorded: " + Reply.Message_});
+  std::lock_guard Guard(Lock_);
+  for (const RecordedDeparture &D : C.Departures_)
+    recordDeparture(Recorded_, D);
+  Confirmed_.notify_all();
+}
+
+/// \returns whether the departure is recorded in the log and all entry VMs in
+/// contact have confirmed it in time. One that has just failed delays this
+/// until it is out of contact; the upstream repeats its announcement. So does
+/// an entry VM that this VM may not know yet.
 bool CoreVm::Impl::confirmNotice(const UpstreamNotice &Notice) {
   Time Deadline = Clock_.now() + ConfirmTimeout;
   std::vector<VmId> Cores = PeerRegistry_.coreVms();
@@ -632,17 +706,22 @@
   std::set<VmId> To = AwaitAll();
   To.insert(Cores.begin(), Cores.end());
   bool KnowsAll = knowsAllVms(Clock_.now());
+  bool IsDurable = false;
   bool AllConfirmed = false;
+  requestRecord(Notice);
   while (!AllConfirmed && Clock_.now() < Deadline) {
     Guard.unlock();
     sendNotice(Number, Notice, To);
     Guard.lock();
-    Confirmed_.wait_for(Guard,
-                        std::chrono::milliseconds(ConfirmRetryInterval.count()),
-                        [&] { return isConfirmed(Departures_, Number); });
+    Confirmed_.wait_for(
+        Guard, std::chrono::milliseconds(ConfirmRetryInterval.count()), [&] {
+          return isConfirmed(Departures_, Number) &&
+                 isRecorded(Recorded_, Notice);
+        });
     To = AwaitAll(); // VMs may have joined or fallen silent
     KnowsAll = knowsAllVms(Clock_.now());
-    AllConfirmed = KnowsAll && To.empty();
+    IsDurable = isRecorded(Recorded_, Notice);
+    AllConfirmed = KnowsAll && To.empty() && IsDurable;
   }
   if (!AllConfirmed)
     log({.Level_ = LogLevel::Warning,
@@ -650,7 +729,8 @@
          .Message_ = std::to_string(To.size()) +
                      " entry VMs have not confirmed the departure, first " +
                      (To.empty() ? std::string("none") : To.begin()->str()) +
-                     (KnowsAll ? "" : "; there may be others"),
+                     (KnowsAll ? "" : "; there may be others") +
+                     (IsDurable ? "" : "; it is not in the log"),
          .Peer_ = Notice.Id_.str()});
   return AllConfirmed;
 }
@@ -778,6 +858,7 @@
   Impl_->Peers_.start();
   Impl_->Host_.start();
   Impl_->PushWorker_.start();
+  Impl_->RecordWorker_.start();
   Impl_->LoadRelay_.start();
   Impl_->Ticker_.start();
   log({.Step_ = "core.start", .Message_ = "running"});
@@ -786,6 +867,7 @@
 void CoreVm::stop() {
   Impl_->Ticker_.stop();
   Impl_->LoadRelay_.stop();
+  Impl_->RecordWorker_.stop();
   Impl_->Host_.stop();
   Impl_->PushWorker_.stop();
   Impl_->Peers_.stop();
--- a/lagoonpoint/src/Node/ReplicaHost.cpp
+++ b/lagoonpoint/src/Node/ReplicaHost.cpp
@@ -188,6 +188,9 @@
   Change C = decode<Change>(Item.Bytes_, "replica.apply", "");
   Revision Previous = Catalog_.Revision_;
   ChangeReply Reply = applyChange(Catalog_, C);
+  FreshReplies_.emplace(C.Id_, Reply);
+  if (C.Kind_ == ChangeKind::RecordDepartures)
+    return Observer_(Catalog_, &C);
   if (Catalog_.Revision_ == Previous)
     return;
   log({.Step_ = "replica.apply",
@@ -201,10 +204,14 @@
   for (auto It = PendingSubmits_.begin(); It != End;
        It = PendingSubmits_.erase(It)) {
     SubmitResult Result{.Leader_ = Replica_->leaderHint()};
-    if (auto Stored = findReply(Catalog_, It->second.Id_))
+    auto Fresh = FreshReplies_.find(It->second.Id_);
+    if (Fresh != FreshReplies_.end())
+      Result = {true, Fresh->second, {}};
+    else if (auto Stored = findReply(Catalog_, It->second.Id_))
       Result = {true, *Stored, {}};
     It->second.Done_(Result);
   }
+  FreshReplies_.clear();
 }
 
 const std::vector<std::string> &ReplicaHost::unappliedTeams() {
--- a/lagoonpoint/src/Node/ReplicaHost.h
+++ b/lagoonpoint/src/Node/ReplicaHost.h
@@ -51,6 +51,7 @@
 public:
   /// Called on the replica's thread with each new state of the catalog and the
   /// change that led to it. The change is null after a start or a snapshot.
+  /// Departures leave the revision as it was.
   using Observer = std::function<void(const Catalog &, const Change *)>;
   using SubmitDone = std::function<void(SubmitResult)>;
 
@@ -112,7 +113,9 @@
   std::optional<Time> ReopenAt_; ///< empty while the replica runs
   std::string ReopenError_;      ///< of the last attempt, logged once
   Catalog Catalog_;
-  LogIndex AppliedIndex_;   ///< of the last item applied to the catalog
+  LogIndex AppliedIndex_; ///< of the last item applied to the catalog
+  /// To the changes applied since the last completeSubmits().
+  std::map<ChangeId, ChangeReply> FreshReplies_;
   LogIndex DeliveredIndex_; ///< the catalog includes all entries up to here
   std::multimap<LogIndex, PendingSubmit> PendingSubmits_;
   /// Teams whose items a part of the log may change, kept because decoding a
--- a/test/Catalog.cpp
+++ b/test/Catalog.cpp
@@ -27,6 +27,19 @@
   return {.Id_ = ChangeId(Id), .Kind_ = Kind, .Key_ = Key};
 }
 
+/// \param At when it is recorded, in seconds
+Change departure(const char *Upstream, std::uint64_t StartedAtMs,
+                 NoticePhase Phase, std::int64_t At) {
+  RecordedDeparture D;
+  D.Notice_.Id_ = UpstreamId(Upstream);
+  D.Notice_.StartedAtMs_ = StartedAtMs;
+  D.Notice_.Phase_ = Phase;
+  D.RecordedAtMs_ = Duration::seconds(At).count();
+  return {.Id_ = ChangeId(Upstream + std::to_string(At)),
+          .Kind_ = ChangeKind::RecordDepartures,
+          .Departures_ = {D}};
+}
+
 } // namespace
 
 TEST_CASE("Changes of the declarations are validated and applied") {
@@ -222,3 +235,68 @@
   applyChange(Voter, declaration("c2", 1, localDeclarations() + "\n"));
   CHECK(digestOf(Follower) != digestOf(Voter));
 }
+
+TEST_CASE("The catalog keeps the departures of upstreams for some minutes") {
+  Catalog State;
+  auto Record = [&](const Change &C) {
+    ChangeReply Reply = applyChange(State, C);
+    CHECK(Reply.Verdict_ == ChangeVerdict::Accepted);
+  };
+  auto Knows = [&](const char *Upstream, std::uint64_t StartedAtMs,
+                   NoticePhase Phase) {
+    UpstreamNotice Notice;
+    Notice.Id_ = UpstreamId(Upstream);
+    Notice.StartedAtMs_ = StartedAtMs;
+    Notice.Phase_ = Phase;
+    return isRecorded(State.Departures_, Notice);
+  };
+  Record(departure("i1", 5, NoticePhase::Leaving, 0));
+  REQUIRE(Knows("i1", 5, NoticePhase::Leaving));
+  CHECK_FALSE(Knows("i1", 5, NoticePhase::Gone));
+  CHECK_FALSE(Knows("i1", 6, NoticePhase::Leaving));
+  CHECK_FALSE(Knows("i2", 5, NoticePhase::Leaving));
+
+  SECTION("without a revision or a stored reply") {
+    CHECK(State.Revision_ == Revision());
+    CHECK(State.Replies_.empty());
+    CHECK(digestOf(State) == digestOf(Catalog()));
+  }
+  SECTION("an earlier phase or process does not replace a later one") {
+    Record(departure("i1", 5, NoticePhase::Gone, 1));
+    Record(departure("i1", 5, NoticePhase::Leaving, 2));
+    CHECK(Knows("i1", 5, NoticePhase::Gone));
+    Record(departure("i1", 6, NoticePhase::Leaving, 3));
+    Record(departure("i1", 5, NoticePhase::Gone, 4));
+    CHECK(Knows("i1", 6, NoticePhase::Leaving));
+    CHECK_FALSE(Knows("i1", 6, NoticePhase::Gone));
+  }
+  SECTION("until a much later one is recorded") {
+    Record(departure("i2", 5, NoticePhase::Gone, 120));
+    CHECK(Knows("i1", 5, NoticePhase::Leaving));
+    Record(departure("i3", 5, NoticePhase::Gone, 121));
+    CHECK_FALSE(Knows("i1", 5, NoticePhase::Leaving));
+    CHECK(Knows("i2", 5, NoticePhase::Gone));
+    SECTION("also by a clock that was set back") {
+      Record(departure("i4", 5, NoticePhase::Gone, -10));
+      CHECK_FALSE(Knows("i2", 5, NoticePhase::Gone));
+      CHECK(Knows("i4", 5, NoticePhase::Gone));
+    }
+  }
+  SECTION("also in a snapshot") {
+    State = decode<Catalog>(encode(State), "test", "");
+    CHECK(Knows("i1", 5, NoticePhase::Leaving));
+  }
+  SECTION("which an older version wrote without them") {
+    std::string Bytes = encode(Catalog());
+    REQUIRE(Bytes.front() == '\x9c'); // array of 12, the last one an empty map
+    REQUIRE(Bytes.back() == '\x80');
+    Bytes.front() = '\x9b';
+    Bytes.pop_back();
+    CHECK(decode<Catalog>(Bytes, "test", "").Departures_.empty());
+  }
+  SECTION("but no announcement of an upstream that serves") {
+    CHECK(applyChange(State, departure("i2", 5, NoticePhase::Serving, 1))
+              .Verdict_ == ChangeVerdict::Invalid);
+    CHECK_FALSE(Knows("i2", 5, NoticePhase::Serving));
+  }
+}
--- a/test/FleetVms.cpp
+++ b/test/FleetVms.cpp
@@ -69,6 +69,17 @@
     Settings_.push_back(
         std::make_unique<FleetSettings>(settings(4, false, Folder_)));
     Settings_.back()->Placement_ = Mode;
+    startEntry();
+  }
+  ~TestFleet() {
+    Entry_->stop();
+    for (auto &Core : Cores_)
+      Core->stop();
+    Cores_.clear();
+    std::filesystem::remove_all(Folder_);
+  }
+
+  void startEntry() {
     Dialect D;
     D.AllowsCloseDelimited_ = true;
     D.RequestLimit_ = "Server-Limit";
@@ -77,12 +88,14 @@
     Entry_ = std::make_unique<EntryVm>(*Settings_.back(), D);
     Entry_->start();
   }
-  ~TestFleet() {
+
+  /// Stops all VMs, then starts them: core VMs with the data folders that they
+  /// had, the entry VM with nothing.
+  void restartAll() {
     Entry_->stop();
-    for (auto &Core : Cores_)
-      Core->stop();
-    Cores_.clear();
-    std::filesystem::remove_all(Folder_);
+    Entry_.reset();
+    restartCores();
+    startEntry();
   }
 
   /// Stops all core VMs and starts them with the data folders that they had.
@@ -373,6 +386,31 @@
     CHECK_THAT(Fleet.call(Get), StartsWith("HTTP/1.1 503 "));
     CHECK(Upstream.requests() == Before);
   }
+  // Guards against departures that are kept in the memory of processes only.
+  SECTION("a departure that was acknowledged outlasts the end of all "
+          "processes") {
+    NoticePhase Phase = GENERATE(NoticePhase::Leaving, NoticePhase::Gone);
+    INFO("phase " << static_cast<int>(Phase));
+    Fleet.awaitDeparture(notice(Port, Phase, 2));
+    Fleet.restartAll();
+    REQUIRE(eventually([&] { return Fleet.Entry_->ready(); }));
+    int Before = Upstream.requests();
+    // Sent before the departure.
+    Fleet.Cores_[1]->announce(notice(Port, NoticePhase::Serving, 1));
+    // Longer than VMs take to tell each other of an upstream.
+    constexpr int Calls = 20;
+    for (int N = 0; N < Calls; ++N) {
+      CHECK_THAT(Fleet.call(Get), StartsWith("HTTP/1.1 503 "));
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    CHECK(Upstream.requests() == Before);
+    // A later process of the same upstream is used at once.
+    UpstreamNotice Restarted = notice(Port, NoticePhase::Serving, 1);
+    Restarted.StartedAtMs_ = 6;
+    REQUIRE(Fleet.Cores_[2]->announce(Restarted) == AnnounceResult::Accepted);
+    CHECK(eventually(
+        [&] { return Fleet.call(Get).find("mine") != std::string::npos; }));
+  }
   // Guards against a warm-up that only entry VMs hear of which the core VM had
   // heard of before.
   SECTION(
