Check a patch by the items that it leaves in force

What callers saw: an operator removed a service that a route named, and got 200.

Cause: the check looked at the services of the routes that a call sets, not at routes that are held. The same gap was open between two changes under way, as the leader checked against committed items only, and the other way round a call that was delivered again after its service had been removed was refused, though it changes nothing.

Change: a patch is checked by the items that it leaves. The leader includes the entries that are not committed yet, so that the verdict holds when the entry is applied. Entries of the log are applied by the check that earlier versions have, so that replicas of both versions decide alike; outdated items are left out before a patch is proposed. Upstreams of a removed service may still announce their departure. The log line of a refused change says why.

--- a/lagoonpoint/src/Catalog/Catalog.cpp
+++ b/lagoonpoint/src/Catalog/Catalog.cpp
@@ -129,7 +129,7 @@
 
 /// Versions that are already stored, or older, change nothing.
 ChangeReply patchItems(Catalog &State, const Change &C) {
-  std::string Fault = validatePatch(State.Items_, C.Items_);
+  std::string Fault = validateLoggedPatch(State.Items_, C.Items_);
   if (!Fault.empty())
     return {ChangeVerdict::Invalid, State.Revision_, Fault};
   if (!mergeItems(State.Items_, C.Items_, State.Revision_.next()))
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -892,7 +892,8 @@
        .Message_ = "change " + Identified.Id_.str() + ": " +
                    toString(Reply.Verdict_) + " after " +
                    std::to_string((Impl_->Clock_.now() - SubmittedAt).count()) +
-                   " ms",
+                   " ms" + (Reply.Message_.empty() ? "" : ": ") +
+                   Reply.Message_,
        .Revision_ = Reply.Revision_});
   return Reply;
 }
@@ -984,7 +985,7 @@
 bool CoreVm::acceptsService(const ServiceId &Service) const {
   auto Now = Impl_->items();
   return Now->Items_.Services_.empty() ||
-         findItem(Now->Items_.Services_, Service.str());
+         Now->Items_.Services_.count(Service.str()) > 0;
 }
 
 MetricRegistry &CoreVm::metrics() { return Impl_->Metrics_; }
--- a/lagoonpoint/src/Gateway/CoreVm.h
+++ b/lagoonpoint/src/Gateway/CoreVm.h
@@ -53,8 +53,9 @@
   /// \returns the current items, as committed by a quorum.
   /// \throws UnavailableError if no leader answers in time or this replica lags
   ItemSet readItems(Duration Wait);
-  /// \returns whether upstreams may announce a service: it is configured, or no
-  /// service is configured yet.
+  /// \returns whether upstreams may announce a service: it is or was
+  /// configured, or no service is configured yet. Upstreams of a removed
+  /// service are not used, but their departures are acknowledged.
   bool acceptsService(const ServiceId &Service) const;
   MetricRegistry &metrics();
 
--- a/lagoonpoint/src/Items/ItemChecks.cpp
+++ b/lagoonpoint/src/Items/ItemChecks.cpp
@@ -61,12 +61,7 @@
 template <class Item>
 const Item *findMerged(const ItemMap<Item> &Current, const ItemMap<Item> &Patch,
                        const std::string &Name) {
-  auto New = Patch.find(Name);
-  auto Old = Current.find(Name);
-  bool Newer =
-      New != Patch.end() &&
-      (Old == Current.end() || New->second.Version_ > Old->second.Version_);
-  return findItem(Newer ? Patch : Current, Name);
+  return findItem(changesItem(Current, Patch, Name) ? Patch : Current, Name);
 }
 
 std::string checkServicesExist(const ItemSet &Current, const ItemSet &Patch,
@@ -77,6 +72,49 @@
   return "";
 }
 
+std::string checkServicesKnown(const ItemSet &Current, const ItemSet &Patch,
+                               const RouteItem &R) {
+  for (const SplitPart &Part : R.Split_) {
+    const std::string &Name = Part.Service_.str();
+    if (!Current.Services_.count(Name) && !Patch.Services_.count(Name))
+      return "unknown service \"" + Name + "\"";
+  }
+  return "";
+}
+
+std::string checkRoutesServed(const ItemSet &Current, const ItemSet &Patch) {
+  for (const auto &[Name, R] : Patch.Routes_) {
+    if (R.Removed_)
+      continue;
+    std::string Fault = changesItem(Current.Routes_, Patch.Routes_, Name)
+                            ? checkServicesExist(Current, Patch, R.Value_)
+                            : checkServicesKnown(Current, Patch, R.Value_);
+    if (!Fault.empty())
+      return itemError("route", Name, Fault);
+  }
+  return "";
+}
+
+std::string checkRemovedServicesUnused(const ItemSet &Current,
+                                       const ItemSet &Patch) {
+  std::set<std::string> Removed;
+  for (const auto &[Name, S] : Patch.Services_)
+    if (S.Removed_ && changesItem(Current.Services_, Patch.Services_, Name))
+      Removed.insert(Name);
+  if (Removed.empty())
+    return "";
+  for (const auto &[Name, Held] : Current.Routes_) {
+    const RouteItem *R = findMerged(Current.Routes_, Patch.Routes_, Name);
+    if (!R)
+      continue;
+    for (const SplitPart &Part : R->Split_)
+      if (Removed.count(Part.Service_.str()))
+        return itemError("service", Part.Service_.str(),
+                         "is named by route \"" + Name + "\"");
+  }
+  return "";
+}
+
 std::string checkKeysUnique(const ItemSet &Current, const ItemSet &Patch) {
   std::set<std::string> Names;
   for (const auto &[Name, Team] : Current.Teams_)
@@ -115,6 +153,17 @@
 }
 
 std::string validatePatch(const ItemSet &Current, const ItemSet &Patch) {
+  std::string Fault = validateItems(Patch);
+  if (Fault.empty())
+    Fault = checkRoutesServed(Current, Patch);
+  if (Fault.empty())
+    Fault = checkRemovedServicesUnused(Current, Patch);
+  if (Fault.empty() && !Patch.Teams_.empty())
+    Fault = checkKeysUnique(Current, Patch);
+  return Fault;
+}
+
+std::string validateLoggedPatch(const ItemSet &Current, const ItemSet &Patch) {
   std::string Fault = validateItems(Patch);
   if (!Fault.empty())
     return Fault;
--- a/lagoonpoint/src/Items/ItemSet.cpp
+++ b/lagoonpoint/src/Items/ItemSet.cpp
@@ -33,13 +33,21 @@
 
 template <class Item>
 bool containsMap(const ItemMap<Item> &Current, const ItemMap<Item> &Patch) {
-  return std::all_of(Patch.begin(), Patch.end(), [&](const auto &Entry) {
-    auto Found = Current.find(Entry.first);
-    return Found != Current.end() &&
-           Found->second.Version_ >= Entry.second.Version_;
+  return std::none_of(Patch.begin(), Patch.end(), [&](const auto &Entry) {
+    return changesItem(Current, Patch, Entry.first);
   });
 }
 
+template <class Item>
+ItemMap<Item> newerMap(const ItemMap<Item> &Current,
+                       const ItemMap<Item> &Patch) {
+  ItemMap<Item> Out;
+  for (const auto &[Name, Each] : Patch)
+    if (changesItem(Current, Patch, Name))
+      Out.emplace(Name, Each);
+  return Out;
+}
+
 template <class Item>
 void copyChangedAfter(const ItemMap<Item> &All, Revision After,
                       ItemMap<Item> &Out) {
@@ -70,6 +78,15 @@
          containsMap(Current.Limits_, Patch.Limits_);
 }
 
+ItemSet newerItems(const ItemSet &Current, const ItemSet &Patch) {
+  ItemSet Out;
+  Out.Routes_ = newerMap(Current.Routes_, Patch.Routes_);
+  Out.Teams_ = newerMap(Current.Teams_, Patch.Teams_);
+  Out.Services_ = newerMap(Current.Services_, Patch.Services_);
+  Out.Limits_ = newerMap(Current.Limits_, Patch.Limits_);
+  return Out;
+}
+
 ItemSet itemsChangedAfter(const ItemSet &All, Revision After) {
   ItemSet Out;
   copyChangedAfter(All.Routes_, After, Out.Routes_);
--- a/lagoonpoint/src/Items/ItemSet.h
+++ b/lagoonpoint/src/Items/ItemSet.h
@@ -45,6 +45,21 @@
 /// \ingroup Items
 bool containsItems(const ItemSet &Current, const ItemSet &Patch);
 
+/// \returns whether merging a patch would change the named item.
+/// \ingroup Items
+template <class Item>
+bool changesItem(const ItemMap<Item> &Current, const ItemMap<Item> &Patch,
+                 const std::string &Name) {
+  auto New = Patch.find(Name);
+  auto Old = Current.find(Name);
+  return New != Patch.end() &&
+         (Old == Current.end() || New->second.Version_ > Old->second.Version_);
+}
+
+/// \returns the items of a patch that merging it would change.
+/// \ingroup Items
+ItemSet newerItems(const ItemSet &Current, const ItemSet &Patch);
+
 /// \returns the items that changed after a revision, including removals.
 /// \ingroup Items
 ItemSet itemsChangedAfter(const ItemSet &All, Revision After);
--- a/lagoonpoint/src/Node/ReplicaHost.cpp
+++ b/lagoonpoint/src/Node/ReplicaHost.cpp
@@ -76,15 +76,16 @@
         PendingSubmits_.emplace(Index, PendingSubmit{C.Id_, Done});
         return;
       }
-    std::string InvalidReason = C.Kind_ == ChangeKind::PatchItems
-                                    ? validatePatch(Catalog_.Items_, C.Items_)
-                                    : validateChange(C);
-    if (!InvalidReason.empty())
+    Change Prepared = C;
+    std::optional<std::string> InvalidReason = prepare(Prepared);
+    if (!InvalidReason)
+      return Done(Undecided);
+    if (!InvalidReason->empty())
       return Done({true,
-                   {ChangeVerdict::Invalid, Catalog_.Revision_, InvalidReason},
+                   {ChangeVerdict::Invalid, Catalog_.Revision_, *InvalidReason},
                    {}});
     ProposeResult Result =
-        Replica_->propose(encode(makeSplice(Catalog_, C)), Clock_.now());
+        Replica_->propose(encode(makeSplice(Catalog_, Prepared)), Clock_.now());
     if (!Result.accepted())
       return Done(Undecided);
     PendingSubmits_.emplace(Result.Index_, PendingSubmit{C.Id_, Done});
@@ -92,6 +93,25 @@
   });
 }
 
+/// Validates a change that is about to be proposed. A patch is checked against
+/// the items that it will meet once the entries before it are applied. Items of
+/// it that newer ones have replaced are left out, as replicas would refuse a
+/// patch whose outdated route names a service that was removed since.
+/// \returns why the change is invalid, empty if it is valid, nothing if an
+/// entry that is not committed yet decides
+std::optional<std::string> ReplicaHost::prepare(Change &C) {
+  if (C.Kind_ != ChangeKind::PatchItems)
+    return validateChange(C);
+  ItemSet Expected = itemsAfterTail();
+  std::string Fault = validatePatch(Expected, C.Items_);
+  if (!Fault.empty())
+    return Fault;
+  C.Items_ = newerItems(Catalog_.Items_, C.Items_);
+  if (!validateLoggedPatch(Expected, C.Items_).empty())
+    return std::nullopt;
+  return "";
+}
+
 std::string ReplicaHost::voterChangeResult(const ProposeResult &Result) {
   processOutputs();
   if (Result.accepted())
@@ -214,25 +234,27 @@
   FreshReplies_.clear();
 }
 
-const std::vector<std::string> &ReplicaHost::unappliedTeams() {
+const ReplicaHost::LogTail &ReplicaHost::tail() {
   const auto &Log = Replica_->state().Log_;
-  if (TailTeams_.After_ == DeliveredIndex_ &&
-      TailTeams_.Last_ == Log.lastIndex() &&
-      TailTeams_.LastTerm_ == Log.lastTerm())
-    return TailTeams_.Teams_;
-  std::set<std::string> Names;
-  for (const LogEntry &E : Log.tailAfter(DeliveredIndex_)) {
-    if (E.Kind_ != EntryKind::Command)
-      continue;
-    Change C = decode<Change>(E.Bytes_, "replica.tail", "");
-    for (const auto &[Name, Team] : C.Items_.Teams_)
-      Names.insert(Name);
-  }
-  TailTeams_ = {DeliveredIndex_,
-                Log.lastIndex(),
-                Log.lastTerm(),
-                {Names.begin(), Names.end()}};
-  return TailTeams_.Teams_;
+  if (Tail_.After_ == DeliveredIndex_ && Tail_.Last_ == Log.lastIndex() &&
+      Tail_.LastTerm_ == Log.lastTerm())
+    return Tail_;
+  Tail_ = {DeliveredIndex_, Log.lastIndex(), Log.lastTerm(), {}, {}};
+  for (const LogEntry &E : Log.tailAfter(DeliveredIndex_))
+    if (E.Kind_ == EntryKind::Command)
+      mergeItems(Tail_.Items_,
+                 decode<Change>(E.Bytes_, "replica.tail", "").Items_,
+                 Revision());
+  removeSourceTexts(Tail_.Items_);
+  for (const auto &[Name, Team] : Tail_.Items_.Teams_)
+    Tail_.Teams_.push_back(Name);
+  return Tail_;
+}
+
+ItemSet ReplicaHost::itemsAfterTail() {
+  ItemSet Out = Catalog_.Items_;
+  mergeItemsFromPeer(Out, tail().Items_);
+  return Out;
 }
 
 void ReplicaHost::publishView() {
@@ -246,7 +268,7 @@
              Runs ? "runs again after: " + LoggedFault_ : Status.Fault_});
     LoggedFault_ = Status.Fault_;
   }
-  const std::vector<std::string> &Teams = unappliedTeams();
+  const std::vector<std::string> &Teams = tail().Teams_;
   std::lock_guard Guard(ViewLock_);
   View_.UnappliedTeams_ = Teams;
   View_.Leader_ = Status.Leader_;
--- a/lagoonpoint/src/Node/ReplicaHost.h
+++ b/lagoonpoint/src/Node/ReplicaHost.h
@@ -92,15 +92,26 @@
     ChangeId Id_;
     SubmitDone Done_;
   };
+  /// The entries of the log that the catalog does not include yet, kept because
+  /// decoding a large change for each message would take too long.
+  struct LogTail {
+    LogIndex After_;
+    LogIndex Last_;
+    Term LastTerm_;                  ///< with Last_, identifies the log
+    ItemSet Items_;                  ///< that they may change
+    std::vector<std::string> Teams_; ///< names of the teams among Items_
+  };
 
   void tick();
   void open();
   void reopenIfStopped();
   void processOutputs();
+  std::optional<std::string> prepare(Change &C);
   void applyCommitted(const CommittedItem &Item);
   void completeSubmits();
   void publishView();
-  const std::vector<std::string> &unappliedTeams();
+  const LogTail &tail();
+  ItemSet itemsAfterTail();
   std::string voterChangeResult(const ProposeResult &Result);
 
   const ReplicaOptions Options_;
@@ -118,15 +129,7 @@
   std::map<ChangeId, ChangeReply> FreshReplies_;
   LogIndex DeliveredIndex_; ///< the catalog includes all entries up to here
   std::multimap<LogIndex, PendingSubmit> PendingSubmits_;
-  /// Teams whose items a part of the log may change, kept because decoding a
-  /// large change for each message would take too long.
-  struct TailTeams {
-    LogIndex After_;
-    LogIndex Last_;
-    Term LastTerm_; ///< with Last_, identifies the log
-    std::vector<std::string> Teams_;
-  };
-  TailTeams TailTeams_;
+  LogTail Tail_;
   mutable std::mutex ViewLock_;
   LeaderView View_;
   std::string LoggedFault_;
--- a/test/FleetVms.cpp
+++ b/test/FleetVms.cpp
@@ -320,6 +320,28 @@
     CHECK(Read.Routes_["tags"].Version_ == ItemVersion(1));
     CHECK(findItem(Read.Teams_, "rangers"));
   }
+  // Guards against routes that are left without their service.
+  SECTION("a service is removed only once no route names it, and its upstreams "
+          "may still depart") {
+    ItemSet Remove;
+    Remove.Services_["register"].Version_ = ItemVersion(2);
+    Remove.Services_["register"].Removed_ = true;
+    ChangeReply Refused = Fleet.apply(Remove, 1);
+    CHECK(Refused.Verdict_ == ChangeVerdict::Invalid);
+    CHECK_THAT(Refused.Message_,
+               Contains("\"register\"") && Contains("route \"tags\""));
+    CHECK(Fleet.Cores_[1]->acceptsService(ServiceId("register")));
+    CHECK_THAT(Fleet.call(Get), Contains("mine"));
+
+    Remove.Routes_["tags"].Version_ = ItemVersion(2);
+    Remove.Routes_["tags"].Removed_ = true;
+    REQUIRE(Fleet.apply(Remove, 1).Verdict_ == ChangeVerdict::Accepted);
+    CHECK(
+        eventually([&] { return Fleet.call(Get).find("HTTP/1.1 404 ") == 0; }));
+    CHECK(Fleet.Cores_[0]->acceptsService(ServiceId("register")));
+    CHECK_FALSE(Fleet.Cores_[0]->acceptsService(ServiceId("nowhere")));
+    Fleet.awaitDeparture(notice(Port, NoticePhase::Leaving, 2));
+  }
   SECTION("a drained zone gets no requests until the drain ends") {
     auto Drain = [&](bool On) {
       Change C;
--- a/test/Items.cpp
+++ b/test/Items.cpp
@@ -170,6 +170,79 @@
   }
 }
 
+// Guards against a check that looks at the items of a patch and not at those
+// that it leaves: a service could be removed while a route named it.
+TEST_CASE("A patch is checked by the items that it leaves in force") {
+  ItemSet Current = baseItems();
+  auto RemoveService = [](const char *Name, std::uint64_t Version) {
+    ItemSet Out;
+    Out.Services_[Name] = removal<ServiceItem>(Version);
+    return Out;
+  };
+  auto MoveLookup = [](std::uint64_t Version, const char *Service) {
+    return onlyRoute("lookup", route(Version, "/lookup/", Service));
+  };
+  SECTION("a service that a route names can't be removed") {
+    CHECK_THAT(validatePatch(Current, RemoveService("register", 2)),
+               Catch::Contains("service \"register\"") &&
+                   Catch::Contains("route \"lookup\""));
+    SECTION("also if it is one of several") {
+      Current.Routes_["lookup"].Value_.Split_ = {{ServiceId("ledger"), 9},
+                                                 {ServiceId("register"), 0}};
+      CHECK_FALSE(validatePatch(Current, RemoveService("register", 2)).empty());
+    }
+    SECTION("and other services can") {
+      CHECK(validatePatch(Current, RemoveService("ledger", 2)).empty());
+    }
+    SECTION("unless the same patch removes the route or moves it") {
+      ItemSet Patch = RemoveService("register", 4);
+      Patch.Routes_["lookup"] = removal<RouteItem>(4);
+      CHECK(validatePatch(Current, Patch).empty());
+      Patch.Routes_["lookup"] = route(4, "/lookup/", "ledger");
+      CHECK(validatePatch(Current, Patch).empty());
+      SECTION("with a version that is too old") {
+        Patch.Routes_["lookup"].Version_ = ItemVersion(3);
+        CHECK_FALSE(validatePatch(Current, Patch).empty());
+      }
+    }
+    SECTION("and an outdated removal changes nothing") {
+      CHECK(validatePatch(Current, RemoveService("register", 1)).empty());
+    }
+  }
+  SECTION("a call that later ones have overtaken is valid when it is resent") {
+    ItemSet First = MoveLookup(4, "register");
+    mergeItems(Current, MoveLookup(5, "ledger"), Revision(2));
+    mergeItems(Current, RemoveService("register", 6), Revision(3));
+    CHECK(validatePatch(Current, First).empty());
+    CHECK(newerItems(Current, First).empty());
+    SECTION("also with an item that is still newer") {
+      First.Routes_["more"] = route(4, "/more/", "ledger");
+      CHECK(validatePatch(Current, First).empty());
+      ItemSet Newer = newerItems(Current, First);
+      CHECK(Newer.Routes_.size() == 1);
+      CHECK(Newer.Routes_.count("more") == 1);
+    }
+    SECTION("but not if it names a service that never existed") {
+      CHECK_FALSE(validatePatch(Current, MoveLookup(4, "nowhere")).empty());
+    }
+  }
+  SECTION("items that an earlier version accepted can be repaired") {
+    mergeItems(Current, RemoveService("register", 6), Revision(2));
+    ItemSet Other;
+    Other.Teams_["agents"] = team(1, {"k3"});
+    CHECK(validatePatch(Current, Other).empty());
+    CHECK(validatePatch(Current, MoveLookup(7, "ledger")).empty());
+    ItemSet Again;
+    Again.Services_["register"] = service(7);
+    CHECK(validatePatch(Current, Again).empty());
+    CHECK_FALSE(validatePatch(Current, MoveLookup(7, "register")).empty());
+  }
+  SECTION("an entry of the log is applied as by earlier versions") {
+    CHECK(validateLoggedPatch(Current, RemoveService("register", 2)).empty());
+    CHECK_FALSE(validateLoggedPatch(Current, MoveLookup(2, "nowhere")).empty());
+  }
+}
+
 TEST_CASE("The catalog applies patches of items") {
   Catalog State;
   REQUIRE(applyChange(State, patch("p1", baseItems())).Verdict_ ==
--- a/test/ReplicaHost.cpp
+++ b/test/ReplicaHost.cpp
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <chrono>
 #include <future>
+#include <mutex>
 #include <thread>
 
 using namespace lagoonpoint;
@@ -117,6 +118,35 @@
     });
   }
 
+  /// Sends changes to all replicas, one right after the other, until the leader
+  /// has decided all of them.
+  std::vector<ChangeVerdict> verdicts(const std::vector<Change> &Changes) {
+    struct Results {
+      std::mutex Lock_;
+      std::map<ChangeId, ChangeVerdict> All_;
+    };
+    auto Decided = std::make_shared<Results>();
+    REQUIRE(eventually([&] {
+      for (auto &[Vm, N] : Nodes_)
+        for (const Change &C : Changes)
+          N.Host_->submit(C, [Decided, Id = C.Id_](const SubmitResult &R) {
+            std::lock_guard Guard(Decided->Lock_);
+            if (R.Decided_)
+              Decided->All_.emplace(Id, R.Reply_.Verdict_);
+          });
+      std::lock_guard Guard(Decided->Lock_);
+      return Decided->All_.size() == Changes.size();
+    }));
+    std::vector<ChangeVerdict> Out;
+    for (const Change &C : Changes)
+      Out.push_back(Decided->All_.at(C.Id_));
+    return Out;
+  }
+  ItemSet items() {
+    return Nodes_.begin()->second.Host_->read(
+        [](const Catalog &State) { return State.Items_; });
+  }
+
   template <class Condition> static bool eventually(Condition Holds) {
     constexpr int MaxSteps = 1000; // of 10 ms
     for (int Step = 0; Step < MaxSteps; ++Step) {
@@ -155,6 +185,32 @@
   std::map<VmId, Node> Nodes_;
 };
 
+Change patch(const std::string &Id, ItemSet Items) {
+  Change C;
+  C.Id_ = ChangeId(Id);
+  C.Kind_ = ChangeKind::PatchItems;
+  C.Items_ = std::move(Items);
+  return C;
+}
+
+void setService(ItemSet &Items, const char *Name, std::uint64_t Version) {
+  Items.Services_[Name].Version_ = ItemVersion(Version);
+  Items.Services_[Name].Value_.HealthPath_ = "/health";
+}
+
+void removeService(ItemSet &Items, const char *Name, std::uint64_t Version) {
+  Items.Services_[Name].Version_ = ItemVersion(Version);
+  Items.Services_[Name].Removed_ = true;
+}
+
+void setRoute(ItemSet &Items, const char *Service, std::uint64_t Version) {
+  VersionedItem<RouteItem> &R = Items.Routes_["lookup"];
+  R.Version_ = ItemVersion(Version);
+  R.Value_.Prefix_ = "/lookup/";
+  R.Value_.Split_ = {{ServiceId(Service), 1}};
+  R.Value_.Timeout_ = Duration::seconds(1);
+}
+
 } // namespace
 
 TEST_CASE("A replica whose disk was full writes again once it has room") {
@@ -196,3 +252,40 @@
   }));
   CHECK_FALSE(C.wentBack());
 }
+
+TEST_CASE("Patches that are under way together are checked one by one") {
+  Cluster C(3);
+  ItemSet First;
+  setService(First, "register", 1);
+  setService(First, "ledger", 1);
+  setRoute(First, "ledger", 1);
+  REQUIRE(C.verdicts({patch("first", First)}) ==
+          std::vector{ChangeVerdict::Accepted});
+
+  SECTION("so that no route is left without its service") {
+    ItemSet Move;
+    setRoute(Move, "register", 2);
+    ItemSet Remove;
+    removeService(Remove, "register", 2);
+    auto Verdicts = C.verdicts({patch("move", Move), patch("remove", Remove)});
+    // Whichever the leader met first is in force.
+    CHECK(Verdicts[0] != Verdicts[1]);
+    ItemSet Left = C.items();
+    const RouteItem *Route = findItem(Left.Routes_, "lookup");
+    REQUIRE(Route);
+    CHECK(findItem(Left.Services_, Route->Split_.front().Service_.str()));
+  }
+  SECTION("and a resend that is overtaken meanwhile is accepted") {
+    ItemSet Overtaking;
+    setRoute(Overtaking, "ledger", 5);
+    removeService(Overtaking, "register", 6);
+    ItemSet Late;
+    setRoute(Late, "register", 2);
+    setService(Late, "more", 2);
+    CHECK(C.verdicts({patch("overtaking", Overtaking), patch("late", Late)}) ==
+          std::vector{ChangeVerdict::Accepted, ChangeVerdict::Accepted});
+    ItemSet Left = C.items();
+    CHECK(findItem(Left.Services_, "more"));
+    CHECK_FALSE(findItem(Left.Services_, "register"));
+  }
+}
