Move the recording of departures out of the core VM

What callers saw: nothing; the core VM's file had grown to a thousand lines, and that a series of departures shares a change, that a request without a verdict is repeated, and what a leader of an older version leads to, were not tested.

Change: DepartureRecorder holds what is requested and what is recorded, and submits one change at a time. Its behaviour is that of before.

--- a/lagoonpoint/src/Catalog/DepartureRecords.h
+++ b/lagoonpoint/src/Catalog/DepartureRecords.h
@@ -8,9 +8,8 @@
 
 /// A departure of an upstream in the replicated log.
 struct RecordedDeparture {
-  UpstreamNotice Notice_; ///< phase Leaving or Gone
-  std::int64_t RecordedAtMs_ =
-      0; ///< Unix time at the VM that recorded it, in ms
+  UpstreamNotice Notice_;         ///< phase Leaving or Gone
+  std::int64_t RecordedAtMs_ = 0; ///< Unix time in ms at the VM that did it
   MSGPACK_DEFINE(Notice_, RecordedAtMs_)
 };
 
--- a/lagoonpoint/src/Gateway/CoreVm.cpp
+++ b/lagoonpoint/src/Gateway/CoreVm.cpp
@@ -3,6 +3,7 @@
 #include "lagoonpoint/Log"
 #include "lagoonpoint/Peer"
 #include "lagoonpoint/src/Gateway/ControlLoad.h"
+#include "lagoonpoint/src/Gateway/DepartureRecorder.h"
 #include "lagoonpoint/src/Gateway/LoadRelay.h"
 #include "lagoonpoint/src/Gateway/PeerRegistry.h"
 #include "lagoonpoint/src/Gateway/QuotaHolder.h"
@@ -14,7 +15,6 @@
 #include <atomic>
 #include <chrono>
 #include <thread>
-#include <utility>
 
 namespace lagoonpoint {
 
@@ -85,12 +85,14 @@
             Clock_, [](const Error &E) { logError(E, LogLevel::Debug); }),
         PeerRegistry_(S, Peers_), Quotas_(S, Clock_),
         PushWorker_("core.push", IdleTickInterval, [] {}),
+        Recorder_(
+            Clock_, [this](Change C) { return submitDepartures(std::move(C)); },
+            [this] { onDeparturesRecorded(); }),
         Host_(ReplicaSettings_, Clock_, Peers_,
               [this](const Catalog &C, const Change *Applied) {
                 onCatalogChange(C, Applied);
               }),
         Router_(Self_, seedVms(S), &Host_, Clock_, Peers_),
-        RecordWorker_("core.record", IdleTickInterval, [] {}),
         LoadRelay_(Clock_, [this](const LoadNotices &M) { forwardLoads(M); }),
         Ticker_("core.tick", TickInterval, [this] {
           ControlLoad_.measure("tick", [this] { tick(); });
@@ -135,12 +137,13 @@
   bool quorumInContact(Time Now);
   bool knowsAllVms(Time Now);
   bool confirmNotice(const UpstreamNotice &Notice);
-  void requestRecord(const UpstreamNotice &Notice);
-  void recordDepartures();
+  ChangeReply submitDepartures(Change C);
+  void onDeparturesRecorded();
   void repairVoters();
   void forwardLoads(const LoadNotices &M);
   void logLeaderChange();
   bool isBootstrapped();
+  void requireBootstrapped();
   std::shared_ptr<const ItemsSnapshot> items() const;
   std::shared_ptr<const ItemsSnapshot> awaitRevision(Revision Upto,
                                                      Time Deadline) const;
@@ -187,16 +190,13 @@
   unsigned HeartbeatsSent_ = 0; ///< used by the ticker only
   VmId LoggedLeader_;           ///< used by the ticker only
   Departures Departures_;
-  DepartureRecords Recorded_; ///< departures that are known to be in the log
-  /// To be recorded by the next change.
-  std::map<UpstreamId, UpstreamNotice> Unrecorded_;
 
   std::atomic<bool> PushQueued_{false};
   Worker PushWorker_; ///< declared before Host_, whose start reports the stored
                       ///< catalog
+  DepartureRecorder Recorder_; ///< declared before Host_ for the same reason
   ReplicaHost Host_;
   ChangeRouter Router_;
-  Worker RecordWorker_;
   LoadRelay LoadRelay_;
   Worker Ticker_;
 };
@@ -260,12 +260,11 @@
 /// Makes a departure of the log known to this VM. After a restart it may be the
 /// only trace of it.
 void CoreVm::Impl::onRecordedDeparture(const RecordedDeparture &D) {
-  std::lock_guard Guard(Lock_);
-  recordDeparture(Recorded_, D);
-  Confirmed_.notify_all();
+  Recorder_.add(D);
   UpstreamNotice Notice = D.Notice_;
   Notice.Age_ = std::max(
       Duration::millis(Clock_.unixMillis() - D.RecordedAtMs_), Duration());
+  std::lock_guard Guard(Lock_);
   if (Notice.Age_ < UpstreamRetention &&
       applyNotice(Upstreams_, Notice, Clock_.now()))
     PendingNotices_.push_back(Notice);
@@ -648,45 +647,15 @@
     Peers_.send({Self_, Vm, Channel::Fleet, Body});
 }
 
-/// Has a departure recorded in the log, unless it is. Called with Lock_ held.
-void CoreVm::Impl::requestRecord(const UpstreamNotice &Notice) {
-  if (isRecorded(Recorded_, Notice))
-    return;
-  auto [Queued, IsNew] = Unrecorded_.try_emplace(Notice.Id_, Notice);
-  if (!IsNew && isNewer(Notice, Queued->second))
-    Queued->second = Notice;
-  RecordWorker_.post([this] { recordDepartures(); });
+ChangeReply CoreVm::Impl::submitDepartures(Change C) {
+  requireBootstrapped();
+  C.Id_ = makeChangeId();
+  return Router_.submit(C, ConfirmTimeout);
 }
 
-/// Records the departures that were announced here while the previous change
-/// was replicated, with one change.
-void CoreVm::Impl::recordDepartures() {
-  if (!isBootstrapped())
-    return;
-  Change C;
-  C.Id_ = makeChangeId();
-  C.Kind_ = ChangeKind::RecordDepartures;
-  {
-    std::lock_guard Guard(Lock_);
-    for (auto &[Id, Notice] : std::exchange(Unrecorded_, {}))
-      if (!isRecorded(Recorded_, Notice)) {
-        Notice.WarmupLeft_ = Notice.Age_ = Duration();
-        C.Departures_.push_back({Notice, Clock_.unixMillis()});
-      }
-  }
-  if (C.Departures_.empty())
-    return;
-  ChangeReply Reply = Router_.submit(C, ConfirmTimeout);
-  // A leader of an older version does not know this kind of change. Departures
-  // are then kept by the VMs' processes only, as in that version.
-  if (Reply.Verdict_ != ChangeVerdict::Accepted)
-    log({.Level_ = LogLevel::Warning,
-         .Step_ = "upstream.record",
-         .Message_ = std::to_string(C.Departures_.size()) +
-                     " departures are not recorded: " + Reply.Message_});
-  std::lock_guard Guard(Lock_);
-  for (const RecordedDeparture &D : C.Departures_)
-    recordDeparture(Recorded_, D);
+void CoreVm::Impl::onDeparturesRecorded() {
+  // No thread is between its check of the condition and its wait.
+  { std::lock_guard Guard(Lock_); }
   Confirmed_.notify_all();
 }
 
@@ -708,7 +677,7 @@
   bool KnowsAll = knowsAllVms(Clock_.now());
   bool IsDurable = false;
   bool AllConfirmed = false;
-  requestRecord(Notice);
+  Recorder_.request(Notice);
   while (!AllConfirmed && Clock_.now() < Deadline) {
     Guard.unlock();
     sendNotice(Number, Notice, To);
@@ -716,11 +685,11 @@
     Confirmed_.wait_for(
         Guard, std::chrono::milliseconds(ConfirmRetryInterval.count()), [&] {
           return isConfirmed(Departures_, Number) &&
-                 isRecorded(Recorded_, Notice);
+                 Recorder_.isRecorded(Notice);
         });
     To = AwaitAll(); // VMs may have joined or fallen silent
     KnowsAll = knowsAllVms(Clock_.now());
-    IsDurable = isRecorded(Recorded_, Notice);
+    IsDurable = Recorder_.isRecorded(Notice);
     AllConfirmed = KnowsAll && To.empty() && IsDurable;
   }
   if (!AllConfirmed)
@@ -850,6 +819,13 @@
          Voters > liveCoreVms(NodeRegistry_, LivenessTimeout, Now).size();
 }
 
+/// \throws UnavailableError if changes are refused for now
+void CoreVm::Impl::requireBootstrapped() {
+  if (!isBootstrapped())
+    throw UnavailableError("core.submit", "",
+                           "the other core VMs are still joining the voters");
+}
+
 CoreVm::CoreVm(const FleetSettings &S) : Impl_(std::make_unique<Impl>(S)) {}
 
 CoreVm::~CoreVm() { stop(); }
@@ -858,7 +834,7 @@
   Impl_->Peers_.start();
   Impl_->Host_.start();
   Impl_->PushWorker_.start();
-  Impl_->RecordWorker_.start();
+  Impl_->Recorder_.start();
   Impl_->LoadRelay_.start();
   Impl_->Ticker_.start();
   log({.Step_ = "core.start", .Message_ = "running"});
@@ -867,16 +843,14 @@
 void CoreVm::stop() {
   Impl_->Ticker_.stop();
   Impl_->LoadRelay_.stop();
-  Impl_->RecordWorker_.stop();
+  Impl_->Recorder_.stop();
   Impl_->Host_.stop();
   Impl_->PushWorker_.stop();
   Impl_->Peers_.stop();
 }
 
 ChangeReply CoreVm::submit(const Change &C, Duration Wait) {
-  if (!Impl_->isBootstrapped())
-    throw UnavailableError("core.submit", "",
-                           "the other core VMs are still joining the voters");
+  Impl_->requireBootstrapped();
   Change Identified = C;
   Identified.Id_ = makeChangeId();
   if (C.Kind_ == ChangeKind::PatchItems && !C.Items_.empty()) {
